--- a/opallanding/__init__.py
+++ b/gladelane/__init__.py
@@ -1,4 +1,4 @@
-"""opallanding: where objects are served, kept and filled from."""
+"""gladelane: where objects are served, kept and filled from."""
 
 from .choice import Router
 from .interface import Settings
--- a/opallanding/choice.py
+++ b/gladelane/choice.py
@@ -1,4 +1,4 @@
-"""Every decision of the router. The interface (settings, events, actions) is opallanding/interface.py.
+"""Every decision of the router. The interface (settings, events, actions) is gladelane/interface.py.
 
 Map, top to bottom:
   constants       each tuned value, with its unit and reason
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,8 +6,8 @@
 
 from hypothesis import settings as hypothesis_settings
 
-from opallanding.choice import Router
-from opallanding.interface import (
+from gladelane.choice import Router
+from gladelane.interface import (
     Action,
     Event,
     Fetch,
--- a/tests/test_failure.py
+++ b/tests/test_failure.py
@@ -4,8 +4,8 @@
 
 from conftest import Driver, members, only, some
 
-from opallanding.choice import LIMIT_LEAST, LINGERING, SENT_TABLE, TABLE
-from opallanding.interface import Fetch, Lookup, Member, Note, Outcome, Purge, Refuse, SetTimer, Status, Timer
+from gladelane.choice import LIMIT_LEAST, LINGERING, SENT_TABLE, TABLE
+from gladelane.interface import Fetch, Lookup, Member, Note, Outcome, Purge, Refuse, SetTimer, Status, Timer
 
 
 def late(d: Driver, fetch: Fetch, note: Note = Note.HIT, wait: float = 0.0) -> None:
--- a/tests/test_interface.py
+++ b/tests/test_interface.py
@@ -5,7 +5,7 @@
 import pytest
 from conftest import PLAIN, settings
 
-from opallanding.interface import Settings
+from gladelane.interface import Settings
 
 ROOT = Path(__file__).parent.parent
 
@@ -41,12 +41,12 @@
 
 
 def test_the_module_stays_small_enough_to_port() -> None:
-    lines = (ROOT / "opallanding" / "choice.py").read_text().splitlines()
+    lines = (ROOT / "gladelane" / "choice.py").read_text().splitlines()
     assert sum(1 for line in lines if line.strip()) <= 650
-    for path in (ROOT / "opallanding").glob("*.py"):
+    for path in (ROOT / "gladelane").glob("*.py"):
         assert all(len(line) <= 110 for line in path.read_text().splitlines()), path
 
 
 def test_the_interface_is_named_first_in_the_module() -> None:
-    text = (ROOT / "opallanding" / "choice.py").read_text()
-    assert "opallanding/interface.py" in text.split("Map, top to bottom")[0]
+    text = (ROOT / "gladelane" / "choice.py").read_text()
+    assert "gladelane/interface.py" in text.split("Map, top to bottom")[0]
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -2,7 +2,7 @@
 
 from conftest import Driver, members, only
 
-from opallanding.interface import Fetch, Member, Note, State, Status, Timer
+from gladelane.interface import Fetch, Member, Note, State, Status, Timer
 
 
 def test_a_fill_is_kept_from_the_second_counted_request() -> None:
@@ -94,7 +94,7 @@
     d.serve(object=5)
     before = d.router.objects[5].utility
     d.now += 10_000.0
-    d.router.handle(d.now, __import__("opallanding.interface").interface.Timer("sweep"))
+    d.router.handle(d.now, __import__("gladelane.interface").interface.Timer("sweep"))
     assert d.router.objects[5].utility == before / 2
 
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -10,8 +10,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from opallanding.choice import Router
-from opallanding.interface import (
+from gladelane.choice import Router
+from gladelane.interface import (
     NEVER_RAN,
     Cancel,
     ClientGone,
--- a/tests/test_simhost.py
+++ b/tests/test_simhost.py
@@ -26,7 +26,7 @@
 
 
 def run(text: str) -> subprocess.CompletedProcess[str]:
-    command = [sys.executable, "-m", "opallanding.simhost"]
+    command = [sys.executable, "-m", "gladelane.simhost"]
     return subprocess.run(command, input=text, capture_output=True, text=True, cwd=ROOT, check=False)
 
 
