--- a/gladelane/choice.py
+++ b/gladelane/choice.py
@@ -449,15 +449,20 @@
                     return parent
         return self.origin if self.origin and self.origin.member.state is State.READY else None
 
-    def age_bound(self, owed: Pending) -> tuple[float, bool]:
+    def age_bound(self, request: Request) -> tuple[float, bool]:
         """Oldest copy that will do (0: the class's fresh time) and whether a purge set it."""
-        request, fresh = owed.request, owed.spec.fresh_ms
+        fresh = self.settings.classes[request.cls].fresh_ms
         at = max(self.purged.get((request.object, 0), 0.0), self.purged.get((0, request.group), 0.0))
         if not at or self.now > at + self.settings.purge_done_ms + PURGE_SLACK_MS:
             return 0.0, False
         bound = max(self.now - at - self.settings.tick_ms, 1.0)
         return (min(bound, fresh) if fresh else bound), True
 
+    def age_now(self, now_ms: float, request: Request) -> float:
+        """For a send that leaves later than it was decided: a purge may have been told in between."""
+        self.now = now_ms
+        return self.age_bound(request)[0]
+
     # --- attempts
 
     def advance(self, owed: Pending, after: Outcome | None = None) -> None:
@@ -502,7 +507,7 @@
     def send_read(self, owed: Pending, left: float) -> bool:
         cache = self.pick_cache(owed)
         source = self.pick_source(owed)
-        age, purged = self.age_bound(owed)
+        age, purged = self.age_bound(owed.request)
         if cache is None and self.settings.straight and source is not None and self.no_cache_runs():
             return self.fetch(owed, source, source, left, 0, age, False, False)
         if cache is None or not self.in_group(owed, cache):
--- /dev/null
+++ b/gladelane/net/board.py
@@ -0,0 +1,91 @@
+"""The notice board: server-sent events over h11, resumed after each break."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable, Iterator
+
+import h11
+import msgspec
+
+from .config import Notice, notice_decoder
+
+log = logging.getLogger(__name__)
+
+PATH = "/board/poll"
+SILENT_S = 3.0  # a comment comes each second; without any byte for so long the board is taken for dead
+BACKOFF_S, BACKOFF_MOST_S = 0.1, 2.0
+MAX_EVENT = 4_000_000
+
+
+class EventStream:
+    """Sans-I/O: bytes in, the data of each event out."""
+
+    def __init__(self) -> None:
+        self._held = b""
+        self._data: list[str] = []
+
+    def feed(self, chunk: bytes) -> Iterator[str]:
+        self._held += chunk
+        if len(self._held) > MAX_EVENT:
+            raise OSError("event too long")
+        *lines, self._held = self._held.split(b"\n")
+        for raw in lines:
+            line = raw.rstrip(b"\r").decode("utf-8", "replace")
+            if not line and self._data:
+                data, self._data = "\n".join(self._data), []
+                yield data
+            elif line.startswith("data:"):
+                self._data.append(line[5:].removeprefix(" "))
+
+
+class Board:
+    def __init__(
+        self, host: str, port: int, last: Callable[[], int], tell: Callable[[Notice], None]
+    ) -> None:
+        self._host, self._port = host, port
+        self._last, self._tell = last, tell
+
+    async def run(self) -> None:
+        backoff = BACKOFF_S
+        while True:
+            before = self._last()
+            try:
+                await self._follow()
+                log.info("board ended")
+            except (OSError, h11.ProtocolError, TimeoutError) as error:
+                log.warning("board lost: %s %s", type(error).__name__, error)
+            backoff = BACKOFF_S if self._last() > before else min(backoff * 2, BACKOFF_MOST_S)
+            await asyncio.sleep(backoff)
+
+    async def _follow(self) -> None:
+        async with asyncio.timeout(SILENT_S):
+            reader, writer = await asyncio.open_connection(self._host, self._port)
+        try:
+            http = h11.Connection(h11.CLIENT)
+            headers = [("Host", f"{self._host}:{self._port}"), ("Accept", "text/event-stream"),
+                       ("Last-Event-ID", str(self._last()))]
+            request = h11.Request(method="GET", target=PATH, headers=headers)
+            writer.write(http.send(request) + http.send(h11.EndOfMessage()))
+            events = EventStream()
+            while True:
+                match http.next_event():
+                    case h11.NEED_DATA:
+                        async with asyncio.timeout(SILENT_S):
+                            http.receive_data(await reader.read(65_536))
+                    case h11.Response(status_code=status) if status != 200:
+                        raise OSError(f"status {status}")
+                    case h11.Data(data=data):
+                        for event in events.feed(bytes(data)):
+                            self._event(event)
+                    case h11.EndOfMessage() | h11.ConnectionClosed():
+                        return
+        finally:
+            writer.close()
+
+    def _event(self, data: str) -> None:
+        try:
+            self._tell(notice_decoder.decode(data))
+        except (msgspec.MsgspecError, ValueError) as error:
+            log.error("bad event: %s; data=%.200s", error, data)
--- /dev/null
+++ b/gladelane/net/director.py
@@ -0,0 +1,251 @@
+"""Drives the module: events in, actions out, the clock. It holds no socket and takes no decision."""
+
+from __future__ import annotations
+
+import logging
+from collections import deque
+from collections.abc import Callable
+from typing import Protocol
+
+from ..choice import Router
+from ..interface import Cancel, ClientGone, Event, Fail, Fetch, ListKind, Log, Lookup, Member, Members, Note
+from ..interface import Outcome, Purge, Refuse, Request, SetTimer, Settings, State, Status, Timer
+from .config import Instance, Notice
+from .ends import STATUS, End
+from .exchange import Ask, Attempt, Code, Exchange, Final
+from .lines import Reply
+from .wheel import TICK_MS, Wheel
+
+log = logging.getLogger(__name__)
+
+STATES = {"in_service": State.READY, "terminating": State.DRAINING, "terminated": State.GONE}
+OVERDUE_MS = 20.0  # past its deadline an exchange is ended here, should the module have failed to
+
+
+class Sender(Protocol):
+    """The upstream side, as the director sees it."""
+
+    def send(self, attempt: Attempt, address: str) -> None: ...
+
+    def abandon(self, attempt: Attempt, end: End) -> None: ...
+
+    def forsake(self, address: str) -> None: ...
+
+
+class Director:
+    def __init__(self, settings: Settings, seed: int, clock: Callable[[], float], wheel: Wheel) -> None:
+        self.settings = settings
+        self.router = Router(settings, seed)
+        self.clock = clock
+        self.wheel = wheel
+        self.sender: Sender
+        self.live: dict[int, Exchange] = {}
+        self.rev = 0
+        self._listed: dict[str, tuple[str, Member]] = {}
+        self._numbers = 0
+        self._events: deque[Event] = deque()
+        self._busy = False
+
+    # --- from the client side
+
+    def admit(self, ask: Ask, deliver: Callable[[Final], None]) -> Exchange:
+        """Called with the last byte of the request. The tick is taken off so that its timer is in time."""
+        self._numbers += 1
+        # the module knows 0 as 'no object, a whole group', so objects count from 1
+        request = Request(
+            self._numbers, ask.cls, int(ask.object, 16) + 1, self.clock() + ask.wait_ms - TICK_MS,
+            ask.size_kb, ask.group, ask.part,
+        )
+        exchange = Exchange(ask, request, deliver)
+        self.live[self._numbers] = exchange
+        self.wheel.at(request.deadline_ms + OVERDUE_MS, lambda: self._overdue(exchange))
+        self.post(request)
+        return exchange
+
+    def gone(self, exchange: Exchange) -> None:
+        """Nobody waits for this exchange any more."""
+        if not exchange.done:
+            exchange.finish(None)
+            self.post(ClientGone(exchange.request.id))
+
+    def owed(self) -> bool:
+        return any(not exchange.done for exchange in self.live.values())
+
+    # --- from the notice board
+
+    def notice(self, notice: Notice) -> None:
+        """Repeats are dropped: after a reconnect the board may tell again what is known."""
+        if notice.rev <= self.rev:
+            return
+        self.rev = notice.rev
+        if notice.pool is not None:
+            members = tuple(self._member(i) for i in notice.pool.instances)
+            self._list(notice.pool.instances, members, notice.pool.reset)
+            self.post(Members(ListKind.COMPLETE if notice.pool.reset else ListKind.CHANGES, members))
+        if notice.flush is not None:
+            object_ = 0 if notice.flush.asset is None else int(notice.flush.asset, 16) + 1
+            self.post(Purge(object_, notice.flush.collection or 0, max(self.clock() - notice.flush.ms, 0.0)))
+
+    def _member(self, told: Instance) -> Member:
+        if told.lifecycle not in STATES:
+            raise ValueError(f"unknown state {told.lifecycle!r}")
+        return Member(
+            told.instance_id, self.settings.known_zone(told.zone), told.machine_type, told.cell,
+            STATES[told.lifecycle], told.weight, told.started_at_ms,
+        )
+
+    def _list(self, told: list[Instance], members: tuple[Member, ...], complete: bool) -> None:
+        before = dict(self._listed)
+        if complete:
+            self._listed.clear()
+        for instance, member in zip(told, members, strict=True):
+            if member.state is State.GONE:
+                self._listed.pop(member.store, None)
+            else:
+                self._listed[member.store] = (instance.host_port, member)
+        for store, (address, old) in before.items():
+            # another cache may take over the address, and a new process knows nothing of what the old one
+            # was sent, which may have vanished without closing: neither inherits connections
+            now = self._listed.get(store)
+            if now is None or now[0] != address or now[1].came_up_ms != old.came_up_ms:
+                self.sender.forsake(address)
+
+    # --- from the upstream side
+
+    def recheck(self, attempt: Attempt) -> End | None:
+        """Just before the first byte: a dial takes time, and lists, purges and the clock go on meanwhile."""
+        now = self.clock()
+        if attempt.due_ms - now < 1.0:
+            return End.EXPIRED
+        if not self._ready(attempt.store) or (attempt.source and not self._ready(attempt.source)):
+            return End.WITHDRAWN
+        bound = self.router.age_now(now, attempt.exchange.request)
+        if bound:
+            attempt.max_age_ms = min(attempt.max_age_ms or bound, bound)
+        return None
+
+    def _ready(self, store: str) -> bool:
+        return store in self._listed and self._listed[store][1].state is State.READY
+
+    def ended(self, attempt: Attempt, end: End, reply: Reply | None = None) -> None:
+        """The one place where an attempt ends; the first end counts."""
+        exchange = attempt.exchange
+        if exchange.open.pop(attempt.number, None) is None:
+            return
+        status = STATUS[end]
+        if status is Status.OK and reply is not None:
+            exchange.finish(Final(Code.SERVED, reply.body, valid=end is End.STILL_GOOD))
+        now = self.clock()
+        self.post(Outcome(
+            exchange.request.id, attempt.number, attempt.store, status, now - attempt.sent_ms,
+            reply.note if reply else Note.UNTOLD,
+            reply.source_wait_ms if reply else 0.0, exchange.done,
+        ))
+
+    # --- the module
+
+    def post(self, event: Event) -> None:
+        """Events that arise while one is handled wait for it: the module sees them in order."""
+        self._events.append(event)
+        if self._busy:
+            return
+        self._busy = True
+        try:
+            while self._events:
+                self._handle(self._events.popleft())
+        finally:
+            self._busy = False
+
+    def _handle(self, event: Event) -> None:
+        try:
+            for action in self.router.handle(self.clock(), event):
+                self._act(action)
+        except Exception:  # a fault ends the request it happened to, and no other
+            log.exception("module failed on %s", type(event).__name__)
+            if isinstance(event, (Request, Outcome)) and event.id in self.live:
+                self._abort(self.live[event.id])
+        if isinstance(event, (Outcome, ClientGone)) and event.id in self.live:
+            self._settle(self.live[event.id])
+
+    def _act(self, action: object) -> None:
+        match action:
+            case Fetch():
+                source = "" if action.source == action.store else action.source
+                flags = (
+                    ("coalesce", action.join), ("shallow", action.source_holds_only),
+                    ("transit", action.parent_keeps_none), ("freshen", action.renew),
+                )
+                hints = tuple(word for word, on in flags if on)
+                self._send(action, source, action.rank, action.max_age_ms, hints)
+            case Lookup():
+                self._send(action)
+            case Cancel():
+                self._cancel(action)
+            case Refuse():
+                self._finish(action.id, Final(Code.REFUSED, come_back_ms=action.come_back_ms))
+            case Fail():
+                self._finish(action.id, Final(Code.FAILED))
+            case SetTimer():
+                self.wheel.at(action.due_ms, lambda: self.post(Timer(action.token)))
+            case Log():
+                log.info("module: %s", action.text)
+            case _:  # the board tells everything unasked; probes and messages are not allowed here
+                log.debug("passed over %s", type(action).__name__)
+
+    def _send(
+        self, action: Fetch | Lookup, source: str = "", rank: int = 0, age: float = 0.0,
+        hints: tuple[str, ...] = (),
+    ) -> None:
+        exchange = self.live.get(action.id)
+        if exchange is None:
+            log.warning("module sent for a request that is over")
+            return
+        now = self.clock()
+        deadline = exchange.request.deadline_ms
+        due = min(now + action.timeout_ms, deadline) if action.timeout_ms else deadline
+        attempt = Attempt(exchange, exchange.sends, action.store, now, due, source, rank, age, hints)
+        exchange.sends += 1
+        exchange.open[attempt.number] = attempt
+        if exchange.done or exchange.sends > self.settings.max_attempts:
+            self.ended(attempt, End.SURPLUS)
+        elif not self._ready(action.store):
+            self.ended(attempt, End.WITHDRAWN)
+        else:
+            self.wheel.at(due, lambda: self._give_up(attempt, End.TIMED_OUT))
+            self.sender.send(attempt, self._listed[action.store][0])
+
+    def _cancel(self, action: Cancel) -> None:
+        exchange = self.live.get(action.id)
+        attempt = exchange.open.get(action.attempt) if exchange else None
+        if attempt is not None:
+            # the module gives up in the tick in which its attempt times out, and must hear of the time-out:
+            # nothing else tells of a store that swallows requests
+            due = attempt.due_ms <= self.clock() + TICK_MS
+            self._give_up(attempt, End.TIMED_OUT if due else End.CANCELLED)
+
+    def _give_up(self, attempt: Attempt, end: End) -> None:
+        if attempt.number in attempt.exchange.open:
+            self.sender.abandon(attempt, end)
+            self.ended(attempt, end)
+
+    def _finish(self, number: int, final: Final) -> None:
+        exchange = self.live.get(number)
+        if exchange is not None:
+            exchange.finish(final)
+            self._settle(exchange)
+
+    def _settle(self, exchange: Exchange) -> None:
+        """Only once the module has heard of the end: what it sends before then must be answered as moot."""
+        if exchange.done and not exchange.open:
+            self.live.pop(exchange.request.id, None)
+
+    def _overdue(self, exchange: Exchange) -> None:
+        if not exchange.done:
+            log.error("overdue id=%s class=%s", exchange.ask.id, exchange.ask.cls)
+            self._abort(exchange)
+
+    def _abort(self, exchange: Exchange) -> None:
+        exchange.finish(Final(Code.FAILED))
+        self.post(ClientGone(exchange.request.id))  # the module forgets it and takes back its attempts
+        for attempt in list(exchange.open.values()):
+            self._give_up(attempt, End.CANCELLED)
--- /dev/null
+++ b/gladelane/net/ends.py
@@ -0,0 +1,60 @@
+"""Every way an attempt or its connection can end, and the one table that maps it to the module's Status."""
+
+from __future__ import annotations
+
+from enum import Enum, auto
+
+from ..interface import Status
+
+
+class End(Enum):
+    # the cache answered
+    SERVED = auto()
+    STILL_GOOD = auto()
+    NOT_HERE = auto()
+    OVERLOAD = auto()
+    CRASHED = auto()
+    NOBODY = auto()
+    # the connection never carried the request
+    REFUSED = auto()  # by the peer's machine
+    DIAL_TIMED_OUT = auto()
+    UNREACHABLE = auto()
+    LOST_UNSENT = auto()  # the connection ended before any byte of the request was written
+    CAPPED = auto()  # this director holds as many connections as it may
+    EXPIRED = auto()  # its time ran out before it could be written
+    WITHDRAWN = auto()  # the store or its source left the list before it could be written
+    SURPLUS = auto()  # sent after the end of its request, or beyond max_attempts
+    # the connection ended under the request
+    RESET = auto()
+    CLOSED = auto()
+    GARBLED = auto()
+    # the director ended it
+    TIMED_OUT = auto()
+    CANCELLED = auto()
+    # a connection without requests
+    IDLE = auto()
+
+
+#: CONNECT_FAILED, FULL, MISS and MOOT prove that nothing ran; with any byte written, it may have.
+STATUS: dict[End, Status] = {
+    End.SERVED: Status.OK,
+    End.STILL_GOOD: Status.OK,
+    End.NOT_HERE: Status.MISS,
+    End.OVERLOAD: Status.FULL,
+    End.CRASHED: Status.ERROR,
+    End.NOBODY: Status.MOOT,
+    End.REFUSED: Status.CONNECT_FAILED,
+    End.DIAL_TIMED_OUT: Status.CONNECT_FAILED,
+    End.UNREACHABLE: Status.CONNECT_FAILED,
+    End.LOST_UNSENT: Status.CONNECT_FAILED,
+    End.CAPPED: Status.FULL,
+    End.EXPIRED: Status.MOOT,
+    End.WITHDRAWN: Status.MOOT,
+    End.SURPLUS: Status.MOOT,
+    End.RESET: Status.RESET,
+    End.CLOSED: Status.RESET,
+    End.GARBLED: Status.RESET,
+    End.TIMED_OUT: Status.TIMEOUT,
+    End.CANCELLED: Status.CANCELLED,
+    End.IDLE: Status.RESET,
+}
--- /dev/null
+++ b/gladelane/net/frames.py
@@ -0,0 +1,150 @@
+"""The client protocol without I/O: frames, fields, requests and answers."""
+
+from __future__ import annotations
+
+import re
+import struct
+from collections.abc import Iterator, Mapping
+from enum import IntEnum
+from typing import NamedTuple
+
+from ..interface import Settings
+from .exchange import Ask, Final
+
+MAX_FRAME = 262_144
+HEAD = struct.Struct(">IBI")
+LENGTH_COVERS = 5  # type and stream; the length does not count itself
+HEX16 = re.compile(r"[0-9a-fA-F]{16}")
+TOKEN = re.compile(r"[!-+\--<>-~]{1,256}")  # printable, without the separators of a cache line: space , =
+
+
+class Type(IntEnum):
+    REQUEST = 16
+    ANSWER = 17
+    GONE = 18
+    ASK_READY = 32
+    READY = 33
+    NO_MORE = 48
+
+
+class FramingLost(Exception):
+    """The length cannot be right, so neither can anything after it."""
+
+
+class BadRequest(Exception):
+    """A whole frame whose content cannot be used."""
+
+
+class Frame(NamedTuple):
+    type: int
+    stream: int
+    payload: bytes
+
+
+class FrameDecoder:
+    def __init__(self) -> None:
+        self._held = bytearray()
+
+    def feed(self, data: bytes) -> Iterator[Frame]:
+        held = self._held
+        held += data
+        while len(held) >= 4:
+            length = int.from_bytes(held[:4], "big")
+            if not LENGTH_COVERS <= length <= MAX_FRAME:
+                raise FramingLost(f"frame length {length}")
+            if len(held) < 4 + length:
+                return
+            _, type_, stream = HEAD.unpack_from(held)
+            payload = bytes(held[HEAD.size : 4 + length])
+            del held[: 4 + length]
+            yield Frame(type_, stream, payload)
+
+
+def encode_frame(type_: Type, stream: int, payload: bytes = b"") -> bytes:
+    return HEAD.pack(LENGTH_COVERS + len(payload), type_, stream) + payload
+
+
+def decode_fields(payload: bytes) -> tuple[dict[str, str], bytes]:
+    fields: dict[str, str] = {}
+    try:
+        at = 1
+        for _ in range(payload[0]):
+            end = at + 1 + payload[at]
+            name = payload[at + 1 : end].decode()
+            size = int.from_bytes(payload[end : end + 2], "big")
+            at = end + 2 + size
+            if at > len(payload):
+                raise BadRequest("fields run past the frame")
+            if name in fields:
+                raise BadRequest(f"field {name!r} twice")
+            fields[name] = payload[end + 2 : at].decode()
+    except (IndexError, UnicodeDecodeError) as error:
+        raise BadRequest(f"fields unreadable: {error}") from None
+    return fields, payload[at:]
+
+
+def encode_fields(fields: Mapping[str, str]) -> bytes:
+    parts = [bytes([len(fields)])]
+    for name, value in fields.items():
+        raw, text = name.encode(), value.encode()
+        parts.append(bytes([len(raw)]) + raw + len(text).to_bytes(2, "big") + text)
+    return b"".join(parts)
+
+
+def _whole(fields: Mapping[str, str], name: str, most: int) -> int:
+    text = fields[name]
+    if not (text.isascii() and text.isdecimal() and len(text) <= 10 and int(text) <= most):
+        raise BadRequest(f"field {name!r} is unusable")
+    return int(text)
+
+
+def _amount(fields: Mapping[str, str], name: str) -> float:
+    try:
+        value = float(fields[name])
+    except ValueError:
+        raise BadRequest(f"field {name!r} is unusable") from None
+    if not 0.0 <= value < 1e9:
+        raise BadRequest(f"field {name!r} is out of range")
+    return value
+
+
+def _token(fields: Mapping[str, str], name: str, form: re.Pattern[str]) -> str:
+    if not form.fullmatch(fields[name]):
+        raise BadRequest(f"field {name!r} is unusable")
+    return fields[name]
+
+
+def decode_request(payload: bytes, settings: Settings) -> Ask:
+    """Nothing unusable gets past here: what is in an Ask may go to a cache as it stands."""
+    fields, body = decode_fields(payload)
+    try:
+        spec = settings.classes.get(fields["c"])
+        if spec is None:
+            raise BadRequest(f"unknown class {fields['c']!r}")
+        return Ask(
+            id=_token(fields, "i", HEX16),
+            cls=spec.name,
+            wait_ms=_amount(fields, "d"),
+            object=_token(fields, "o", HEX16),
+            part=_whole(fields, "chunk", 2**31),
+            group=_whole(fields, "tag", 255),
+            size_kb=_amount(fields, "m") if "m" in fields else 0.0,
+            key=_token(fields, "k", TOKEN) if "k" in fields or spec.effect.value == "keyed" else "",
+            known=_token(fields, "known", TOKEN) if "known" in fields else "",
+            body=body,
+        )
+    except KeyError as error:
+        raise BadRequest(f"field {error} is missing") from None
+
+
+def encode_answer(stream: int, final: Final) -> bytes:
+    fields = {}
+    if final.valid:
+        fields["valid"] = "1"
+    if final.come_back_ms >= 1.0:
+        fields["w"] = str(int(final.come_back_ms))
+    return encode_frame(Type.ANSWER, stream, bytes([final.code]) + encode_fields(fields) + final.body)
+
+
+def encode_ready(stream: int, ready: bool) -> bytes:
+    return encode_frame(Type.READY, stream, bytes([0 if ready else 1]) + encode_fields({}))
--- /dev/null
+++ b/gladelane/net/front.py
@@ -0,0 +1,206 @@
+"""The server side: client connections, their streams, readiness, and bounds on what they hold."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from .director import Director
+from .exchange import Code, Exchange, Final
+from .frames import BadRequest, Frame, FrameDecoder, FramingLost, Type, decode_request, encode_answer
+from .frames import encode_frame, encode_ready
+from .wheel import Wheel
+
+log = logging.getLogger(__name__)
+
+READ_BYTES = 65_536
+MOST_OPEN = 32
+UNSENT_BYTES = 524_288  # unsent answers on one connection above which nothing more is read from it
+STALLED_MS = 10_000.0  # a client that takes no byte of its answers for so long is cut off
+IDLE_MS = 30_000.0  # clients close after 4 s without a request; one that does not is cut off
+SWEEP_MS = 1000.0
+OUT_OF_ORDER = 4096  # stream numbers seen ahead of their turn on one connection
+
+FAILED = Final(Code.FAILED)
+
+
+class Streams:
+    """The stream numbers a connection has used: all up to a mark, and the few that came before their turn."""
+
+    def __init__(self) -> None:
+        self._upto = 0
+        self._ahead: set[int] = set()
+
+    def use(self, stream: int) -> bool:
+        """Whether the number is new."""
+        if stream <= self._upto or stream in self._ahead or len(self._ahead) >= OUT_OF_ORDER:
+            return False
+        self._ahead.add(stream)
+        while self._upto + 1 in self._ahead:
+            self._upto += 1
+            self._ahead.remove(self._upto)
+        return True
+
+
+class ClientConnection:
+    def __init__(self, front: Front, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.front = front
+        self.reader = reader
+        self.writer = writer
+        self.open: dict[int, Exchange] = {}
+        self.told_no_more = False
+        self.active_ms = front.clock()
+        self._streams = Streams()
+        self._unsent = 0
+        writer.transport.set_write_buffer_limits(high=UNSENT_BYTES)
+
+    def unsent(self) -> int:
+        return self.writer.transport.get_write_buffer_size()
+
+    async def serve(self) -> None:
+        decoder = FrameDecoder()
+        try:
+            while data := await self.reader.read(READ_BYTES):
+                self.active_ms = self.front.clock()
+                for frame in decoder.feed(data):
+                    self._handle(frame)
+                await self.writer.drain()
+        except FramingLost as error:
+            log.warning("framing lost: %s", error)
+            self._send(encode_answer(0, FAILED))
+        except OSError:
+            pass  # the client has gone; what it had open is given up below
+        for exchange in list(self.open.values()):
+            self.front.director.gone(exchange)
+        self.open.clear()
+        self.writer.close()
+
+    def _handle(self, frame: Frame) -> None:
+        if frame.type == Type.REQUEST and frame.stream:
+            self._request(frame)
+        elif frame.type == Type.GONE:
+            exchange = self.open.pop(frame.stream, None)
+            if exchange is not None:
+                self.front.director.gone(exchange)
+        elif frame.type == Type.ASK_READY:
+            self._send(encode_ready(frame.stream, not self.front.draining))
+        else:
+            log.warning("unexpected frame type=%d stream=%d", frame.type, frame.stream)
+            self._send(encode_answer(0, FAILED))
+
+    def _request(self, frame: Frame) -> None:
+        stream = frame.stream
+        if not self._streams.use(stream):
+            log.warning("stream used twice stream=%d", stream)
+            self._send(encode_answer(0, FAILED))
+            return
+        if len(self.open) >= MOST_OPEN:
+            log.warning("more than %d requests open", MOST_OPEN)
+            self._send(encode_answer(stream, FAILED))
+            return
+        try:
+            ask = decode_request(frame.payload, self.front.director.settings)
+        except BadRequest as error:
+            log.warning("bad request stream=%d: %s", stream, error)
+            self._send(encode_answer(stream, FAILED))
+            return
+        if self.front.full():
+            self._send(encode_answer(stream, Final(Code.REFUSED)))
+            return
+        answered: list[Final] = []
+        try:
+            exchange = self.front.director.admit(ask, lambda final: self._answer(stream, final, answered))
+        except Exception:  # a fault here ends this request only
+            log.exception("request failed id=%s", ask.id)
+            self._answer(stream, FAILED, answered)
+            return
+        if not answered:
+            self.open[stream] = exchange
+
+    def _answer(self, stream: int, final: Final, answered: list[Final]) -> None:
+        """`answered` may be filled before `admit` returns; nothing is answered twice."""
+        if answered:
+            return
+        answered.append(final)
+        self.open.pop(stream, None)
+        self._send(encode_answer(stream, final))
+
+    def _send(self, data: bytes) -> None:
+        self.active_ms = self.front.clock()
+        if not self.writer.is_closing():
+            self.writer.write(data)
+
+    def no_more(self) -> None:
+        if not self.told_no_more:
+            self.told_no_more = True
+            self._send(encode_frame(Type.NO_MORE, 0))
+
+    def sweep(self, now: float) -> None:
+        unsent = self.unsent()
+        if not unsent or unsent != self._unsent:
+            self._unsent = unsent
+            if unsent:
+                self.active_ms = now
+        idle = now - self.active_ms
+        if (unsent and idle > STALLED_MS) or (not unsent and not self.open and idle > IDLE_MS):
+            log.info("client cut off unsent=%d", unsent)
+            self.writer.transport.abort()
+
+
+class Front:
+    def __init__(
+        self, director: Director, clock: Callable[[], float], wheel: Wheel, cap: int, held_bytes: float
+    ) -> None:
+        self.director = director
+        self.clock = clock
+        self.wheel = wheel
+        self.cap = cap
+        self.held_bytes = held_bytes
+        self.draining = False
+        self.connections: set[ClientConnection] = set()
+        self._server: asyncio.Server | None = None
+
+    async def listen(self, host: str, port: int) -> int:
+        self._server = await asyncio.start_server(self._accept, host, port, limit=READ_BYTES, backlog=512)
+        self.wheel.at(self.clock() + SWEEP_MS, self._sweep)
+        return int(self._server.sockets[0].getsockname()[1])
+
+    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if len(self.connections) >= self.cap:
+            log.warning("too many clients")
+            writer.transport.abort()
+            return
+        conn = ClientConnection(self, reader, writer)
+        self.connections.add(conn)
+        try:
+            await conn.serve()
+        finally:
+            self.connections.discard(conn)
+
+    def full(self) -> bool:
+        """Bodies and unsent answers are what memory goes to: beyond the bound nothing new is taken on."""
+        held = sum(c.unsent() for c in self.connections)
+        held += sum(len(e.ask.body) for c in self.connections for e in c.open.values())
+        return held > self.held_bytes
+
+    def drain(self) -> None:
+        """Tells clients to go elsewhere; what still arrives is served all the same."""
+        self.draining = True
+        for conn in self.connections:
+            conn.no_more()
+
+    def stop_listening(self) -> None:
+        if self._server is not None:
+            self._server.close()
+        for conn in self.connections:
+            conn.no_more()
+
+    def quiet(self) -> bool:
+        return not any(c.open or c.unsent() for c in self.connections)
+
+    def _sweep(self) -> None:
+        now = self.clock()
+        for conn in self.connections:
+            conn.sweep(now)
+        self.wheel.at(now + SWEEP_MS, self._sweep)
--- /dev/null
+++ b/gladelane/net/upstream.py
@@ -0,0 +1,236 @@
+"""The client side: connections to caches, parents and the origin, and the attempts they carry."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections import deque
+from collections.abc import Callable
+from typing import Protocol
+
+from .config import ConnLimits, host_port
+from .ends import End
+from .exchange import Attempt
+from .lines import Garbled, Reply, ReplyDecoder, encode_abort, encode_fetch
+from .wheel import Wheel
+
+log = logging.getLogger(__name__)
+
+READ_BYTES = 65_536
+IDLE_SHARE = 0.8  # of the peer's idle limit: a request must not meet its close
+SWEEP_MS = 500.0
+MUTE_AFTER = 2  # attempts that time out in a row without a byte from the peer: one may just be slow
+STUCK_BYTES = 262_144  # a connection with this much unsent takes no more
+
+
+class Owner(Protocol):
+    """Who sent the attempts."""
+
+    def recheck(self, attempt: Attempt) -> End | None: ...
+
+    def ended(self, attempt: Attempt, end: End, reply: Reply | None = None) -> None: ...
+
+
+class Connection:
+    """One connection, from its dial to its end. Attempts wait here while it is dialled."""
+
+    def __init__(self, pool: Upstream, address: str) -> None:
+        self.pool = pool
+        self.address = address
+        self.open: dict[str, Attempt] = {}  # by the request's id, which is all that answers carry
+        self.aborted: deque[str] = deque(maxlen=256)
+        self.writer: asyncio.StreamWriter | None = None
+        self.retired = False  # carries on with what is open, takes nothing new
+        self.heard_ms = 0.0
+        self.used_ms = pool.clock()
+        self.mute = 0
+        self.task = asyncio.ensure_future(self._run())
+
+    def takes(self, id_: str) -> bool:
+        """An id that is open or was aborted here would make its next answer ambiguous."""
+        if self.retired or len(self.open) >= self.pool.limits.max_streams:
+            return False
+        if id_ in self.open or id_ in self.aborted:
+            return False
+        return self.writer is None or self.writer.transport.get_write_buffer_size() < STUCK_BYTES
+
+    def carry(self, attempt: Attempt) -> None:
+        self.open[attempt.exchange.ask.id] = attempt
+        if self.writer is not None:
+            self._write(attempt)
+
+    def _write(self, attempt: Attempt) -> None:
+        assert self.writer is not None
+        ask = attempt.exchange.ask
+        end = End.LOST_UNSENT if self.writer.is_closing() else self.pool.owner.recheck(attempt)
+        if end is not None:
+            self.open.pop(ask.id, None)
+            self.pool.owner.ended(attempt, end)
+            return
+        now = self.pool.clock()
+        attempt.written_ms = self.used_ms = now
+        self.writer.write(encode_fetch(ask.id, attempt.fields(now), ask.body))
+
+    def drop(self, attempt: Attempt, end: End) -> None:
+        id_ = attempt.exchange.ask.id
+        if self.open.get(id_) is not attempt:
+            return
+        del self.open[id_]
+        if attempt.written_ms and self.writer is not None:
+            self.aborted.append(id_)
+            self.writer.write(encode_abort(id_))
+            if end is End.TIMED_OUT and self.heard_ms <= attempt.written_ms:
+                self.mute += 1
+                if self.mute >= MUTE_AFTER and not self.retired:
+                    log.warning("mute peer=%s open=%d", self.address, len(self.open))
+                    self.retire()
+        self._close_if_done()
+
+    def retire(self) -> None:
+        self.retired = True
+        self._close_if_done()
+
+    def _close_if_done(self) -> None:
+        if self.retired and not self.open:
+            self.close()
+
+    def close(self) -> None:
+        self.retired = True
+        self.task.cancel()
+
+    async def _run(self) -> None:
+        end = End.IDLE
+        try:
+            end = await self._dial() or await self._read()
+        except Exception:
+            log.exception("connection failed peer=%s", self.address)
+            end = End.RESET
+        finally:
+            self._finish(end)
+
+    async def _dial(self) -> End | None:
+        timeout = self.pool.limits.dial_timeout_ms
+        expired = False
+
+        def expire() -> None:
+            nonlocal expired
+            if self.writer is None and not self.task.done():
+                expired = True
+                self.task.cancel()
+
+        self.pool.wheel.at(self.pool.clock() + timeout, expire)
+        try:
+            reader, writer = await asyncio.open_connection(*host_port(self.address))
+        except asyncio.CancelledError:
+            if not expired:
+                raise
+            return End.DIAL_TIMED_OUT
+        except ConnectionRefusedError:
+            return End.REFUSED
+        except (OSError, ValueError):
+            return End.UNREACHABLE
+        self.reader, self.writer = reader, writer
+        for attempt in list(self.open.values()):
+            if self.open.get(attempt.exchange.ask.id) is attempt:
+                self._write(attempt)
+        self._close_if_done()
+        return None
+
+    async def _read(self) -> End:
+        decoder = ReplyDecoder()
+        try:
+            while data := await self.reader.read(READ_BYTES):
+                self.heard_ms = self.pool.clock()
+                self.mute = 0
+                for reply in decoder.feed(data):
+                    self._answered(reply)
+                self._close_if_done()
+        except Garbled as error:
+            log.warning("garbled peer=%s: %s", self.address, error)
+            return End.GARBLED
+        except OSError:
+            return End.RESET
+        return End.CLOSED
+
+    def _answered(self, reply: Reply) -> None:
+        attempt = self.open.get(reply.id)
+        if attempt is None or not attempt.written_ms:
+            return  # its answer crossed our abort
+        if reply.end is End.STILL_GOOD and (not attempt.exchange.ask.known or reply.body):
+            raise Garbled("still_good for a copy that no client holds")
+        del self.open[reply.id]
+        self.pool.owner.ended(attempt, reply.end, reply)
+
+    def _finish(self, end: End) -> None:
+        self.retired = True
+        self.pool.remove(self)
+        if self.writer is not None:
+            self.writer.close()
+        if self.open:
+            log.info("connection ended peer=%s end=%s open=%d", self.address, end.name, len(self.open))
+        ended, self.open = list(self.open.values()), {}
+        for attempt in ended:
+            # bytes handed to the system may have reached the peer: only an unwritten request surely never ran
+            unsent = self.writer is not None and not attempt.written_ms
+            self.pool.owner.ended(attempt, End.LOST_UNSENT if unsent else end)
+
+
+class Upstream:
+    """The pool: up to max_streams attempts share a connection to an address, more are dialled as needed."""
+
+    def __init__(self, limits: ConnLimits, cap: int, clock: Callable[[], float], wheel: Wheel) -> None:
+        self.limits = limits
+        self.cap = cap
+        self.clock = clock
+        self.wheel = wheel
+        self.owner: Owner
+        self._pool: dict[str, list[Connection]] = {}
+        self._count = 0
+        self.sweep()
+
+    def send(self, attempt: Attempt, address: str) -> None:
+        conns = self._pool.setdefault(address, [])
+        for conn in conns:
+            if conn.takes(attempt.exchange.ask.id):
+                break
+        else:
+            if self._count >= self.cap and not self._spare_one():
+                self.owner.ended(attempt, End.CAPPED)
+                return
+            conn = Connection(self, address)
+            conns.append(conn)
+            self._count += 1
+        conn.carry(attempt)
+
+    def abandon(self, attempt: Attempt, end: End) -> None:
+        for conns in self._pool.values():
+            for conn in conns:
+                conn.drop(attempt, end)
+
+    def forsake(self, address: str) -> None:
+        for conn in list(self._pool.get(address, ())):
+            conn.retire()
+
+    def remove(self, conn: Connection) -> None:
+        conns = self._pool.get(conn.address, [])
+        if conn in conns:
+            conns.remove(conn)
+            self._count -= 1
+        if not conns:
+            self._pool.pop(conn.address, None)
+
+    def _spare_one(self) -> bool:
+        """At the cap an idle connection makes room for one that is needed."""
+        idle = next((c for conns in self._pool.values() for c in conns if c.writer and not c.open), None)
+        if idle is not None:
+            idle.close()
+            self.remove(idle)
+        return idle is not None
+
+    def sweep(self) -> None:
+        """Closes what has been idle for long, before the peer does."""
+        oldest = self.clock() - self.limits.conn_idle_ms * IDLE_SHARE
+        for conn in [c for conns in self._pool.values() for c in conns]:
+            if conn.writer is not None and not conn.open and max(conn.heard_ms, conn.used_ms) < oldest:
+                conn.close()
+        self.wheel.at(self.clock() + SWEEP_MS, self.sweep)
--- /dev/null
+++ b/gladelane/net/wheel.py
@@ -0,0 +1,62 @@
+"""Timers as coarse ticks on a hashed wheel, and the clock: Unix milliseconds that never run backwards."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections.abc import Callable
+
+log = logging.getLogger(__name__)
+
+TICK_MS = 5.0
+SLOTS = 512
+LATE_MS = 100.0  # a tick this late is logged: the loop was held up
+
+
+class Clock:
+    def __init__(self) -> None:
+        self._last = 0.0
+
+    def now(self) -> float:
+        self._last = max(self._last, time.time() * 1000.0)
+        return self._last
+
+
+class Wheel:
+    """`at` runs a callback on the first tick at or after its time; a tick keeps the order of the calls."""
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self._clock = clock
+        self._slots: list[list[tuple[int, Callable[[], None]]]] = [[] for _ in range(SLOTS)]
+        self._tick = int(clock() // TICK_MS)
+
+    def at(self, due_ms: float, call: Callable[[], None]) -> None:
+        tick = max(-int(-due_ms // TICK_MS), self._tick + 1)
+        self._slots[tick % SLOTS].append((tick, call))
+
+    def turn(self) -> None:
+        """Runs all that is due. After a long hold-up each slot is still visited once only."""
+        now = int(self._clock() // TICK_MS)
+        first = max(self._tick + 1, now - SLOTS + 1)
+        self._tick = max(now, self._tick)
+        for tick in range(first, now + 1):
+            place = tick % SLOTS
+            entries, self._slots[place] = self._slots[place], []
+            for entry in entries:
+                if entry[0] > now:
+                    self._slots[place].append(entry)
+                    continue
+                try:
+                    entry[1]()
+                except Exception:  # one timer's fault must not stop the others
+                    log.exception("timer failed")
+
+    async def run(self) -> None:
+        while True:
+            before = self._clock()
+            await asyncio.sleep(TICK_MS / 1000.0)
+            late = self._clock() - before - TICK_MS
+            if late > LATE_MS:
+                log.warning("loop late ms=%.0f", late)
+            self.turn()
