Test the network side: tables for the parsers, a real-socket test a rule

Seen while writing them: a time-out told in the tick in which the module gives up went to the module without `over`; Director._handle now sets it when the event is delivered. The node's parts moved into a class, so that tests wire up the same director as `run` does.

--- a/gladelane/__main__.py
+++ b/gladelane/__main__.py
@@ -25,41 +25,67 @@
 LAST_S = 2.0  # beyond the longest deadline, after which a client that takes nothing is left behind
 
 
+class Node:
+    """The parts of one director and who holds whom; `config` says all that differs between two of them."""
+
+    def __init__(self, config: Config) -> None:
+        self.config = config
+        self.clock = Clock()
+        self.wheel = Wheel(self.clock.now)
+        self.director = Director(config.settings, config.seed, self.clock.now, self.wheel)
+        limits = config.limits
+        most = int(limits.sockets * UPSTREAM_SHARE)
+        self.upstream = Upstream(config.conn, most, self.clock.now, self.wheel)
+        self.director.sender, self.upstream.owner = self.upstream, self.director
+        self.front = Front(
+            self.director, self.clock.now, self.wheel, int(limits.sockets * CLIENT_SHARE),
+            limits.memory_mb * 1_000_000 * HELD_SHARE,
+        )
+        self.port = 0
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def start(self) -> int:
+        """Clients are let in only once all that is known has been applied: readiness promises that."""
+        for notice in self.config.known.notices:
+            self.director.notice(notice)
+        self.director.rev = max(self.director.rev, self.config.known.rev)
+        board = Board(*self.config.board, lambda: self.director.rev, self.director.notice)
+        self._tasks = [asyncio.create_task(self.wheel.run()), asyncio.create_task(board.run())]
+        self.port = await self.front.listen(*self.config.listen)
+        return self.port
+
+    async def drain(self) -> None:
+        """Clients are told to go, yet go on arriving for a while; then what is owed is waited for."""
+        self.front.drain()
+        await asyncio.sleep(LINGER_S)
+        self.front.stop_listening()
+        longest = max(spec.deadline_ms for spec in self.config.settings.classes.values()) / 1000.0
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(longest + LAST_S):
+                while self.director.owed() or not self.front.quiet():
+                    await asyncio.sleep(0.02)
+
+    def close(self) -> None:
+        self.front.stop_listening()
+        self.upstream.close()
+        for task in self._tasks:
+            task.cancel()
+
+
 async def serve(config: Config) -> None:
-    clock = Clock()
-    wheel = Wheel(clock.now)
-    director = Director(config.settings, config.seed, clock.now, wheel)
-    upstream = Upstream(config.conn, int(config.limits.sockets * UPSTREAM_SHARE), clock.now, wheel)
-    director.sender, upstream.owner = upstream, director
-    front = Front(
-        director, clock.now, wheel, int(config.limits.sockets * CLIENT_SHARE),
-        config.limits.memory_mb * 1_000_000 * HELD_SHARE,
-    )
-    for notice in config.known.notices:
-        director.notice(notice)
-    director.rev = max(director.rev, config.known.rev)
-    board = Board(*config.board, lambda: director.rev, director.notice)
+    node = Node(config)
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         asyncio.get_running_loop().add_signal_handler(number, stop.set)
-    tasks = [asyncio.create_task(wheel.run()), asyncio.create_task(board.run())]
-    await front.listen(*config.listen)
+    port = await node.start()
     gc.collect()
     gc.freeze()  # what start-up made stays: full collections need not walk it
-    log.info("ready name=%s listen=%s:%d rev=%d", config.name, *config.listen, director.rev)
+    log.info("ready name=%s listen=%s:%d rev=%d", config.name, config.listen[0], port, node.director.rev)
     await stop.wait()
     log.info("draining")
-    front.drain()
-    await asyncio.sleep(LINGER_S)
-    front.stop_listening()
-    longest = max(spec.deadline_ms for spec in config.settings.classes.values()) / 1000.0
-    with contextlib.suppress(TimeoutError):
-        async with asyncio.timeout(longest + LAST_S):
-            while director.owed() or not front.quiet():
-                await asyncio.sleep(0.02)
+    await node.drain()
     log.info("stopped")
-    for task in tasks:
-        task.cancel()
+    node.close()
 
 
 def main() -> int:
--- a/gladelane/net/director.py
+++ b/gladelane/net/director.py
@@ -5,6 +5,7 @@
 import logging
 from collections import deque
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Protocol
 
 from ..choice import Router
@@ -157,6 +158,10 @@
             self._busy = False
 
     def _handle(self, event: Event) -> None:
+        if isinstance(event, Outcome) and not event.over:
+            # the request may have ended between the attempt's end and now
+            exchange = self.live.get(event.id)
+            event = replace(event, over=exchange is None or exchange.done)
         try:
             for action in self.router.handle(self.clock(), event):
                 self._act(action)
--- a/gladelane/net/upstream.py
+++ b/gladelane/net/upstream.py
@@ -211,6 +211,10 @@
         for conn in list(self._pool.get(address, ())):
             conn.retire()
 
+    def close(self) -> None:
+        for conn in [c for conns in self._pool.values() for c in conns]:
+            conn.close()
+
     def remove(self, conn: Connection) -> None:
         conns = self._pool.get(conn.address, [])
         if conn in conns:
--- /dev/null
+++ b/tests/harness.py
@@ -0,0 +1,152 @@
+"""Real sockets for the network tests: a scripted cache, a client, and a whole node on ephemeral ports."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import struct
+from collections.abc import AsyncIterator, Callable, Coroutine
+from contextlib import asynccontextmanager
+from typing import Any
+
+from test_simhost import WIRE
+
+from gladelane.__main__ import Node
+from gladelane.net.config import read_config
+from gladelane.net.frames import FrameDecoder, decode_fields, encode_fields, encode_frame
+
+CLASSES = [
+    {"name": "film", "effect": "retryable", "aim_ms": 600.0, "deadline_ms": 5000.0, "value": 2.0},
+    {"name": "sheet", "effect": "dedup", "window_ms": 2000.0, "aim_ms": 800.0, "deadline_ms": 3000.0, "value": 3.0},
+]
+FAMILY = {**WIRE["family_info"], "pass_on": [False, True], "good_for_ms": [0.0, 0.0], "segmented": [False, False],
+          "straight": True, "notes_given": "hit"}  # fmt: skip
+LIMITS = {**WIRE["limits"], "max_streams": 100, "conn_idle_ms": 15000.0, "may_duplicate": True}
+Command = tuple[str, dict[str, str], bytes]
+
+
+def settings(**limits: Any) -> dict[str, Any]:
+    return {**WIRE, "classes": CLASSES, "family_info": FAMILY, "limits": {**LIMITS, **limits}}
+
+
+def config(caches: dict[str, str], board: str = "127.0.0.1:1", **limits: Any) -> bytes:
+    """Caches by id and address; an id's first letter tells its kind: c box, p mid, r root."""
+    kinds = {"c": ("edge", "box"), "p": ("hub", "mid"), "r": ("hub", "root")}
+    return json.dumps({
+        "name": "n0", "listen": "127.0.0.1:0", "seed": "0f", "board": board,
+        "limits": {"cores": 1, "memory_mb": 192, "sockets": 1024}, "settings": settings(**limits),
+        "known": {"rev": 1, "notices": [{"rev": 1, "pool": {"generation": 1, "reset": True, "instances": [
+            {"instanceId": id_, "hostPort": address, "zone": kinds[id_[0]][0], "machineType": kinds[id_[0]][1],
+             "cell": 0, "lifecycle": "in_service", "weight": 1, "startedAtMs": 0}
+            for id_, address in caches.items()]}}]},
+    }).encode()  # fmt: skip
+
+
+class Cache:
+    """Answers each fetch as `script` says: the words after the id and the body, or None for silence."""
+
+    def __init__(self, script: Callable[[Command], tuple[str, bytes] | None]) -> None:
+        self.script = script
+        self.seen: list[Command] = []
+        self.aborted: list[str] = []
+        self.conns: list[asyncio.StreamWriter] = []
+        self.closed = 0
+
+    async def start(self) -> str:
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        return f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.conns.append(writer)
+        try:
+            while line := (await reader.readline()).decode().split():
+                if line[0] == "abort":
+                    self.aborted.append(line[1])
+                    continue
+                body = (await reader.readexactly(int(line[3]) + 2))[:-2]
+                command = line[1], dict(pair.split("=", 1) for pair in line[2].split(",")), body
+                self.seen.append(command)
+                answer = self.script(command)
+                if answer is not None:
+                    head, content = answer
+                    writer.write(f"{line[1]} {head} {len(content)}\r\n".encode() + content + b"\r\n")
+        except (OSError, asyncio.IncompleteReadError):
+            pass
+        self.closed += 1
+        writer.close()
+
+
+def hit(command: Command) -> tuple[str, bytes] | None:
+    return "served digest=aa,dated=1,remark=h", b"\x00bytes of " + command[1]["thing"].encode()
+
+
+def mute(command: Command) -> tuple[str, bytes] | None:
+    return None
+
+
+class Client:
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader, self.writer = reader, writer
+        self.decoder = FrameDecoder()
+        self.frames: list[tuple[int, int, int, dict[str, str], bytes]] = []
+
+    @classmethod
+    async def to(cls, port: int) -> Client:
+        return cls(*await asyncio.open_connection("127.0.0.1", port))
+
+    def ask(self, stream: int, body: bytes = b"", drop: str = "", **fields: str) -> None:
+        plain = {"c": "film", "i": f"{stream:016x}", "d": "2000", "o": "7f3a9c21e0b4d655", "chunk": "3",
+                 "tag": "17", "m": "412.5", **fields}  # fmt: skip
+        plain.pop(drop, None)
+        self.send(16, stream, encode_fields(plain) + body)
+
+    def send(self, type_: int, stream: int, payload: bytes = b"") -> None:
+        self.writer.write(encode_frame(type_, stream, payload))  # type: ignore[arg-type]
+
+    async def next(self, wait: float = 5.0) -> tuple[int, int, int, dict[str, str], bytes]:
+        """Type, stream, code, fields, body of the next frame."""
+        while not self.frames:
+            data = await asyncio.wait_for(self.reader.read(65536), wait)
+            if not data:
+                raise EOFError
+            for frame in self.decoder.feed(data):
+                fields, body = decode_fields(frame.payload[1:]) if frame.payload else ({}, b"")
+                self.frames.append((frame.type, frame.stream, frame.payload[0] if frame.payload else -1, fields, body))
+        return self.frames.pop(0)
+
+    async def silent(self, wait: float = 0.15) -> bool:
+        try:
+            return bool(await self.next(wait)) is None
+        except (TimeoutError, EOFError):
+            return True
+
+
+async def until(told: Callable[[], object], wait: float = 5.0) -> None:
+    async with asyncio.timeout(wait):
+        while not told():
+            await asyncio.sleep(0.005)
+
+
+@asynccontextmanager
+async def running(raw: bytes) -> AsyncIterator[tuple[Node, Client]]:
+    node = Node(read_config(raw))
+    client = await Client.to(await node.start())
+    try:
+        yield node, client
+    finally:
+        client.writer.close()
+        node.close()
+
+
+def trial(test: Callable[[], Coroutine[Any, Any, None]]) -> Callable[[], None]:
+    """A test that runs in an event loop of its own."""
+
+    def run() -> None:
+        asyncio.run(test())
+
+    run.__name__, run.__doc__ = test.__name__, test.__doc__
+    return run
+
+
+def raw_frame(length: int, type_: int, stream: int, payload: bytes = b"") -> bytes:
+    return struct.pack(">IBI", length, type_, stream) + payload
--- /dev/null
+++ b/tests/test_net_parsers.py
@@ -0,0 +1,153 @@
+"""Tables of cases for what reads bytes: frames, fields, requests, answers of caches, events, configuration."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import pytest
+from harness import config, raw_frame, settings
+from hypothesis import given
+from hypothesis import strategies as st
+
+from gladelane.interface import NEVER_RAN, Note, Status
+from gladelane.net.board import EventStream
+from gladelane.net.config import BadConfig, host_port, read_config
+from gladelane.net.ends import STATUS, End
+from gladelane.net.exchange import Code, Final
+from gladelane.net.frames import BadRequest, FrameDecoder, FramingLost, decode_fields, decode_request
+from gladelane.net.frames import encode_answer, encode_fields, encode_frame
+from gladelane.net.lines import Garbled, ReplyDecoder, encode_fetch
+from gladelane.settings_wire import settings_from_wire
+
+SETTINGS = settings_from_wire(settings())
+GOOD = {"c": "film", "i": "9b1f03aa5c7e2d41", "d": "1500", "o": "7f3a9c21e0b4d655", "chunk": "3", "tag": "17"}
+
+
+@given(st.lists(st.tuples(st.integers(0, 255), st.integers(0, 2**32 - 1), st.binary(max_size=40))), st.data())
+def test_frames_survive_any_cut(frames: list[tuple[int, int, bytes]], data: st.DataObject) -> None:
+    wire = b"".join(encode_frame(*frame) for frame in frames)  # type: ignore[arg-type]
+    decoder, found, at = FrameDecoder(), [], 0
+    while at < len(wire):
+        step = data.draw(st.integers(1, len(wire)))
+        found += [tuple(f) for f in decoder.feed(wire[at : at + step])]
+        at += step
+    assert found == frames
+
+
+@pytest.mark.parametrize("length", [0, 4, 262_145, 2**32 - 1])
+def test_a_length_that_cannot_be_right_loses_the_framing(length: int) -> None:
+    with pytest.raises(FramingLost):
+        list(FrameDecoder().feed(raw_frame(length, 16, 1)))
+
+
+@pytest.mark.parametrize("payload", [
+    b"", b"\x01", b"\x01\x01c", b"\x01\x01c\x00\x09film", b"\x01\x01\xff\x00\x01a", b"\x01\x01c\x00\x01\xff",
+    b"\x02\x01c\x00\x01a\x01c\x00\x01b",
+])  # fmt: skip
+def test_unreadable_fields(payload: bytes) -> None:
+    with pytest.raises(BadRequest):
+        decode_fields(payload)
+
+
+@given(st.dictionaries(st.text(min_size=1, max_size=9), st.text(max_size=99), max_size=9), st.binary(max_size=9))
+def test_fields_come_back_as_they_were(fields: dict[str, str], body: bytes) -> None:
+    assert decode_fields(encode_fields(fields) + body) == (fields, body)
+
+
+@pytest.mark.parametrize("change", [
+    {"c": None}, {"c": "song"}, {"i": None}, {"i": "9b1f"}, {"i": "9b1f03aa5c7e2d4g"}, {"d": None}, {"d": "soon"},
+    {"d": "-1"}, {"d": "nan"}, {"d": "inf"}, {"o": None}, {"o": "0x3a9c21e0b4d655"}, {"chunk": None},
+    {"chunk": "-1"}, {"chunk": "1.5"}, {"chunk": "²"}, {"tag": None}, {"tag": "256"}, {"m": "big"},
+    {"known": "a b"}, {"known": "a,b=c"}, {"known": ""}, {"c": "sheet"}, {"c": "sheet", "k": "a\r\nabort"},
+])  # fmt: skip
+def test_a_request_with_a_missing_or_unusable_field_goes_nowhere(change: dict[str, str | None]) -> None:
+    fields = {name: value for name, value in {**GOOD, **change}.items() if value is not None}
+    with pytest.raises(BadRequest):
+        decode_request(encode_fields(fields), SETTINGS)
+
+
+def test_a_request_is_taken_as_worded() -> None:
+    ask = decode_request(encode_fields({**GOOD, "o": "7F3a9c21e0b4d655", "k": "5c0f", "known": "4be0"}) + b"x", SETTINGS)
+    assert (ask.id, ask.object, ask.part, ask.group) == (GOOD["i"], "7F3a9c21e0b4d655", 3, 17)
+    assert (ask.key, ask.known, ask.body, ask.wait_ms, ask.size_kb) == ("5c0f", "4be0", b"x", 1500.0, 0.0)
+
+
+@pytest.mark.parametrize(("final", "payload"), [
+    (Final(Code.SERVED, b"abc"), b"\x00\x00abc"),
+    (Final(Code.SERVED, valid=True), b"\x00\x01\x05valid\x00\x011"),
+    (Final(Code.REFUSED, come_back_ms=420.7), b"\x01\x01\x01w\x00\x03420"),
+    (Final(Code.REFUSED, come_back_ms=0.4), b"\x01\x00"),
+    (Final(Code.FAILED), b"\x02\x00"),
+])  # fmt: skip
+def test_answers_on_the_wire(final: Final, payload: bytes) -> None:
+    assert encode_answer(7, final) == encode_frame(17, 7, payload)  # type: ignore[arg-type]
+
+
+LINES = [
+    (b"a1 served digest=x,dated=5,remark=f,first=12.5 3\r\nab\n\r\n", ("a1", End.SERVED, Note.PARENT_HELD, 12.5, b"ab\n")),
+    (b"a1 still_good digest=x,remark=h 0\r\n\r\n", ("a1", End.STILL_GOOD, Note.HIT, 0.0, b"")),
+    (b"a1 not_here - 0\r\n\r\n", ("a1", End.NOT_HERE, Note.UNTOLD, 0.0, b"")),
+    (b"a1 not_here remark=j 0\r\n\r\n", ("a1", End.NOT_HERE, Note.JOINED, 0.0, b"")),
+    (b"a1 overload remark= 0\r\n\r\n", ("a1", End.OVERLOAD, Note.UNTOLD, 0.0, b"")),
+]
+
+
+@pytest.mark.parametrize(("line", "reply"), LINES)
+def test_answers_of_caches(line: bytes, reply: tuple[Any, ...]) -> None:
+    whole = ReplyDecoder()
+    assert [tuple(r) for r in whole.feed(line * 2)] == [reply, reply]
+    bytewise = ReplyDecoder()
+    assert [tuple(r) for byte in line for r in bytewise.feed(bytes([byte]))] == [reply]
+
+
+@pytest.mark.parametrize("line", [
+    b"a1 served - 3\r\nabcd\r\n", b"a1 served - -1\r\n", b"a1 served - 262145\r\n", b"a1 eaten - 0\r\n\r\n",
+    b"a1 served -\r\n\r\n", b"\r\n", b"a1 served remark=q 0\r\n\r\n", b"a1 served digest 0\r\n\r\n",
+    b"a1 served first=x 0\r\n\r\n", b"\xff served - 0\r\n\r\n", b"x" * 5000, b"x" * 5000 + b"\r\n",
+])  # fmt: skip
+def test_garbled_answers(line: bytes) -> None:
+    with pytest.raises(Garbled):
+        list(ReplyDecoder().feed(line))
+
+
+def test_commands_to_caches() -> None:
+    assert encode_fetch("a1", {"max": "5", "got": "x"}, b"\r\n") == b"fetch a1 max=5,got=x 2\r\n\r\n\r\n"
+
+
+@pytest.mark.parametrize(("chunks", "events"), [
+    ([b"id: 4\ndata: {}\n\n"], ["{}"]),
+    ([b"data: a\r\n", b"data: b\r\n\r\n"], ["a\nb"]),
+    ([b":\n\n", b": still here\n\n"], []),
+    ([b"da", b"ta:a\n", b"\ndata:b\n\n"], ["a", "b"]),
+])  # fmt: skip
+def test_server_sent_events(chunks: list[bytes], events: list[str]) -> None:
+    stream = EventStream()
+    assert [event for chunk in chunks for event in stream.feed(chunk)] == events
+
+
+def test_every_end_has_a_status_and_only_what_never_left_is_proved_not_to_have_run() -> None:
+    assert set(STATUS) == set(End)
+    ran = {end for end in End if STATUS[end] not in NEVER_RAN}
+    assert ran == {End.SERVED, End.STILL_GOOD, End.CRASHED, End.RESET, End.CLOSED, End.GARBLED, End.TIMED_OUT,
+                   End.CANCELLED, End.IDLE}  # fmt: skip
+    assert {end for end in End if STATUS[end] is Status.OK} == {End.SERVED, End.STILL_GOOD}
+
+
+@pytest.mark.parametrize("change", [
+    {"name": None}, {"listen": "4100"}, {"listen": "a:b"}, {"seed": "xyz"}, {"limits": {}}, {"known": {"rev": "a"}},
+    {"settings": {}}, {"settings": {**settings(), "limits": {"max_attempts": 3, "max_open": 9, "dial_timeout_ms": 1}}},
+])  # fmt: skip
+def test_a_bad_configuration_is_told_in_one_line(change: dict[str, Any]) -> None:
+    raw = json.loads(config({"c0": "127.0.0.1:9"}))
+    raw.update(change)
+    with pytest.raises(BadConfig) as caught:
+        read_config(json.dumps({k: v for k, v in raw.items() if v is not None}).encode())
+    assert len(str(caught.value).splitlines()) == 1
+
+
+def test_addresses() -> None:
+    assert host_port("127.0.0.1:80") == ("127.0.0.1", 80) and host_port("[::1]:80")[1] == 80
+    for bad in ("", ":80", "a", "a:70000", "a:-1"):
+        with pytest.raises(ValueError):
+            host_port(bad)
--- /dev/null
+++ b/tests/test_net_rules.py
@@ -0,0 +1,476 @@
+"""One test a rule, on real sockets: a whole node between a client and scripted caches."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import subprocess
+import sys
+from collections.abc import Callable
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import pytest
+from harness import Cache, Client, Command, config, hit, mute, raw_frame, running, trial, until
+
+from gladelane.__main__ import Node
+from gladelane.interface import Event, Outcome, Purge, Request, Status
+from gladelane.net import board as board_module
+from gladelane.net import front as front_module
+from gladelane.net.board import Board
+from gladelane.net.config import Notice, notice_decoder
+from gladelane.net.exchange import Ask, Attempt, Exchange
+from gladelane.net.frames import encode_fields
+
+ROOT = Path(__file__).parent.parent
+REFUSED = "127.0.0.1:1"  # nothing listens there
+SERVED = (17, 1, 0, {}, b"\x00bytes of 7f3a9c21e0b4d655")
+
+
+def told(director: Any) -> list[Event]:
+    """Every event the module is given from here on."""
+    events: list[Event] = []
+    handle = director.router.handle
+
+    def spy(now: float, event: Event) -> Any:
+        events.append(event)
+        return handle(now, event)
+
+    director.router.handle = spy
+    return events
+
+
+def outcomes(events: list[Event]) -> list[tuple[int, str, Status, bool]]:
+    return [(e.attempt, e.store, e.status, e.over) for e in events if isinstance(e, Outcome)]
+
+
+@trial
+async def test_a_request_goes_up_unaltered_and_its_bytes_come_back_whole() -> None:
+    cache = Cache(hit)
+    async with running(config({"c0": await cache.start(), "p0": REFUSED, "r0": REFUSED})) as (node, client):
+        client.ask(1, i="9B1f03aa5c7e2d41", k="5c0f6e1a", body=b"\r\nabort\x00")
+        assert await client.next() == SERVED
+        (id_, fields, body), = cache.seen
+        assert (id_, body) == ("9B1f03aa5c7e2d41", b"\r\nabort\x00")
+        assert 1900 <= int(fields.pop("max")) <= 2000
+        assert fields == {"profile": "film", "thing": "7f3a9c21e0b4d655", "nth": "3", "replay": "5c0f6e1a",
+                          "parent": "p0", "hints": "coalesce"}  # fmt: skip
+        assert await client.silent() and not node.director.live
+
+
+@trial
+async def test_a_write_goes_straight_to_the_origin() -> None:
+    origin = Cache(hit)
+    async with running(config({"c0": REFUSED, "r0": await origin.start()})) as (_, client):
+        client.ask(1, c="sheet", k="5c0f6e1a", body=b"answers")
+        assert await client.next() == SERVED
+        (_, fields, body), = origin.seen
+        assert fields["replay"] == "5c0f6e1a" and "parent" not in fields and body == b"answers"
+
+
+@trial
+async def test_a_silent_cache_ends_in_one_answer_in_time_an_abort_and_a_time_out_told() -> None:
+    # the module gives up in the tick of the time-out; told 'cancelled' it would never learn of the silence
+    cache = Cache(mute)
+    async with running(config({"c0": await cache.start(), "r0": REFUSED})) as (node, client):
+        events = told(node.director)
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        client.ask(1, d="200")
+        assert (await client.next())[:3] == (17, 1, 1)
+        assert loop.time() - began >= 0.15
+        await until(lambda: cache.aborted == ["0000000000000001"])
+        assert outcomes(events) == [(0, "c0", Status.TIMEOUT, True)]
+        cache.conns[0].write(b"0000000000000001 served - 2\r\nxx\r\n")  # crosses the abort
+        assert await client.silent() and not node.director.live and not node.director.router.lingering
+
+
+@trial
+async def test_every_attempt_is_told_once_and_in_order_also_after_the_answer() -> None:
+    slow, quick = Cache(mute), Cache(hit)
+    first = {"c0": await slow.start(), "c1": await quick.start(), "r0": REFUSED}
+    async with running(config(first)) as (node, client):
+        node.director.router.hedges = 5.0
+        events = told(node.director)
+        stream = 0
+        while not slow.seen:  # until an object's home is the silent one: a second copy then brings the answer
+            stream += 1
+            client.ask(stream, o=f"{stream:016x}", m="1")
+            assert (await client.next())[:3] == (17, stream, 0)
+        assert outcomes(events)[-2:] == [(1, "c1", Status.OK, True), (0, "c0", Status.CANCELLED, True)]
+        await until(lambda: slow.aborted and not node.director.live)
+
+
+@trial
+async def test_a_client_that_left_is_owed_nothing_and_its_attempt_is_aborted() -> None:
+    cache = Cache(mute)
+    async with running(config({"c0": await cache.start(), "r0": REFUSED})) as (node, client):
+        client.ask(1)
+        await until(lambda: len(cache.seen) == 1)
+        client.send(18, 1)
+        await until(lambda: len(cache.aborted) == 1)
+        assert await client.silent()
+        client.ask(2)
+        await until(lambda: len(cache.seen) == 2)
+        client.writer.close()
+        await until(lambda: len(cache.aborted) == 2 and not node.director.live)
+
+
+@trial
+async def test_what_was_written_and_reset_may_have_run_and_what_was_refused_never_did() -> None:
+    broken = Cache(hit)
+
+    def reset(command: Command) -> None:
+        broken.conns[-1].transport.abort()
+
+    broken.script = reset
+    for address, status in ((await broken.start(), Status.RESET), (REFUSED, Status.CONNECT_FAILED)):
+        async with running(config({"r0": address}, max_attempts=1)) as (node, client):
+            events = told(node.director)
+            client.ask(1, c="sheet", k="5c")
+            assert (await client.next())[:3] == (17, 1, 1)
+            assert outcomes(events)[0] == (0, "r0", status, False)
+
+
+@trial
+async def test_a_garbled_answer_is_passed_to_nobody() -> None:
+    cache = Cache(lambda c: ("still_good digest=aa", b""))
+    async with running(config({"c0": await cache.start(), "r0": REFUSED}, max_attempts=1)) as (_, client):
+        client.ask(1)  # offered no copy
+        assert (await client.next())[:3] == (17, 1, 1)
+        client.ask(2, known="aa")
+        assert await client.next() == (17, 2, 0, {"valid": "1"}, b"")
+        assert cache.seen[-1][1]["got"] == "aa"
+
+
+@trial
+async def test_open_attempts_of_one_id_use_connections_of_their_own_and_streams_are_bounded() -> None:
+    cache = Cache(mute)
+    async with running(config({"c0": await cache.start(), "r0": REFUSED}, max_streams=2)) as (_, client):
+        client.ask(1, i="00000000000000aa")
+        client.ask(2, i="00000000000000aa")
+        await until(lambda: len(cache.conns) == 2 and len(cache.seen) == 2)
+        client.ask(3)
+        client.ask(4)
+        await until(lambda: len(cache.seen) == 4)
+        assert len(cache.conns) == 2
+        client.ask(5)
+        await until(lambda: len(cache.conns) == 3)
+
+
+@trial
+async def test_idle_connections_are_closed_before_the_peer_does() -> None:
+    cache = Cache(hit)
+    async with running(config({"c0": await cache.start(), "r0": REFUSED}, conn_idle_ms=300.0)) as (_, client):
+        client.ask(1)
+        await client.next()
+        await until(lambda: cache.closed == 1)
+        client.ask(2)
+        assert (await client.next())[2] == 0 and len(cache.conns) == 2
+
+
+@trial
+async def test_a_mute_peer_loses_its_connection_and_one_slow_answer_does_not() -> None:
+    cache = Cache(mute)
+    async with running(config({"c0": await cache.start(), "r0": REFUSED})) as (node, client):
+        for stream, dialled in ((1, 1), (2, 1), (3, 2)):
+            client.ask(stream, d="60")
+            assert (await client.next())[:3] == (17, stream, 1)
+            await until(lambda: len(cache.seen) == stream)  # noqa: B023
+            assert len(cache.conns) == dialled
+            node.director.router.stores["c0"].close()
+
+
+@trial
+async def test_nothing_new_goes_to_a_drained_cache_also_when_its_dial_was_under_way() -> None:
+    cache = Cache(hit)
+    address = await cache.start()
+    async with running(config({"c0": address, "r0": REFUSED})) as (node, client):
+        events = told(node.director)
+        leaving = notice(2, {"instanceId": "c0", "hostPort": address, "lifecycle": "terminating"})
+        during_the_dial(node, lambda: node.director.notice(leaving))
+        client.ask(1)
+        assert (await client.next())[:3] == (17, 1, 1)
+        client.ask(2)
+        assert (await client.next())[:3] == (17, 2, 1)
+        assert not cache.seen and outcomes(events)[0] == (0, "c0", Status.MOOT, False)
+
+
+@trial
+async def test_a_purge_bounds_the_age_asked_for_also_of_a_send_that_waited() -> None:
+    cache = Cache(hit)
+    async with running(config({"c0": await cache.start(), "r0": REFUSED})) as (node, client):
+        now = node.clock.now()
+        purge = Notice(2, flush=notice_flush(asset="7f3a9c21e0b4d655", ms=now))
+        during_the_dial(node, lambda: node.director.notice(purge))
+        client.ask(1)
+        await client.next()
+        assert 1 <= int(cache.seen[0][1]["accept"]) <= node.clock.now() - now
+        node.director.notice(Notice(3, flush=notice_flush(collection=9, ms=now - 500.0)))
+        for stream, tag, bounded in ((2, "8", False), (3, "9", True)):
+            client.ask(stream, o=f"{stream:016x}", tag=tag)
+            await client.next()
+            age = int(cache.seen[-1][1].get("accept", 0))
+            assert (497 <= age <= node.clock.now() - now + 500) if bounded else age == 0
+
+
+def during_the_dial(node: Node, happens: Callable[[], None]) -> None:
+    send = node.upstream.send
+
+    def sends(attempt: Attempt, address: str) -> None:
+        send(attempt, address)
+        happens()
+
+    node.upstream.send = sends  # type: ignore[method-assign]
+
+
+def notice_flush(**fields: Any) -> Any:
+    return notice_decoder.decode(json.dumps({"rev": 0, "flush": fields})).flush
+
+
+def notice(rev: int, instance: dict[str, Any]) -> Notice:
+    full = {"zone": "edge", "machineType": "box", **instance}
+    return notice_decoder.decode(json.dumps({"rev": rev, "pool": {"instances": [full]}}))
+
+
+def test_ages_are_whole_and_never_nothing() -> None:
+    exchange = Exchange(Ask("1", "film", 1.0, "2", 0, 0), Request(1, "film", 2, 100.0), lambda final: None)
+    for told_age, sent in ((0.0, None), (0.3, "1"), (1.9, "1"), (20.99, "20")):
+        attempt = Attempt(exchange, 0, "c0", 0.0, 100.0, max_age_ms=told_age)
+        assert attempt.fields(0.0).get("accept") == sent
+
+
+@trial
+async def test_sends_past_the_end_or_beyond_the_most_attempts_are_moot() -> None:
+    async with running(config({"c0": REFUSED, "c1": REFUSED, "r0": REFUSED}, max_attempts=1)) as (node, client):
+        events = told(node.director)
+        node.director.router.settings = replace(node.director.settings, max_attempts=6)
+        client.ask(1)
+        assert (await client.next())[:3] == (17, 1, 1)
+        assert [(n, s) for n, _, s, _ in outcomes(events)][:2] == [(0, Status.CONNECT_FAILED), (1, Status.MOOT)]
+
+
+@trial
+async def test_malformed_frames_get_an_error_answer_and_the_connection_lives_while_framing_holds() -> None:
+    cache = Cache(hit)
+    async with running(config({"c0": await cache.start(), "r0": REFUSED})) as (node, client):
+        owner = {1: 1, 2: 2, 4: 0, 5: 0, 6: 0}
+        client.ask(1, drop="o")
+        client.ask(2, c="song")
+        client.ask(3)
+        client.send(17, 4)
+        client.send(99, 5)
+        client.send(16, 0, encode_fields({}))
+        answers = [await client.next() for _ in range(6)]
+        assert sorted(a[1] for a in answers if a[2] == 2) == sorted(owner.values())
+        assert [a for a in answers if a[2] == 0] == [(17, 3, *SERVED[2:])]
+        client.ask(3)  # a stream is new on its connection
+        assert (await client.next())[:3] == (17, 0, 2)
+        client.writer.write(raw_frame(300_000, 16, 9))
+        assert (await client.next())[:3] == (17, 0, 2)
+        with pytest.raises(EOFError):
+            await client.next()
+        assert len(cache.seen) == 1 and not node.director.live
+
+
+@trial
+async def test_more_than_32_open_requests_are_an_error_each() -> None:
+    cache = Cache(mute)
+    async with running(config({"c0": await cache.start(), "r0": REFUSED})) as (node, client):
+        for stream in range(1, 36):
+            client.ask(stream)
+        errors = [(await client.next())[:3] for _ in range(3)]
+        assert errors == [(17, 33, 2), (17, 34, 2), (17, 35, 2)]
+        await until(lambda: len(cache.seen) == 32)
+
+
+@trial
+async def test_a_fault_in_the_module_fails_its_own_request_only() -> None:
+    cache = Cache(hit)
+    async with running(config({"c0": await cache.start(), "r0": REFUSED})) as (node, client):
+        handle = node.director.router.on_request
+
+        def faulty(request: Request) -> None:
+            if request.part == 13:
+                raise RuntimeError("made for the test")
+            handle(request)
+
+        node.director.router.on_request = faulty
+        client.ask(1, chunk="13")
+        assert (await client.next())[:3] == (17, 1, 2)
+        client.ask(2)
+        assert (await client.next())[:3] == (17, 2, 0)
+        assert not node.director.live
+
+
+@trial
+async def test_readiness_is_told_and_taken_back_when_draining() -> None:
+    async with running(config({"r0": REFUSED})) as (node, client):
+        client.send(32, 5, encode_fields({}))
+        assert (await client.next())[:3] == (33, 5, 0)
+        node.front.drain()
+        assert (await client.next())[:2] == (48, 0)
+        client.send(32, 6, encode_fields({}))
+        assert (await client.next())[:3] == (33, 6, 1)
+
+
+@trial
+async def test_clients_beyond_their_share_of_descriptors_and_memory_are_turned_away() -> None:
+    cache = Cache(mute)
+    async with running(config({"c0": await cache.start(), "r0": REFUSED})) as (node, client):
+        client.ask(1, body=b"x" * 40_000)
+        await until(lambda: cache.seen)
+        node.front.held_bytes = 30_000
+        client.ask(2)
+        assert (await client.next())[:3] == (17, 2, 1)
+        node.front.cap = 1
+        with pytest.raises((EOFError, ConnectionError)):
+            await (await Client.to(node.port)).next()
+
+
+@trial
+async def test_a_client_that_takes_none_of_its_answers_is_cut_off() -> None:
+    cache = Cache(lambda command: ("served digest=aa,dated=1", bytes(240_000)))
+    async with running(config({"c0": await cache.start(), "r0": REFUSED})) as (node, client):
+        for stream in range(1, 33):
+            client.ask(stream, chunk=str(stream))
+        await until(lambda: any(c.unsent() for c in node.front.connections))
+        (conn,) = node.front.connections
+        await until(lambda: len(cache.seen) == 32 and not conn.open)
+        now = node.clock.now()
+        conn.sweep(now)
+        conn.sweep(now + front_module.STALLED_MS / 2)
+        assert not conn.writer.transport.is_closing()
+        conn.sweep(now + front_module.STALLED_MS * 2)
+        await until(lambda: not node.front.connections)
+
+
+@trial
+async def test_the_upstream_cap_gives_up_idle_connections_first() -> None:
+    first, second = Cache(hit), Cache(mute)
+    stores = {"c0": await first.start(), "r0": await second.start()}
+    async with running(config(stores)) as (node, client):
+        node.upstream.cap = 1
+        events = told(node.director)
+        client.ask(1)
+        assert (await client.next())[2] == 0
+        client.ask(2, c="sheet", k="5c")
+        await until(lambda: len(second.seen) == 1 and first.closed == 1)
+        client.ask(3)
+        assert (await client.next())[:3] == (17, 3, 1)
+        assert (0, "c0", Status.FULL, False) in outcomes(events)
+
+
+class Feed:
+    """A notice board that plays one list of chunks a connection."""
+
+    def __init__(self, *plays: list[bytes]) -> None:
+        self.plays = list(plays)
+        self.asked: list[str] = []
+
+    async def start(self) -> tuple[str, int]:
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        address: tuple[str, int] = server.sockets[0].getsockname()
+        return address
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        head = (await reader.readuntil(b"\r\n\r\n")).decode()
+        self.asked.append(next(x for x in head.split("\r\n") if x.lower().startswith("last-event-id")))
+        writer.write(b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n")
+        for chunk in self.plays.pop(0) if self.plays else []:
+            writer.write(chunk)
+        await asyncio.sleep(0.05)
+        if self.plays:
+            writer.close()
+
+
+@trial
+async def test_the_board_is_resumed_after_breaks_silence_and_bad_events() -> None:
+    def event(rev: int) -> bytes:
+        return b'id: %d\ndata: {"rev":%d,"flush":{"collection":1,"ms":1}}\n\n' % (rev, rev)
+
+    feed = Feed([event(2), b"data: {broken\n\n", event(3)], [event(3), event(4)[:20]], [event(4)], [])
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(board_module, "SILENT_S", 0.1)
+        patch.setattr(board_module, "BACKOFF_S", 0.01)
+        async with running(config({"r0": REFUSED})) as (node, _):
+            events = told(node.director)
+            board = Board(*await feed.start(), lambda: node.director.rev, node.director.notice)
+            task = asyncio.create_task(board.run())
+            await until(lambda: len(feed.asked) >= 5)
+            task.cancel()
+            assert [line.split(": ")[1] for line in feed.asked[:5]] == ["1", "3", "3", "4", "4"]
+            assert len([e for e in events if isinstance(e, Purge)]) == 3
+
+
+@trial
+async def test_a_cache_that_takes_over_an_address_inherits_no_connection() -> None:
+    cache = Cache(mute)
+    address = await cache.start()
+    async with running(config({"c0": address, "r0": REFUSED})) as (node, client):
+        client.ask(1)
+        await until(lambda: cache.seen)
+        node.director.notice(notice(2, {"instanceId": "c0", "hostPort": address, "lifecycle": "terminated"}))
+        node.director.notice(notice(3, {"instanceId": "c9", "hostPort": address, "lifecycle": "in_service"}))
+        client.ask(2)
+        await until(lambda: len(cache.conns) == 2)
+        assert not cache.aborted  # what was open runs on
+
+
+@trial
+async def test_an_id_aborted_on_a_connection_is_not_sent_on_it_again() -> None:
+    # the answer to the first would be taken for the answer to the second
+    cache = Cache(mute)
+    async with running(config({"c0": await cache.start(), "r0": REFUSED})) as (node, client):
+        client.ask(1, i="00000000000000aa")
+        await until(lambda: cache.seen)
+        client.send(18, 1)
+        await until(lambda: cache.aborted)
+        client.ask(2, i="00000000000000aa")
+        await until(lambda: len(cache.conns) == 2)
+
+
+def start_process(raw: bytes, folder: Path) -> subprocess.Popen[str]:
+    (folder / "config.json").write_bytes(raw)
+    env = {**os.environ, "GW_CONFIG": str(folder / "config.json"), "PYTHONUNBUFFERED": "1"}
+    command = [sys.executable, "-m", "gladelane"]
+    return subprocess.Popen(command, cwd=ROOT, env=env, stderr=subprocess.PIPE, text=True)
+
+
+def test_sigterm_serves_what_still_arrives_and_ends_clean(tmp_path: Path) -> None:
+    async def scene() -> None:
+        cache = Cache(hit)
+        process = start_process(config({"c0": await cache.start(), "r0": REFUSED}), tmp_path)
+        try:
+            assert process.stderr is not None
+            line = ""
+            while "listen=" not in line:
+                line = await asyncio.to_thread(process.stderr.readline)
+            port = int(line.split("listen=")[1].split()[0].rpartition(":")[2])
+            client = await Client.to(port)
+            client.ask(1)
+            assert (await client.next())[:3] == (17, 1, 0)
+            process.send_signal(signal.SIGTERM)
+            assert (await client.next())[:2] == (48, 0)
+            await asyncio.sleep(0.3)
+            late = await Client.to(port)
+            for one, stream in ((client, 2), (late, 1)):
+                one.ask(stream)
+                assert (await one.next())[:3] == (17, stream, 0)
+            assert await asyncio.to_thread(process.wait, 20) == 0
+        finally:
+            with contextlib.suppress(ProcessLookupError):
+                process.kill()
+            process.communicate()
+
+    asyncio.run(scene())
+
+
+def test_a_bad_configuration_ends_the_start_with_one_line(tmp_path: Path) -> None:
+    process = start_process(b'{"name": 1}', tmp_path)
+    _, err = process.communicate(timeout=30)
+    assert process.returncode == 1 and len(err.splitlines()) == 1 and "name" in err
