Spare the loop's lag in deadlines, shed while far behind, log long collections

A request's time counts from its last byte, ours from when it was read, and its timer ran late as well. Ruled out: garbage collection alone (longest pause 29 ms, now logged). Lines at fault: Director.admit took the clock as the arrival, and nothing bounded the queue of unread requests.

--- a/gladelane/__main__.py
+++ b/gladelane/__main__.py
@@ -9,6 +9,7 @@
 import os
 import signal
 import sys
+import time
 
 from .net.board import Board
 from .net.config import BadConfig, Config, read_config
@@ -21,6 +22,7 @@
 
 CLIENT_SHARE, UPSTREAM_SHARE = 1 / 3, 1 / 2  # of the descriptors; the rest is the reserve
 HELD_SHARE = 0.25  # of the memory, for bodies and answers not yet taken
+GC_LONG_MS = 10.0  # a collection this long is logged
 LINGER_S = 0.8  # after SIGTERM clients go on arriving for up to 0.6 s
 LAST_S = 2.0  # beyond the longest deadline, after which a client that takes nothing is left behind
 
@@ -72,12 +74,26 @@
             task.cancel()
 
 
+def watch_gc() -> None:
+    began = 0.0
+
+    def told(phase: str, info: dict[str, int]) -> None:
+        nonlocal began
+        if phase == "start":
+            began = time.perf_counter()
+        elif (pause := (time.perf_counter() - began) * 1000.0) > GC_LONG_MS:
+            log.warning("gc pause ms=%.0f generation=%d", pause, info["generation"])
+
+    gc.callbacks.append(told)
+
+
 async def serve(config: Config) -> None:
     node = Node(config)
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         asyncio.get_running_loop().add_signal_handler(number, stop.set)
     port = await node.start()
+    watch_gc()
     gc.collect()
     gc.freeze()  # what start-up made stays: full collections need not walk it
     log.info("ready name=%s listen=%s:%d rev=%d", config.name, config.listen[0], port, node.director.rev)
--- a/gladelane/net/director.py
+++ b/gladelane/net/director.py
@@ -50,11 +50,11 @@
     # --- from the client side
 
     def admit(self, ask: Ask, deliver: Callable[[Final], None]) -> Exchange:
-        """Called with the last byte of the request. The tick is taken off so that its timer is in time."""
+        """Called when the last byte of the request has been read; it came earlier by up to the loop's lag."""
         self._numbers += 1
         # the module knows 0 as 'no object, a whole group', so objects count from 1
         request = Request(
-            self._numbers, ask.cls, int(ask.object, 16) + 1, self.clock() + ask.wait_ms - TICK_MS,
+            self._numbers, ask.cls, int(ask.object, 16) + 1, self.clock() + ask.wait_ms - self.wheel.margin(),
             ask.size_kb, ask.group, ask.part,
         )
         exchange = Exchange(ask, request, deliver)
--- a/gladelane/net/front.py
+++ b/gladelane/net/front.py
@@ -20,6 +20,7 @@
 STALLED_MS = 10_000.0  # a client that takes no byte of its answers for so long is cut off
 IDLE_MS = 30_000.0  # clients close after 4 s without a request; one that does not is cut off
 SWEEP_MS = 250.0
+SHED_MS = 150.0  # a loop this far behind cannot keep its deadlines: it must catch up first
 OUT_OF_ORDER = 4096  # stream numbers seen ahead of their turn on one connection
 
 FAILED = Final(Code.FAILED)
@@ -99,6 +100,9 @@
             log.warning("more than %d requests open", MOST_OPEN)
             self._send(encode_answer(stream, FAILED))
             return
+        if self.front.overloaded():
+            self._send(encode_answer(stream, Final(Code.REFUSED)))
+            return
         try:
             ask = decode_request(frame.payload, self.front.director.settings)
         except BadRequest as error:
@@ -106,9 +110,6 @@
             self._send(encode_answer(stream, FAILED))
             return
         front = self.front
-        if front.held > front.held_bytes:  # bodies and unsent answers: nothing more is taken on
-            self._send(encode_answer(stream, Final(Code.REFUSED)))
-            return
         front.held += len(ask.body)
         answered: list[Final] = []
         try:
@@ -181,6 +182,10 @@
         finally:
             self.connections.discard(conn)
 
+    def overloaded(self) -> bool:
+        """Past these bounds a request is turned away at sight, before it costs memory or much of the core."""
+        return self.held > self.held_bytes or self.wheel.lag() > SHED_MS
+
     def drain(self) -> None:
         """Tells clients to go elsewhere; what still arrives is served all the same."""
         self.draining = True
--- a/gladelane/net/wheel.py
+++ b/gladelane/net/wheel.py
@@ -12,6 +12,7 @@
 TICK_MS = 5.0
 SLOTS = 2048  # most timers fall due within one turn
 LATE_MS = 100.0  # a tick this late is logged: the loop was held up
+LATE_KEPT = 0.98  # part of the remembered lateness left by each tick in time
 
 
 class Clock:
@@ -29,7 +30,17 @@
     def __init__(self, clock: Callable[[], float]) -> None:
         self._clock = clock
         self._slots: list[list[tuple[int, Callable[[], None]]]] = [[] for _ in range(SLOTS)]
-        self._tick = int(clock() // TICK_MS)
+        self._turned_ms = clock()
+        self._tick = int(self._turned_ms // TICK_MS)
+        self._late_ms = 0.0
+
+    def lag(self) -> float:
+        """How long what is read now may have lain unread: this round of the loop so far, and one before."""
+        return max(self._clock() - self._turned_ms - TICK_MS, 0.0) + self._late_ms
+
+    def margin(self) -> float:
+        """What a deadline counted from now must spare: the lag behind, and a timer as late as lately."""
+        return TICK_MS + self.lag() + self._late_ms
 
     def at(self, due_ms: float, call: Callable[[], None]) -> None:
         tick = max(-int(-due_ms // TICK_MS), self._tick + 1)
@@ -56,7 +67,9 @@
         while True:
             before = self._clock()
             await asyncio.sleep(TICK_MS / 1000.0)
-            late = self._clock() - before - TICK_MS
+            self._turned_ms = self._clock()
+            late = self._turned_ms - before - TICK_MS
+            self._late_ms = max(late, self._late_ms * LATE_KEPT)
             if late > LATE_MS:
                 log.warning("loop late ms=%.0f", late)
             self.turn()
