--- a/gladelane/__main__.py
+++ b/gladelane/__main__.py
@@ -94,10 +94,10 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         asyncio.get_running_loop().add_signal_handler(number, stop.set)
     port = await node.start()
-    watch_gc()
     gc.collect()
     gc.freeze()  # what start-up made stays: full collections need not walk it
     gc.set_threshold(*GC_THRESHOLDS)
+    watch_gc()
     log.info("ready name=%s listen=%s:%d rev=%d", config.name, config.listen[0], port, node.director.rev)
     await stop.wait()
     log.info("draining")
--- a/gladelane/net/board.py
+++ b/gladelane/net/board.py
@@ -56,6 +56,8 @@
                 log.info("board ended")
             except (OSError, h11.ProtocolError, TimeoutError) as error:
                 log.warning("board lost: %s %s", type(error).__name__, error)
+            except Exception:  # a director that no longer listens would go on by an old list
+                log.exception("board failed")
             backoff = BACKOFF_S if self._last() > before else min(backoff * 2, BACKOFF_MOST_S)
             await asyncio.sleep(backoff)
 
@@ -87,5 +89,5 @@
     def _event(self, data: str) -> None:
         try:
             self._tell(notice_decoder.decode(data))
-        except (msgspec.MsgspecError, ValueError) as error:
+        except msgspec.MsgspecError as error:
             log.error("bad event: %s; data=%.200s", error, data)
--- a/gladelane/net/director.py
+++ b/gladelane/net/director.py
@@ -15,6 +15,7 @@
 from .config import Instance, Notice
 from .ends import STATUS, End
 from .exchange import Ask, Attempt, Code, Exchange, Final
+from .frames import HEX16
 from .lines import Reply
 from .wheel import TICK_MS, Wheel
 
@@ -76,31 +77,38 @@
     # --- from the notice board
 
     def notice(self, notice: Notice) -> None:
-        """Repeats are dropped: after a reconnect the board may tell again what is known."""
+        """Repeats are dropped: after a reconnect the board may tell again what is known. What cannot be used
+        is passed over by itself: one odd store must not cost the list, nor an odd notice the director."""
         if notice.rev <= self.rev:
             return
         self.rev = notice.rev
         if notice.pool is not None:
-            members = tuple(self._member(i) for i in notice.pool.instances)
-            self._list(notice.pool.instances, members, notice.pool.reset)
-            self.post(Members(ListKind.COMPLETE if notice.pool.reset else ListKind.CHANGES, members))
+            told = [(i, m) for i in notice.pool.instances if (m := self._member(i)) is not None]
+            self._list(told, notice.pool.reset)
+            kind = ListKind.COMPLETE if notice.pool.reset else ListKind.CHANGES
+            self.post(Members(kind, tuple(member for _, member in told)))
         if notice.flush is not None:
-            object_ = 0 if notice.flush.asset is None else int(notice.flush.asset, 16) + 1
-            self.post(Purge(object_, notice.flush.collection or 0, max(self.clock() - notice.flush.ms, 0.0)))
-
-    def _member(self, told: Instance) -> Member:
-        if told.lifecycle not in STATES:
-            raise ValueError(f"unknown state {told.lifecycle!r}")
+            asset, group = notice.flush.asset, notice.flush.collection
+            if (asset is None) == (group is None) or (asset is not None and not HEX16.fullmatch(asset)):
+                log.error("bad event: rev=%d purges neither an object nor a group", notice.rev)
+                return
+            object_ = 0 if asset is None else int(asset, 16) + 1
+            self.post(Purge(object_, group or 0, max(self.clock() - notice.flush.ms, 0.0)))
+
+    def _member(self, told: Instance) -> Member | None:
+        state = STATES.get(told.lifecycle)
+        if state is None or told.zone not in self.settings.zones:
+            log.error("bad event: store %s lifecycle=%s zone=%s", told.instance_id, told.lifecycle, told.zone)
+            return None
         return Member(
-            told.instance_id, self.settings.known_zone(told.zone), told.machine_type, told.cell,
-            STATES[told.lifecycle], told.weight, told.started_at_ms,
+            told.instance_id, told.zone, told.machine_type, told.cell, state, told.weight, told.started_at_ms
         )
 
-    def _list(self, told: list[Instance], members: tuple[Member, ...], complete: bool) -> None:
+    def _list(self, told: list[tuple[Instance, Member]], complete: bool) -> None:
         before = dict(self._listed)
         if complete:
             self._listed.clear()
-        for instance, member in zip(told, members, strict=True):
+        for instance, member in told:
             if member.state is State.GONE:
                 self._listed.pop(member.store, None)
             else:
--- a/tests/test_net_parsers.py
+++ b/tests/test_net_parsers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from pathlib import Path
 from typing import Any
 
 import pytest
@@ -151,3 +152,8 @@
     for bad in ("", ":80", "a", "a:70000", "a:-1"):
         with pytest.raises(ValueError):
             host_port(bad)
+
+
+def test_the_example_configuration_is_a_good_one() -> None:
+    told = read_config((Path(__file__).parent.parent / "example" / "config.json").read_bytes())
+    assert [i.instance_id for n in told.known.notices if n.pool for i in n.pool.instances] == ["cache-1", "depot-1", "bank"]
--- a/tests/test_net_rules.py
+++ b/tests/test_net_rules.py
@@ -514,3 +514,21 @@
         now[0] = at
         wheel.turn()
         assert " ".join(fired) == due
+
+
+@trial
+async def test_what_a_notice_tells_wrong_costs_itself_only() -> None:
+    cache = Cache(hit)
+    address = await cache.start()
+    async with running(config({"r0": REFUSED})) as (node, client):
+        events = told(node.director)
+        good = {"instanceId": "c0", "hostPort": address, "lifecycle": "in_service"}
+        odd = notice(2, {**good, "instanceId": "c9", "zone": "moon"})
+        assert odd.pool is not None
+        odd.pool.instances += notice(2, good).pool.instances  # type: ignore[union-attr]
+        node.director.notice(odd)
+        for rev, purge in ((3, {"asset": "x"}), (4, {}), (5, {"asset": "7f3a9c21e0b4d655"}), (6, {"collection": 0})):
+            node.director.notice(Notice(rev, flush=notice_flush(ms=1, **purge)))
+        assert [(e.object, e.group) for e in events if isinstance(e, Purge)] == [(0x7F3A9C21E0B4D656, 0), (0, 0)]
+        client.ask(1)
+        assert await client.next() == SERVED
