Run on uvloop's event loop; remember the worst lateness for deadlines for seconds

Checked by sampling a director: no hot spot is left (31% the module, 29% answers of caches, about a quarter the event loop, its selector and transports). At fault for one request lost while sampled: a stall shortly after a quiet spell; the worst lateness is now kept with a half-life of some 2 s, apart from the lag that sheds. Streams stay asyncio's.

--- a/gladelane/__main__.py
+++ b/gladelane/__main__.py
@@ -11,6 +11,8 @@
 import sys
 import time
 
+import uvloop
+
 from .net.board import Board
 from .net.config import BadConfig, Config, read_config
 from .net.director import Director
@@ -112,7 +114,7 @@
     try:
         with open(path, "rb") as file:
             config = read_config(file.read())
-        asyncio.run(serve(config))
+        uvloop.run(serve(config))
     except (BadConfig, OSError) as error:
         print(f"gladelane: {path or 'GW_CONFIG'}: {error}", file=sys.stderr)
         return 1
--- a/gladelane/net/wheel.py
+++ b/gladelane/net/wheel.py
@@ -12,7 +12,7 @@
 TICK_MS = 5.0
 SLOTS = 2048  # most timers fall due within one turn
 LATE_MS = 100.0  # a tick this late is logged: the loop was held up
-LATE_KEPT = 0.98  # part of the remembered lateness left by each tick in time
+WORST_KEPT = 0.998  # part of the worst lateness remembered after each tick: half of it after 2 s
 
 
 class Clock:
@@ -45,7 +45,7 @@
         self._slots: list[list[Entry]] = [[] for _ in range(SLOTS)]
         self._turned_ms = clock()
         self._tick = int(self._turned_ms // TICK_MS)
-        self._late_ms = 0.0
+        self._late_ms = self._worst_ms = 0.0
 
     def lag(self) -> float:
         """How long what is read now may have lain unread: this round of the loop so far, and one before."""
@@ -53,7 +53,7 @@
 
     def margin(self) -> float:
         """What a deadline counted from now must spare: the lag behind, and a timer as late as lately."""
-        return TICK_MS + self.lag() + self._late_ms
+        return TICK_MS + self.lag() + self._worst_ms
 
     def at(self, due_ms: float, call: Callable[[], None]) -> Entry:
         tick = max(-int(-due_ms // TICK_MS), self._tick + 1)
@@ -86,7 +86,8 @@
             await asyncio.sleep(TICK_MS / 1000.0)
             self._turned_ms = self._clock()
             late = self._turned_ms - before - TICK_MS
-            self._late_ms = max(late, self._late_ms * LATE_KEPT)
+            self._late_ms = max(late, 0.0)
+            self._worst_ms = max(late, self._worst_ms * WORST_KEPT)
             if late > LATE_MS:
                 log.warning("loop late ms=%.0f", late)
             self.turn()
