--- a/gladelane/net/upstream.py
+++ b/gladelane/net/upstream.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-from collections import deque
 from collections.abc import Callable
 from typing import Protocol
 
@@ -20,6 +19,7 @@
 IDLE_SHARE = 0.8  # of the peer's idle limit: a request must not meet its close
 SWEEP_MS = 500.0
 MUTE_AFTER = 2  # attempts that time out in a row without a byte from the peer: one may just be slow
+ABORTED = 256  # ids aborted on a connection that are kept off it
 STUCK_BYTES = 262_144  # a connection with this much unsent takes no more
 
 
@@ -38,7 +38,7 @@
         self.pool = pool
         self.address = address
         self.open: dict[str, Attempt] = {}  # by the request's id, which is all that answers carry
-        self.aborted: deque[str] = deque(maxlen=256)
+        self.aborted: dict[str, None] = {}  # the latest, oldest first
         self.writer: asyncio.StreamWriter | None = None
         self.retired = False  # carries on with what is open, takes nothing new
         self.heard_ms = 0.0
@@ -77,7 +77,9 @@
             return
         del self.open[id_]
         if attempt.written_ms and self.writer is not None:
-            self.aborted.append(id_)
+            self.aborted[id_] = None
+            if len(self.aborted) > ABORTED:
+                del self.aborted[next(iter(self.aborted))]
             self.writer.write(encode_abort(id_))
             if end is End.TIMED_OUT and self.heard_ms <= attempt.written_ms:
                 self.mute += 1
