Read the configuration again on SIGHUP and move to its board at once

Checked: the log ends without a word at the signal; the board's stream itself was whole until then. Ruled out: the board's resume (Last-Event-ID was right).

Now: the signals are held back until their handlers stand; SIGHUP reads the file, follows a new board with a fresh stream and no backoff, from the same revision; an unusable file is one line and changes nothing. Backoff (2 s), silence (3 s) and dialling (3 s) of the board together could pass the 2 s after a break and the 4 s after a stop: now 0.4, 2.5 and 1 s.

--- a/gladelane/__main__.py
+++ b/gladelane/__main__.py
@@ -27,6 +27,7 @@
 GC_THRESHOLDS = (50_000, 10, 10)  # nearly all is freed by its last reference; cycles are few
 GC_LONG_MS = 10.0  # a collection this long is logged
 LINGER_S = 0.8  # after SIGTERM clients go on arriving for up to 0.6 s
+SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 LAST_S = 2.0  # beyond the longest deadline, after which a client that takes nothing is left behind
 
 
@@ -48,17 +49,39 @@
         )
         self.port = 0
         self._tasks: list[asyncio.Task[None]] = []
+        self._board: asyncio.Task[None] | None = None
 
     async def start(self) -> int:
         """Clients are let in only once all that is known has been applied: readiness promises that."""
         for notice in self.config.known.notices:
             self.director.notice(notice)
         self.director.rev = max(self.director.rev, self.config.known.rev)
-        board = Board(*self.config.board, lambda: self.director.rev, self.director.notice)
-        self._tasks = [asyncio.create_task(self.wheel.run()), asyncio.create_task(board.run())]
+        self._tasks = [asyncio.create_task(self.wheel.run())]
+        self._follow()
         self.port = await self.front.listen(*self.config.listen)
         return self.port
 
+    def _follow(self) -> None:
+        """From the revision reached, and at once: no stream nor backoff of a board left before counts."""
+        if self._board is not None:
+            self._board.cancel()
+        board = Board(*self.config.board, lambda: self.director.rev, self.director.notice)
+        self._board = asyncio.create_task(board.run())
+
+    def reload(self, config: Config) -> None:
+        """What may change under load is the board; all else is bound to sockets and figures in use."""
+        moved = config.board != self.config.board
+        self.config.board = config.board
+        for notice in config.known.notices:
+            self.director.notice(notice)  # what is known already is dropped there
+        if moved:
+            self._follow()
+        config.known, config.seed = self.config.known, self.config.seed  # these are for a start
+        later = [n for n in config.__struct_fields__ if getattr(config, n) != getattr(self.config, n)]
+        log.info("reloaded board=%s:%d moved=%d rev=%d", *config.board, moved, self.director.rev)
+        if later:
+            log.warning("reloaded: a change of %s takes a restart", ", ".join(later))
+
     async def drain(self) -> None:
         """Clients are told to go, yet go on arriving for a while; then what is owed is waited for."""
         self.front.drain()
@@ -73,8 +96,9 @@
     def close(self) -> None:
         self.front.stop_listening()
         self.upstream.close()
-        for task in self._tasks:
-            task.cancel()
+        for task in [*self._tasks, self._board]:
+            if task is not None:
+                task.cancel()
 
 
 def watch_gc() -> None:
@@ -90,11 +114,25 @@
     gc.callbacks.append(told)
 
 
-async def serve(config: Config) -> None:
+def load(path: str) -> Config:
+    with open(path, "rb") as file:
+        return read_config(file.read())
+
+
+async def serve(config: Config, path: str) -> None:
     node = Node(config)
     stop = asyncio.Event()
+
+    def reload() -> None:
+        try:
+            node.reload(load(path))
+        except (BadConfig, OSError) as error:
+            log.error("reload failed, the old configuration stays: %s: %s", path, error)
+
     for number in (signal.SIGTERM, signal.SIGINT):
         asyncio.get_running_loop().add_signal_handler(number, stop.set)
+    asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, reload)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
     port = await node.start()
     gc.collect()
     gc.freeze()  # what start-up made stays: full collections need not walk it
@@ -111,10 +149,10 @@
 def main() -> int:
     logging.basicConfig(level=logging.INFO, format="%(asctime)s %(levelname)s %(name)s %(message)s")
     path = os.environ.get("GW_CONFIG", "")
+    # one that comes while the file is read waits for its handler: by default it would end the process
+    signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
     try:
-        with open(path, "rb") as file:
-            config = read_config(file.read())
-        uvloop.run(serve(config))
+        uvloop.run(serve(load(path), path))
     except (BadConfig, OSError) as error:
         print(f"gladelane: {path or 'GW_CONFIG'}: {error}", file=sys.stderr)
         return 1
--- a/gladelane/net/board.py
+++ b/gladelane/net/board.py
@@ -14,8 +14,10 @@
 log = logging.getLogger(__name__)
 
 PATH = "/board/poll"
-SILENT_S = 3.0  # a comment comes each second; without any byte for so long the board is taken for dead
-BACKOFF_S, BACKOFF_MOST_S = 0.1, 2.0
+SILENT_S = 2.5  # a comment comes each second; without any byte for so long the board is taken for dead
+DIAL_S = 1.0
+# what it has to tell counts as told 2 s after a break and 4 s after it fell silent: these add up to less
+BACKOFF_S, BACKOFF_MOST_S = 0.1, 0.4
 MAX_EVENT = 4_000_000
 
 
@@ -62,7 +64,7 @@
             await asyncio.sleep(backoff)
 
     async def _follow(self) -> None:
-        async with asyncio.timeout(SILENT_S):
+        async with asyncio.timeout(DIAL_S):
             reader, writer = await asyncio.open_connection(self._host, self._port)
         try:
             http = h11.Connection(h11.CLIENT)
--- a/tests/test_net_rules.py
+++ b/tests/test_net_rules.py
@@ -447,11 +447,7 @@
         cache = Cache(hit)
         process = start_process(config({"c0": await cache.start(), "r0": REFUSED}), tmp_path)
         try:
-            assert process.stderr is not None
-            line = ""
-            while "listen=" not in line:
-                line = await asyncio.to_thread(process.stderr.readline)
-            port = int(line.split("listen=")[1].split()[0].rpartition(":")[2])
+            port = await ready(process)
             client = await Client.to(port)
             client.ask(1)
             assert (await client.next())[:3] == (17, 1, 0)
@@ -471,6 +467,52 @@
     asyncio.run(scene())
 
 
+async def ready(process: subprocess.Popen[str]) -> int:
+    """The port of a started director."""
+    assert process.stderr is not None
+    line = ""
+    while "listen=" not in line:
+        line = await asyncio.to_thread(process.stderr.readline)
+    return int(line.split("listen=")[1].split()[0].rpartition(":")[2])
+
+
+def test_sighup_moves_to_the_new_board_at_once_and_a_bad_file_changes_nothing(tmp_path: Path) -> None:
+    async def scene() -> None:
+        boards = [Feed([], []), Feed([], []), Feed([], [])]
+        addresses = ["{}:{}".format(*await board.start()) for board in boards]
+        stores = {"r0": REFUSED}
+        process = start_process(config(stores, addresses[0]), tmp_path)
+        file = tmp_path / "config.json"
+        try:
+            port = await ready(process)
+            await until(lambda: boards[0].asked)
+            file.write_bytes(b"{")
+            process.send_signal(signal.SIGHUP)
+            assert process.stderr is not None
+            while "reload failed" not in await asyncio.to_thread(process.stderr.readline):
+                pass
+            file.write_bytes(config(stores, addresses[1]))
+            process.send_signal(signal.SIGHUP)
+            await until(lambda: boards[1].asked)
+            file.write_bytes(config(stores, addresses[2]))
+            process.send_signal(signal.SIGHUP)  # twice in a row
+            process.send_signal(signal.SIGHUP)
+            await until(lambda: boards[2].asked)
+            assert boards[2].asked[0].split(": ")[1] == "1"  # the revision goes on
+            client = await Client.to(port)
+            client.send(32, 5, encode_fields({}))
+            assert (await client.next())[:3] == (33, 5, 0)
+            process.send_signal(signal.SIGTERM)
+            process.send_signal(signal.SIGHUP)  # while draining
+            assert await asyncio.to_thread(process.wait, 20) == 0
+        finally:
+            with contextlib.suppress(ProcessLookupError):
+                process.kill()
+            process.communicate()
+
+    asyncio.run(scene())
+
+
 def test_a_bad_configuration_ends_the_start_with_one_line(tmp_path: Path) -> None:
     process = start_process(b'{"name": 1}', tmp_path)
     _, err = process.communicate(timeout=30)
