--- a/gladelane/__main__.py
+++ b/gladelane/__main__.py
@@ -22,9 +22,11 @@
 
 log = logging.getLogger("gladelane")
 
-CLIENT_SHARE, UPSTREAM_SHARE = 1 / 3, 1 / 2  # of the descriptors; the rest is the reserve
+# of the descriptors; the rest is the reserve. Usual clients hold a third at most, others find room beside
+CLIENT_SHARE, UPSTREAM_SHARE = 0.45, 0.35
 HELD_SHARE = 0.25  # of the memory, for bodies and answers not yet taken
 GC_THRESHOLDS = (50_000, 10, 10)  # nearly all is freed by its last reference; cycles are few
+LINES_A_SECOND = 5  # of one wording in the log
 GC_LONG_MS = 10.0  # a collection this long is logged
 LINGER_S = 0.8  # after SIGTERM clients go on arriving for up to 0.6 s
 SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
@@ -101,6 +103,24 @@
                 task.cancel()
 
 
+class Flood(logging.Filter):
+    """Bounds what bad clients make the log cost: so many lines of one wording a second, and a count."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._seen: dict[str, tuple[int, int]] = {}
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        wording, now = str(record.msg), int(record.created)
+        second, lines = self._seen.get(wording, (now, 0))
+        if second != now:
+            if lines > LINES_A_SECOND:
+                record.msg = f"{wording} (and {lines - LINES_A_SECOND} like it)"
+            lines = 0
+        self._seen[wording] = now, lines + 1
+        return lines < LINES_A_SECOND
+
+
 def watch_gc() -> None:
     began = 0.0
 
@@ -148,6 +168,8 @@
 
 def main() -> int:
     logging.basicConfig(level=logging.INFO, format="%(asctime)s %(levelname)s %(name)s %(message)s")
+    for handler in logging.getLogger().handlers:
+        handler.addFilter(Flood())
     path = os.environ.get("GW_CONFIG", "")
     # one that comes while the file is read waits for its handler: by default it would end the process
     signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
--- a/gladelane/net/frames.py
+++ b/gladelane/net/frames.py
@@ -45,6 +45,9 @@
     def __init__(self) -> None:
         self._held = bytearray()
 
+    def pending(self) -> int:
+        return len(self._held)
+
     def feed(self, data: bytes) -> Iterator[Frame]:
         held = self._held
         held += data
--- a/gladelane/net/front.py
+++ b/gladelane/net/front.py
@@ -3,8 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import logging
+import struct
+import termios
 from collections.abc import Callable
+from contextlib import suppress
 
 from .director import Director
 from .exchange import Code, Exchange, Final
@@ -18,10 +22,12 @@
 MOST_OPEN = 32
 UNSENT_BYTES = 524_288  # unsent answers on one connection above which nothing more is read from it
 STALLED_MS = 10_000.0  # a client that takes no byte of its answers for so long is cut off
-IDLE_MS = 30_000.0  # clients close after 4 s without a request; one that does not is cut off
+IDLE_MS = 4_500.0  # clients close after 4 s without a request; one that does not is cut off
+FIRST_MS = 2_000.0  # a client that has sent no usable frame so long after connecting is cut off
+FRAME_MS = 2_000.0  # and so is one whose frame does not end; 3 s after connecting it is owed some end
 SWEEP_MS = 250.0
 SHED_MS = 150.0  # a loop this far behind cannot keep its deadlines: it must catch up first
-OUT_OF_ORDER = 4096  # stream numbers seen ahead of their turn on one connection
+OUT_OF_ORDER = 1024  # stream numbers seen ahead of their turn on one connection
 
 FAILED = Final(Code.FAILED)
 
@@ -51,7 +57,10 @@
         self.writer = writer
         self.open: dict[int, Exchange] = {}
         self.told_no_more = False
-        self.active_ms = front.clock()
+        self.active_ms = self.born_ms = front.clock()
+        self.proven = False  # has sent a frame that could be used
+        self.partial_ms = 0.0  # since when a frame has been under way, 0: none is
+        self._decoder = FrameDecoder()
         self._streams = Streams()
         self._unsent = 0
         writer.transport.set_write_buffer_limits(high=UNSENT_BYTES)
@@ -59,13 +68,26 @@
     def unsent(self) -> int:
         return self.writer.transport.get_write_buffer_size()
 
+    def held(self) -> int:
+        """Bytes kept for this client: what it has not taken, its open requests, the frame under way."""
+        return self.unsent() + self._decoder.pending() + sum(len(e.ask.body) for e in self.open.values())
+
+    def unread(self) -> bool:
+        """Whether the system holds bytes for us: a request that has come already must not meet a close."""
+        socket = self.writer.get_extra_info("socket")
+        return bool(struct.unpack("i", fcntl.ioctl(socket.fileno(), termios.FIONREAD, b"\0\0\0\0"))[0])
+
     async def serve(self) -> None:
-        decoder = FrameDecoder()
         try:
             while data := await self.reader.read(READ_BYTES):
                 self.active_ms = self.front.clock()
-                for frame in decoder.feed(data):
+                for frame in self._decoder.feed(data):
+                    self.partial_ms = 0.0
                     self._handle(frame)
+                if not self._decoder.pending():
+                    self.partial_ms = 0.0
+                elif not self.partial_ms:
+                    self.partial_ms = self.active_ms
                 await self.writer.drain()
         except FramingLost as error:
             log.warning("framing lost: %s", error)
@@ -85,6 +107,7 @@
             if exchange is not None:
                 self.front.director.gone(exchange)
         elif frame.type == Type.ASK_READY:
+            self.proven = True
             self._send(encode_ready(frame.stream, not self.front.draining))
         else:
             log.warning("unexpected frame type=%d stream=%d", frame.type, frame.stream)
@@ -109,6 +132,7 @@
             log.warning("bad request stream=%d: %s", stream, error)
             self._send(encode_answer(stream, FAILED))
             return
+        self.proven = True
         front = self.front
         front.held += len(ask.body)
         answered: list[Final] = []
@@ -146,9 +170,21 @@
             if unsent:
                 self.active_ms = now
         idle = now - self.active_ms
-        if (unsent and idle > STALLED_MS) or (not unsent and not self.open and idle > IDLE_MS):
+        if unsent and idle > STALLED_MS:
             log.info("client cut off unsent=%d", unsent)
             self.writer.transport.abort()
+        elif self.writer.is_closing():
+            return  # its last answers are on their way
+        elif self.partial_ms and now - self.partial_ms > FRAME_MS:
+            log.warning("frame never ended")
+            self._send(encode_answer(0, FAILED))
+            self.writer.close()
+        elif self.spare() and (idle > IDLE_MS or (not self.proven and now - self.born_ms > FIRST_MS)):
+            self.writer.close()
+
+    def spare(self) -> bool:
+        """May be closed at any time: nothing is owed here, nor under way as far as can be seen."""
+        return not self.open and not self.partial_ms and not self.unsent() and not self.unread()
 
 
 class Front:
@@ -171,7 +207,7 @@
         return int(self._server.sockets[0].getsockname()[1])
 
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        if len(self.connections) >= self.cap:
+        if len(self.connections) >= self.cap and not self._spare_one():
             log.warning("too many clients")
             writer.transport.abort()
             return
@@ -179,9 +215,21 @@
         self.connections.add(conn)
         try:
             await conn.serve()
+            with suppress(OSError):
+                await writer.wait_closed()  # until then it holds a descriptor, and the sweep watches it
         finally:
             self.connections.discard(conn)
 
+    def _spare_one(self) -> bool:
+        """At the cap those who never asked for anything make room first, then who has been idle for longest:
+        a crowd that holds connections must not keep out those who have something to ask."""
+        waiting = sorted(self.connections, key=lambda c: (c.proven, c.active_ms))
+        spare = next((c for c in waiting if not c.writer.is_closing() and c.spare()), None)
+        if spare is not None:
+            spare.writer.close()
+            self.connections.discard(spare)
+        return spare is not None
+
     def overloaded(self) -> bool:
         """Past these bounds a request is turned away at sight, before it costs memory or much of the core."""
         return self.held > self.held_bytes or self.wheel.lag() > SHED_MS
@@ -204,7 +252,7 @@
     def _sweep(self) -> None:
         now = self.clock()
         self.held = 0
-        for conn in self.connections:
+        for conn in list(self.connections):
             conn.sweep(now)
-            self.held += conn.unsent() + sum(len(exchange.ask.body) for exchange in conn.open.values())
+            self.held += conn.held()
         self.wheel.at(now + SWEEP_MS, self._sweep)
--- a/tests/test_net_rules.py
+++ b/tests/test_net_rules.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import json
+import logging
 import os
 import signal
 import subprocess
@@ -17,7 +18,7 @@
 import pytest
 from harness import Cache, Client, Command, config, hit, mute, raw_frame, running, trial, until
 
-from gladelane.__main__ import Node
+from gladelane.__main__ import LINES_A_SECOND, Flood, Node
 from gladelane.interface import Event, Outcome, Purge, Request, Status
 from gladelane.net import board as board_module
 from gladelane.net import front as front_module
@@ -333,6 +334,70 @@
             await (await Client.to(node.port)).next()
 
 
+@trial
+async def test_a_crowd_that_holds_connections_keeps_nobody_out_who_asks() -> None:
+    # churn: clients that had asked once held all there were, and who came next was turned away
+    cache = Cache(hit)
+    async with running(config({"c0": await cache.start(), "r0": REFUSED})) as (node, client):
+        node.front.cap = 3
+        client.ask(1)
+        assert (await client.next())[:3] == (17, 1, 0)
+        first, second, third = [await Client.to(node.port) for _ in range(3)]
+        with pytest.raises((EOFError, ConnectionError)):
+            await first.next()  # who never asked goes first, the longest there before the others
+        second.ask(1)
+        third.ask(1)
+        assert (await second.next())[:3] == (await third.next())[:3] == (17, 1, 0)
+        await Client.to(node.port)
+        with pytest.raises((EOFError, ConnectionError)):
+            await client.next()  # then who has asked for nothing for longest
+        cache.script = mute
+        for one in (second, third):
+            one.ask(2)
+        await until(lambda: len(cache.seen) == 5)
+        for _ in range(3):
+            await Client.to(node.port)
+        assert await second.silent() and await third.silent() and not second.reader.at_eof()
+
+
+@trial
+async def test_a_client_that_says_nothing_whole_gets_an_end_in_time_and_one_that_pauses_does_not() -> None:
+    cache = Cache(hit)
+    async with running(config({"c0": await cache.start(), "r0": REFUSED})) as (node, good):
+        good.ask(1)
+        assert (await good.next())[:3] == (17, 1, 0)
+        quiet, half = await Client.to(node.port), await Client.to(node.port)
+        half.writer.write(raw_frame(50_000, 16, 1, b"x" * 30_000))
+        await until(lambda: sum(c.held() for c in node.front.connections) > 30_000)
+        now = node.clock.now()
+        ends = {c: (c.proven, bool(c.partial_ms)) for c in node.front.connections}
+        assert sorted(ends.values()) == [(False, False), (False, True), (True, False)]
+        for after, closed in ((1500.0, []), (2600.0, [(False, False), (False, True)]), (4100.0, []), (5000.0, [(True, False)])):
+            for conn in [c for c in ends if not c.writer.is_closing()]:
+                conn.sweep(now + after)
+            assert sorted(v for c, v in ends.items() if c.writer.is_closing()) == closed
+            for conn in [c for c in ends if c.writer.is_closing()]:
+                del ends[conn]
+        assert (await half.next())[:3] == (17, 0, 2)
+        for one in (quiet, half, good):
+            with pytest.raises((EOFError, ConnectionError)):
+                await one.next()
+
+
+def test_a_flood_of_lines_of_one_wording_is_bounded_and_counted() -> None:
+    flood = Flood()
+
+    def line(second: float, wording: str, *args: object) -> str:
+        record = logging.LogRecord("x", logging.INFO, "", 0, wording, args, None)
+        record.created = second
+        return record.getMessage() if flood.filter(record) else ""
+
+    told_ = [line(1.1, "bad stream=%d", n) for n in range(40)]
+    assert len([x for x in told_ if x]) == LINES_A_SECOND and line(1.2, "other") == "other"
+    assert line(2.0, "bad stream=%d", 40) == f"bad stream=40 (and {40 - LINES_A_SECOND} like it)"
+    assert line(2.1, "bad stream=%d", 41) == "bad stream=41"
+
+
 @trial
 async def test_a_client_that_takes_none_of_its_answers_is_cut_off() -> None:
     cache = Cache(lambda command: ("served digest=aa,dated=1", bytes(240_000)))
