Drop a connection that an answer cut short blocks, and trust no spent id on it

ReplyDecoder held half an answer, and what followed on that connection waited for its rest; 'mute' needs two silent time-outs. Now half an answer that brings nothing for 0.4 s ends the connection (CUT_SHORT), so its requests are asked again while there is time. Answered ids stay off their connection as aborted ones did: a second copy can't be taken for the answer to a later attempt. Lengths and 'first' are digits only. The pool goes by store id, so that an address that is taken over hands on nothing.

--- a/gladelane/__main__.py
+++ b/gladelane/__main__.py
@@ -30,7 +30,8 @@
 GC_LONG_MS = 10.0  # a collection this long is logged
 LINGER_S = 0.8  # after SIGTERM clients go on arriving for up to 0.6 s
 SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-LAST_S = 2.0  # beyond the longest deadline, after which a client that takes nothing is left behind
+LAST_S, LAST_MOST_S = 0.5, 3.5  # from SIGTERM, beyond the longest deadline and at most: then all is answered
+FLUSH_S = 0.15  # and after so long more, a client that takes nothing is left behind
 
 
 class Node:
@@ -85,15 +86,23 @@
             log.warning("reloaded: a change of %s takes a restart", ", ".join(later))
 
     async def drain(self) -> None:
-        """Clients are told to go, yet go on arriving for a while; then what is owed is waited for."""
+        """Clients are told to go, yet go on arriving for a while; then what is owed is waited for, but no
+        longer than a restart may take: what is still open then is failed, which its client can act on."""
+        began = asyncio.get_running_loop().time()
         self.front.drain()
         await asyncio.sleep(LINGER_S)
         self.front.stop_listening()
         longest = max(spec.deadline_ms for spec in self.config.settings.classes.values()) / 1000.0
+        last = began + min(longest + LAST_S, LAST_MOST_S)
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(longest + LAST_S):
+            async with asyncio.timeout_at(last):
                 while self.director.owed() or not self.front.quiet():
                     await asyncio.sleep(0.02)
+        self.director.end_all()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(FLUSH_S):
+                while not self.front.quiet():
+                    await asyncio.sleep(0.02)
 
     def close(self) -> None:
         self.front.stop_listening()
--- a/gladelane/net/director.py
+++ b/gladelane/net/director.py
@@ -32,7 +32,7 @@
 
     def abandon(self, attempt: Attempt, end: End) -> None: ...
 
-    def forsake(self, address: str) -> None: ...
+    def forsake(self, store: str) -> None: ...
 
 
 class Director:
@@ -74,6 +74,11 @@
     def owed(self) -> bool:
         return any(not exchange.done for exchange in self.live.values())
 
+    def end_all(self) -> None:
+        for exchange in list(self.live.values()):
+            if not exchange.done:
+                self._abort(exchange)
+
     # --- from the notice board
 
     def notice(self, notice: Notice) -> None:
@@ -114,11 +119,10 @@
             else:
                 self._listed[member.store] = (instance.host_port, member)
         for store, (address, old) in before.items():
-            # another cache may take over the address, and a new process knows nothing of what the old one
-            # was sent, which may have vanished without closing: neither inherits connections
+            # a store that left, moved or came up anew: its connections end there, and may do so in silence
             now = self._listed.get(store)
             if now is None or now[0] != address or now[1].came_up_ms != old.came_up_ms:
-                self.sender.forsake(address)
+                self.sender.forsake(store)
 
     # --- from the upstream side
 
--- a/gladelane/net/ends.py
+++ b/gladelane/net/ends.py
@@ -28,6 +28,7 @@
     RESET = auto()
     CLOSED = auto()
     GARBLED = auto()
+    CUT_SHORT = auto()  # an answer began and brought nothing more
     # the director ended it
     TIMED_OUT = auto()
     CANCELLED = auto()
@@ -54,6 +55,7 @@
     End.RESET: Status.RESET,
     End.CLOSED: Status.RESET,
     End.GARBLED: Status.RESET,
+    End.CUT_SHORT: Status.RESET,
     End.TIMED_OUT: Status.TIMEOUT,
     End.CANCELLED: Status.CANCELLED,
     End.IDLE: Status.RESET,
--- a/gladelane/net/lines.py
+++ b/gladelane/net/lines.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Iterator, Mapping
 from typing import NamedTuple
 
@@ -18,6 +19,7 @@
     "crashed": End.CRASHED,
     "nobody": End.NOBODY,
 }
+AMOUNT = re.compile(r"[0-9]{1,9}(\.[0-9]{1,20})?")  # float() also takes signs, nan, inf, 1_0, 1e999
 NOTES = dict(zip("hfojsrblnx", list(Note)[1:], strict=True))
 
 
@@ -39,6 +41,10 @@
         self._head: Reply | None = None
         self._length = 0
 
+    def pending(self) -> bool:
+        """Whether an answer has begun and not ended."""
+        return self._head is not None or bool(self._held)
+
     def feed(self, data: bytes) -> Iterator[Reply]:
         held = self._held
         held += data
@@ -66,11 +72,14 @@
         id_, word, text, length = line.decode("ascii").split(" ")
         fields = dict(pair.split("=", 1) for pair in text.split(",")) if text != "-" else {}
         note = NOTES[fields["remark"]] if fields.get("remark") else Note.UNTOLD
-        reply = Reply(id_, WORDS[word], note, float(fields.get("first", 0)))
+        waited = fields.get("first", "0")
+        if not AMOUNT.fullmatch(waited) or not length.isdecimal() or len(length) > 12:
+            raise ValueError(f"first={waited} length {length}")
+        reply = Reply(id_, WORDS[word], note, float(waited))
         size = int(length)
     except (ValueError, KeyError) as error:
         raise Garbled(f"unreadable answer: {error}") from None
-    if not 0 <= size <= MAX_BODY:
+    if size > MAX_BODY:
         raise Garbled(f"body of {size} bytes")
     return reply, size
 
--- a/gladelane/net/upstream.py
+++ b/gladelane/net/upstream.py
@@ -17,9 +17,10 @@
 
 READ_BYTES = 65_536
 IDLE_SHARE = 0.8  # of the peer's idle limit: a request must not meet its close
-SWEEP_MS = 500.0
+SWEEP_MS = 100.0
+STALLED_MS = 400.0  # an answer that has begun and brings nothing more for so long was cut short
 MUTE_AFTER = 2  # attempts that time out in a row without a byte from the peer: one may just be slow
-ABORTED = 256  # ids aborted on a connection that are kept off it
+SPENT = 256  # ids aborted or answered on a connection that are kept off it
 STUCK_BYTES = 262_144  # a connection with this much unsent takes no more
 
 
@@ -34,23 +35,27 @@
 class Connection:
     """One connection, from its dial to its end. Attempts wait here while it is dialled."""
 
-    def __init__(self, pool: Upstream, address: str) -> None:
+    def __init__(self, pool: Upstream, store: str, address: str) -> None:
         self.pool = pool
+        self.store = store
         self.address = address
         self.open: dict[str, Attempt] = {}  # by the request's id, which is all that answers carry
-        self.aborted: dict[str, None] = {}  # the latest, oldest first
+        self.spent: dict[str, None] = {}  # the latest, oldest first
+        self.decoder = ReplyDecoder()
         self.writer: asyncio.StreamWriter | None = None
         self.retired = False  # carries on with what is open, takes nothing new
         self.heard_ms = 0.0
         self.used_ms = pool.clock()
         self.mute = 0
+        self.end = End.IDLE  # what it ends of, unless told otherwise
         self.task = asyncio.ensure_future(self._run())
 
     def takes(self, id_: str) -> bool:
-        """An id that is open or was aborted here would make its next answer ambiguous."""
+        """An id that is open here, or was aborted or answered, would make its next answer ambiguous: peers
+        answer across an abort, and some answer twice."""
         if self.retired or len(self.open) >= self.pool.limits.max_streams:
             return False
-        if id_ in self.open or id_ in self.aborted:
+        if id_ in self.open or id_ in self.spent:
             return False
         return self.writer is None or self.writer.transport.get_write_buffer_size() < STUCK_BYTES
 
@@ -77,10 +82,9 @@
             return
         del self.open[id_]
         if attempt.written_ms and self.writer is not None:
-            self.aborted[id_] = None
-            if len(self.aborted) > ABORTED:
-                del self.aborted[next(iter(self.aborted))]
-            self.writer.write(encode_abort(id_))
+            self._spend(id_)
+            if not self.writer.is_closing():  # the peer's end may not have been read yet
+                self.writer.write(encode_abort(id_))
             if end is End.TIMED_OUT and self.heard_ms <= attempt.written_ms:
                 self.mute += 1
                 if self.mute >= MUTE_AFTER and not self.retired:
@@ -88,6 +92,11 @@
                     self.retire()
         self._close_if_done()
 
+    def _spend(self, id_: str) -> None:
+        self.spent[id_] = None
+        if len(self.spent) > SPENT:
+            del self.spent[next(iter(self.spent))]
+
     def retire(self) -> None:
         self.retired = True
         self._close_if_done()
@@ -100,15 +109,26 @@
         self.retired = True
         self.task.cancel()
 
+    def sweep(self, now: float) -> None:
+        """Closes what has been idle for long, before the peer does, and what a cut-short answer blocks."""
+        if self.writer is None:
+            return
+        quiet = now - max(self.heard_ms, self.used_ms)
+        if not self.open and quiet > self.pool.limits.conn_idle_ms * IDLE_SHARE:
+            self.close()
+        elif self.decoder.pending() and now - self.heard_ms > STALLED_MS + self.pool.wheel.lag():
+            log.warning("cut short peer=%s open=%d", self.address, len(self.open))
+            self.end = End.CUT_SHORT
+            self.close()
+
     async def _run(self) -> None:
-        end = End.IDLE
         try:
-            end = await self._dial() or await self._read()
+            self.end = await self._dial() or await self._read()
         except Exception:
             log.exception("connection failed peer=%s", self.address)
-            end = End.RESET
+            self.end = End.RESET
         finally:
-            self._finish(end)
+            self._finish(self.end)
 
     async def _dial(self) -> End | None:
         timeout = self.pool.limits.dial_timeout_ms
@@ -139,12 +159,11 @@
         return None
 
     async def _read(self) -> End:
-        decoder = ReplyDecoder()
         try:
             while data := await self.reader.read(READ_BYTES):
                 self.heard_ms = self.pool.clock()
                 self.mute = 0
-                for reply in decoder.feed(data):
+                for reply in self.decoder.feed(data):
                     self._answered(reply)
                 self._close_if_done()
         except Garbled as error:
@@ -161,6 +180,7 @@
         if reply.end is End.STILL_GOOD and (not attempt.exchange.ask.known or reply.body):
             raise Garbled("still_good for a copy that no client holds")
         del self.open[reply.id]
+        self._spend(reply.id)
         self.pool.owner.ended(attempt, reply.end, reply)
 
     def _finish(self, end: End) -> None:
@@ -178,7 +198,8 @@
 
 
 class Upstream:
-    """The pool: up to max_streams attempts share a connection to an address, more are dialled as needed."""
+    """The pool: up to max_streams attempts share a connection to a store, more are dialled as needed. Another
+    store at the same address inherits nothing."""
 
     def __init__(self, limits: ConnLimits, cap: int, clock: Callable[[], float], wheel: Wheel) -> None:
         self.limits = limits
@@ -191,7 +212,7 @@
         self.sweep()
 
     def send(self, attempt: Attempt, address: str) -> None:
-        conns = self._pool.setdefault(address, [])
+        conns = self._pool.setdefault(attempt.store, [])
         for conn in conns:
             if conn.takes(attempt.exchange.ask.id):
                 break
@@ -199,18 +220,17 @@
             if self._count >= self.cap and not self._spare_one():
                 self.owner.ended(attempt, End.CAPPED)
                 return
-            conn = Connection(self, address)
+            conn = Connection(self, attempt.store, address)
             conns.append(conn)
             self._count += 1
         conn.carry(attempt)
 
     def abandon(self, attempt: Attempt, end: End) -> None:
-        for conns in self._pool.values():
-            for conn in conns:
-                conn.drop(attempt, end)
+        for conn in list(self._pool.get(attempt.store, ())):
+            conn.drop(attempt, end)
 
-    def forsake(self, address: str) -> None:
-        for conn in list(self._pool.get(address, ())):
+    def forsake(self, store: str) -> None:
+        for conn in list(self._pool.get(store, ())):
             conn.retire()
 
     def close(self) -> None:
@@ -218,12 +238,12 @@
             conn.close()
 
     def remove(self, conn: Connection) -> None:
-        conns = self._pool.get(conn.address, [])
+        conns = self._pool.get(conn.store, [])
         if conn in conns:
             conns.remove(conn)
             self._count -= 1
         if not conns:
-            self._pool.pop(conn.address, None)
+            self._pool.pop(conn.store, None)
 
     def _spare_one(self) -> bool:
         """At the cap an idle connection makes room for one that is needed."""
@@ -234,9 +254,7 @@
         return idle is not None
 
     def sweep(self) -> None:
-        """Closes what has been idle for long, before the peer does."""
-        oldest = self.clock() - self.limits.conn_idle_ms * IDLE_SHARE
+        now = self.clock()
         for conn in [c for conns in self._pool.values() for c in conns]:
-            if conn.writer is not None and not conn.open and max(conn.heard_ms, conn.used_ms) < oldest:
-                conn.close()
-        self.wheel.at(self.clock() + SWEEP_MS, self.sweep)
+            conn.sweep(now)
+        self.wheel.at(now + SWEEP_MS, self.sweep)
--- a/tests/test_net_parsers.py
+++ b/tests/test_net_parsers.py
@@ -105,7 +105,9 @@
 @pytest.mark.parametrize("line", [
     b"a1 served - 3\r\nabcd\r\n", b"a1 served - -1\r\n", b"a1 served - 262145\r\n", b"a1 eaten - 0\r\n\r\n",
     b"a1 served -\r\n\r\n", b"\r\n", b"a1 served remark=q 0\r\n\r\n", b"a1 served digest 0\r\n\r\n",
-    b"a1 served first=x 0\r\n\r\n", b"\xff served - 0\r\n\r\n", b"x" * 5000, b"x" * 5000 + b"\r\n",
+    b"a1 served first=x 0\r\n\r\n", b"\xff served - 0\r\n\r\n",
+    b"a1 served first=nan 0\r\n\r\n", b"a1 served first=-1 0\r\n\r\n", b"a1 served first=inf 0\r\n\r\n", b"a1 served first=1_0 0\r\n\r\n",
+    b"a1 served - +3\r\nabc\r\n", b"a1 served - 1_0\r\n", b"a1 served - 3000000000\r\n", b"a1 served - " + b"9" * 4000 + b"\r\n", b"x" * 5000, b"x" * 5000 + b"\r\n",
 ])  # fmt: skip
 def test_garbled_answers(line: bytes) -> None:
     with pytest.raises(Garbled):
@@ -130,7 +132,7 @@
 def test_every_end_has_a_status_and_only_what_never_left_is_proved_not_to_have_run() -> None:
     assert set(STATUS) == set(End)
     ran = {end for end in End if STATUS[end] not in NEVER_RAN}
-    assert ran == {End.SERVED, End.STILL_GOOD, End.CRASHED, End.RESET, End.CLOSED, End.GARBLED, End.TIMED_OUT,
+    assert ran == {End.SERVED, End.STILL_GOOD, End.CRASHED, End.RESET, End.CLOSED, End.GARBLED, End.CUT_SHORT, End.TIMED_OUT,
                    End.CANCELLED, End.IDLE}  # fmt: skip
     assert {end for end in End if STATUS[end] is Status.OK} == {End.SERVED, End.STILL_GOOD}
 
--- a/tests/test_net_rules.py
+++ b/tests/test_net_rules.py
@@ -18,6 +18,7 @@
 import pytest
 from harness import Cache, Client, Command, config, hit, mute, raw_frame, running, trial, until
 
+import gladelane.__main__ as main_module
 from gladelane.__main__ import LINES_A_SECOND, Flood, Node
 from gladelane.interface import Event, Outcome, Purge, Request, Status
 from gladelane.net import board as board_module
@@ -149,6 +150,36 @@
         assert cache.seen[-1][1]["got"] == "aa"
 
 
+@trial
+async def test_an_answer_cut_short_costs_its_connection_at_once_and_a_slow_one_does_not() -> None:
+    # a connection that stays open behind it would hold all its requests until their time is over
+    cache = Cache(mute)
+    async with running(config({"c0": await cache.start(), "r0": REFUSED})) as (node, client):
+        events = told(node.director)
+        client.ask(1)
+        client.ask(2)
+        await until(lambda: len(cache.seen) == 2)
+        cache.conns[0].write(b"0000000000000001 served - 900\r\nhalf")
+        await until(lambda: len(cache.seen) == 4 and len(cache.conns) == 2)  # both are asked again, elsewhere
+        assert [s for _, _, s, _ in outcomes(events)] == [Status.RESET, Status.RESET]
+        for part in (b"0000000000000001 served", b" - 4\r\nsl", b"ow\r\n"):
+            await asyncio.sleep(0.02)
+            cache.conns[1].write(part)
+        assert await client.next() == (17, 1, 0, {}, b"slow")
+
+
+@trial
+async def test_a_second_copy_of_an_answer_is_not_taken_for_the_answer_to_the_next_attempt() -> None:
+    cache = Cache(lambda command: ("crashed -", b"") if len(cache.seen) == 1 else None)
+    async with running(config({"r0": await cache.start()})) as (_, client):
+        client.ask(1, c="sheet", k="5c", d="1000")
+        await until(lambda: len(cache.seen) == 2)
+        cache.conns[0].write(b"9999999999999999 served - 2\r\nno\r\n0000000000000001 crashed - 0\r\n\r\n")
+        assert await client.silent() and len(cache.seen) == 2
+        cache.conns[1].write(b"0000000000000001 served - 3\r\nyes\r\n")
+        assert await client.next() == (17, 1, 0, {}, b"yes")
+
+
 @trial
 async def test_open_attempts_of_one_id_use_connections_of_their_own_and_streams_are_bounded() -> None:
     cache = Cache(mute)
@@ -484,7 +515,14 @@
         node.director.notice(notice(3, {"instanceId": "c9", "hostPort": address, "lifecycle": "in_service"}))
         client.ask(2)
         await until(lambda: len(cache.conns) == 2)
-        assert not cache.aborted  # what was open runs on
+        # told of before the old one's end: the list comes late
+        node.director.notice(notice(4, {"instanceId": "c8", "hostPort": address, "lifecycle": "in_service"}))
+        stream = 2
+        while len(cache.conns) == 2:
+            stream += 1
+            client.ask(stream, o=f"{stream:016x}")
+            await until(lambda: len(cache.seen) == stream)  # noqa: B023
+        assert cache.seen[-1][0] == f"{stream:016x}" and not cache.aborted  # what was open runs on
 
 
 @trial
@@ -541,6 +579,21 @@
     return int(line.split("listen=")[1].split()[0].rpartition(":")[2])
 
 
+@trial
+async def test_a_restart_waits_for_what_is_owed_no_longer_than_it_may_and_answers_the_rest() -> None:
+    cache = Cache(mute)
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(main_module, "LINGER_S", 0.05)
+        patch.setattr(main_module, "LAST_MOST_S", 0.3)
+        async with running(config({"c0": await cache.start(), "r0": REFUSED})) as (node, client):
+            client.ask(1, d="4000")
+            await until(lambda: cache.seen)
+            await node.drain()
+            assert (await client.next())[:2] == (48, 0)
+            assert (await client.next(0.5))[:3] == (17, 1, 2)
+            assert not node.director.owed()
+
+
 def test_sighup_moves_to_the_new_board_at_once_and_a_bad_file_changes_nothing(tmp_path: Path) -> None:
     async def scene() -> None:
         boards = [Feed([], []), Feed([], []), Feed([], [])]
