Blame a source that is late alone, not the caches that ask it

A probe at Router.give_up and of each limit, once a second: all refusals came after a miss for want of room to fill; the limit on fills of all three caches had fallen from 64 to 4..9 within a second while one parent stood still, and came back by 1/limit an answer. Router.pace: where notes tell only hits, a late fill that is answered was held against store.fills and never against its source, since no wait is told. Ruled out: caches' own limits (64 throughout), the origin, cold budgets, the link (the other parent's fills were timely).

--- a/gladelane/choice.py
+++ b/gladelane/choice.py
@@ -48,7 +48,7 @@
 RETRY_SHARE, RETRY_MOST = 0.3, 30.0  # further attempts earned a request, and how many can be saved up
 HEDGE_SHARE, HEDGE_MOST = 0.05, 5.0  # second copies, likewise
 COLD_RATE, COLD_BURST = 0.35, 0.15  # parts of a cold store's bearing that are sent steadily, and at once
-RATE_MS = 5000.0  # span over which the usual load of warm stores is learned
+RATE_MS, FIRST_RATE_MS = 5000.0, 1000.0  # spans over which the usual load of warm stores is learned
 LIMIT_LEAST, LIMIT_MOST = 2.0, 64.0  # attempts out at one cache, least and most; by weight it may be more
 GROW_NEAR = 0.7  # part of the limit that must be in use for a timely answer to raise it
 GROW_MOST = 0.25  # most by which one timely answer raises it, as a part of it
@@ -57,6 +57,8 @@
 LATE_STEP, LATE_SHARE = 0.1, 0.15  # aged share of late answers that tells of a crowd: one does not
 INLET_SHARE = 0.2  # the same for the fills of all caches of the location together
 INLET_LEAST = 1.0  # fills a cache of the location always let through, by all its proxies together
+ALONE_OVER, ALONE_BY = 2.0, 0.1  # a source is late alone where it is so much more than each other in use
+ALONE_CUT = 0.5  # its lateness from which it is asked for less: one that is far off is late now and then
 LIMIT_CUT, LIMIT_CUT_MS = 0.8, 500.0  # what a late answer leaves of the limit, once a crowd or in so long
 COME_BACK_MS = 400.0  # advice to a refused client
 MASK = (1 << 64) - 1
@@ -114,6 +116,8 @@
         self.member = member
         self.salt = int.from_bytes(blake2b(member.store.encode(), digest_size=8).digest(), "big")
         self.fails = 0.0
+        self.lateness = 0.0  # aged share of late fills from here
+        self.filled_ms = 0.0  # when the latest fill from here ended
         self.down_until = 0.0
         self.rest_ms = DOWN_MS
         self.trial_at = -1.0
@@ -362,6 +366,10 @@
         if attempt.fills and event.note not in (Note.HIT, Note.AGED):
             source = self.origin if event.note is Note.FROM_ORIGIN else self.stores.get(attempt.source)
             waited = event.note is Note.UNTOLD or event.source_wait_ms > took / 2
+            if source and self.settings.notes != "all" and self.late_alone(source, late):
+                if source.lateness > ALONE_CUT:
+                    source.concurrency.learn(self.now, attempt.sent_ms, late)
+                return
             told = [store.fills] if event.note is Note.UNTOLD or not (late and waited) else []
             if self.scattered and told and event.status is Status.OK:
                 told.append(self.inlet)
@@ -370,6 +378,17 @@
         for concurrency in told:
             concurrency.learn(self.now, attempt.sent_ms, late)
 
+    def late_alone(self, source: Store, late: bool) -> bool:
+        """Where no note tells what a late fill waited for: whether this source is late and the others in use
+        are not, so that neither the caches that ask it nor the link in are to pay for it."""
+        source.lateness += LATE_STEP * (late - source.lateness)
+        source.filled_ms = self.now
+        others = [
+            s.lateness for s in (*self.parents, self.origin)
+            if s and s is not source and self.now - s.filled_ms < FIRST_RATE_MS
+        ]
+        return late and bool(others) and source.lateness > ALONE_OVER * max(others) + ALONE_BY
+
     def filling(self, cache: Store) -> list[ConcurrencyLimit]:
         """Where many proxies share a location, each sees too few fills a cache to learn in time that the link
         in is full: they are also counted together. Answers only: what is lost tells of no link. A few slow
@@ -712,7 +731,8 @@
 
     def learn_usual(self) -> None:
         span = self.now - self.usual_at
-        if span < RATE_MS:
+        known = self.usual["cache"][1] or self.usual["parent"][1]
+        if span < (RATE_MS if known else FIRST_RATE_MS):  # until the first, cold stores get nothing
             return
         for kind, stores in (("cache", self.caches), ("parent", self.parents)):
             warm = self.settings.parent_cold_ms if kind == "parent" else self.settings.warm_after_ms
--- a/tests/test_failure.py
+++ b/tests/test_failure.py
@@ -7,7 +7,7 @@
 from conftest import Driver, members, only, some
 
 from gladelane.choice import LIMIT_LEAST, LINGERING, SENT_TABLE, TABLE
-from gladelane.interface import Fetch, Lookup, Member, Note, Outcome, Purge, Refuse, SetTimer, Status, Timer
+from gladelane.interface import Fetch, ListKind, Lookup, Member, Note, Outcome, Purge, Refuse, SetTimer, Status, Timer
 
 
 def late(d: Driver, fetch: Fetch, note: Note = Note.HIT, wait: float = 0.0) -> None:
@@ -269,3 +269,35 @@
         first.append(fetch.source != fetch.store)
         d.router.inlet.out = 0
     assert 5 < sum(first) < 40
+
+
+def test_a_source_late_alone_is_asked_for_less_and_no_cache_pays_where_notes_tell_no_wait() -> None:
+    # wide, seed 3: a parent stood still, and each cache's limit on fills fell from 64 to 5 for its sake
+    def fills(alone: bool) -> Driver:
+        d = Driver(notes="hit", second_copies=False)
+        for _ in range(6):
+            asked = open_fetches(d, 6)
+            timely = [f for f in asked if f.source == "p1" and alone]
+            for fetch in timely:
+                d.answer(fetch, note=Note.PARENT_HELD, after=1.0)
+            d.now += 900.0
+            for fetch in asked:
+                if fetch not in timely:
+                    d.answer(fetch, note=Note.PARENT_HELD, after=0.0)
+        return d
+
+    d = fills(alone=True)
+    assert d.router.stores["p0"].concurrency.limit <= 4 < d.router.stores["p1"].concurrency.limit
+    assert all(cache.fills.limit > 12 for cache in d.router.caches)
+    assert all(cache.fills.limit <= 12 for cache in fills(alone=False).router.caches)
+
+
+def test_a_proxy_that_starts_soon_knows_what_a_cold_store_can_bear() -> None:
+    # reload: for 5 s after each restart a parent that had come up 10 s ago got nothing, the other all
+    d = Driver(members(parents=1), second_copies=False)
+    d.members((Member("p9", "hub", "mid", came_up_ms=d.now - 10_000.0),), ListKind.CHANGES)
+    sources = set()
+    for n in range(60):
+        sources.add(d.serve(object=n).source)
+        d.tell(Timer("sweep"))
+    assert d.now < 100_000.0 + 4000.0 and sources == {"p0", "p9"}
