Rest no store that answers for a spoilt connection or a bad request

A probe once a second showed caches at rest for up to 4 s while their answers came on other connections, parents at rest, the budget fallen from 30 to 1, and bad writes that had been sent eight times; the usual load learned had risen from 2,600 to 9,800.

Router.judge: each attempt on a connection that ended counted one failure of its store, so one spoilt answer under three others made it a store that is down; an error counted too, and blamed the source, though bad clients' requests get errors from any store; a reset named the source as bad, so the repeat was filled from elsewhere. Router.learn_work took any size a client made up. Ruled out: crowds (limits at 64 of 64), silence, the network side (no late end).

--- a/gladelane/choice.py
+++ b/gladelane/choice.py
@@ -43,6 +43,8 @@
 HEDGE_AT = 0.5  # part of the aim after which a second copy is sent
 DOWN_MS, DOWN_MOST_MS = 400.0, 4000.0  # first rest of a tripped store, doubling up to the most
 SILENT_AFTER = 3  # unanswered attempts in a row that make a store down
+ALIVE_MS = 500.0  # a store that answered so lately is not down for errors and resets
+ERRORS_MOST, ERROR_MS = 2, 50.0  # errors so soon after a send that show it is the request that is no good
 SOURCE_DOUBT = 2.0  # aged count of failures that makes a source down
 DOUBT_KEPT = 0.75  # part of a source's doubt left by one good answer where fills are not told apart
 RETRY_SHARE, RETRY_MOST = 0.3, 30.0  # further attempts earned a request, and how many can be saved up
@@ -116,6 +118,7 @@
         self.member = member
         self.salt = int.from_bytes(blake2b(member.store.encode(), digest_size=8).digest(), "big")
         self.fails = 0.0
+        self.answered_ms = 0.0  # when it last answered well
         self.lateness = 0.0  # aged share of late fills from here
         self.filled_ms = 0.0  # when the latest fill from here ended
         self.down_until = 0.0
@@ -187,6 +190,7 @@
     ran_at: str = ""
     started: bool = False
     missed: bool = False
+    errors: int = 0
 
 
 class Router:
@@ -400,7 +404,8 @@
     def learn_work(self, request: Request, spec: ClassSpec) -> float:
         """Sending time of the request; the mean of its class is what cold budgets count."""
         if request.size_kb and self.settings.flow_kb_per_s:
-            work = request.size_kb / self.settings.flow_kb_per_s * 1000.0
+            # no more than can be sent in time: a size made up is not to spoil the mean
+            work = min(request.size_kb / self.settings.flow_kb_per_s * 1000.0, spec.deadline_ms)
             mean = self.work_of.get(spec.name, work)
             self.work_of[spec.name] = mean + WORK_STEP * (work - mean)
             return work
@@ -507,7 +512,8 @@
 
     def advance(self, owed: Pending, after: Outcome | None = None) -> None:
         left = owed.request.deadline_ms - self.now
-        if owed.attempts >= self.settings.max_attempts or left <= LAST_TRY_MS or not self.may_repeat(owed):
+        spent = owed.attempts >= self.settings.max_attempts or owed.errors >= ERRORS_MOST
+        if spent or left <= LAST_TRY_MS or not self.may_repeat(owed):
             self.give_up(owed)
             return
         looked = after is not None and after.status is Status.MISS
@@ -676,6 +682,7 @@
         if status is Status.OK:
             if store:
                 store.close()
+                store.answered_ms = self.now
             if source and note in (Note.PARENT_HELD, Note.FROM_ORIGIN):
                 source.close()
             elif source and note is Note.UNTOLD:
@@ -683,11 +690,17 @@
             return
         if status in (Status.CANCELLED, Status.MOOT, Status.MISS):
             return
+        # one connection that ends takes many attempts along, and an error may be for what the client asked
+        at_once = status is Status.ERROR and self.now - attempt.sent_ms < ERROR_MS
+        if owed and at_once:
+            owed.errors += 1
+        by_store = at_once or status in (Status.RESET, Status.CONNECT_FAILED)
+        alive = store is not None and self.now - store.answered_ms < ALIVE_MS
         blamed = note in (Note.SOURCE_REFUSED, Note.SOURCE_BROKEN, Note.ORIGIN_FAILED)
-        if blamed or (note is Note.UNTOLD and self.settings.notes != "all"):
+        if blamed or (note is Note.UNTOLD and self.settings.notes != "all" and not by_store):
             if owed:
                 owed.bad_sources.append(attempt.source)
-            if source and status in (Status.ERROR, Status.FULL, Status.TIMEOUT):
+            if source:
                 source.fails += 1.0
                 parent = source is not self.origin and note is not Note.ORIGIN_FAILED
                 if parent and source.fails >= SOURCE_DOUBT:
@@ -695,7 +708,8 @@
         if owed and blamed and owed.tried and owed.tried[-1] == attempt.store:
             owed.tried.pop()  # the cache did nothing wrong: ask it again, with another source
         if store and not blamed and status is not Status.FULL:
-            store.fails += 1.0
+            if not (alive and status in (Status.RESET, Status.ERROR)):
+                store.fails += 1.0
             if status is Status.CONNECT_FAILED or store.fails >= SILENT_AFTER:
                 store.trip(self.now)
             elif owed and status is Status.RESET and owed.tried and owed.tried[-1] == attempt.store:
--- a/tests/test_failure.py
+++ b/tests/test_failure.py
@@ -301,3 +301,39 @@
         sources.add(d.serve(object=n).source)
         d.tell(Timer("sweep"))
     assert d.now < 100_000.0 + 4000.0 and sources == {"p0", "p9"}
+
+
+def test_one_connection_that_ends_under_many_attempts_rests_no_store_that_answers() -> None:
+    # rude+garble+fleet: a spoilt answer cost its connection, and the cache rested for up to 4 s
+    d = Driver(members(caches=1), notes="hit", second_copies=False)
+    fetch = d.serve()
+    asked = open_fetches(d, 8)
+    again = [only(d.answer(f, Status.RESET, Note.UNTOLD, after=0.0), Fetch) for f in asked]
+    assert [(f.store, f.source) for f in again] == [(f.store, f.source) for f in asked]  # the source did nothing
+    d.now += 1000.0  # the same from one that has not answered for long
+    for f in again:
+        d.answer(f, Status.RESET, Note.UNTOLD, after=0.0)
+    assert d.router.stores[fetch.store].down_until > d.now
+
+
+def test_a_request_that_stores_find_wrong_at_once_ends_and_costs_them_nothing() -> None:
+    # bad clients' requests took eight attempts each, the budget for repeats, and put parents to rest
+    d = Driver(notes="hit", second_copies=False)
+    for n in range(30):
+        d.serve(object=n)
+    for n in range(6):
+        first = only(d.ask(object=900 + n), Fetch)
+        second = only(d.answer(first, Status.ERROR, Note.UNTOLD, after=3.0), Fetch)
+        only(d.answer(second, Status.ERROR, Note.UNTOLD, after=3.0), Refuse)
+    assert not any(store.resting(d.now) for store in d.router.stores.values())
+    slow = only(d.answer(only(d.ask(object=990), Fetch), Status.ERROR, Note.UNTOLD, after=100.0), Fetch)
+    only(d.answer(slow, Status.ERROR, Note.UNTOLD, after=100.0), Fetch)  # a failed fill is no such error
+
+
+def test_a_size_that_cannot_be_sent_in_time_does_not_spoil_what_is_known_of_a_class() -> None:
+    d = Driver(second_copies=False)
+    for n in range(20):
+        d.serve(object=n)
+    before = d.router.work_of["film"]
+    d.ask(object=99, size_kb=9e8)
+    assert d.router.work_of["film"] <= before + 0.03 * 5000.0
