Leave connections that went silent, and close spare clients at once

The log and the table: a connection that stayed open and said nothing swallowed some fifty requests until their time was over; Connection.drop calls it mute only once two of them had run out of time. Their time-outs came together and put the store (and its parent) to rest, though it answered on other connections: Router.judge counted each. Now: after 0.25 s without a byte under two attempts new ones go to another connection; once that one is answered, after 0.5 s, the silent one ends (SILENT) and its requests are asked again; a time-out that later answers overtook blames neither store nor source.

Now the socket is shut down in the same call, clients idle for under 0.5 s are spared, and the cap is wider (60 % of the descriptors, the pool used 45 of 1,024 at most); idle ones go after 4.2 s.

An open id with another object and numbers that only float() takes are errors at the front.

--- a/gladelane/__main__.py
+++ b/gladelane/__main__.py
@@ -23,7 +23,7 @@
 log = logging.getLogger("gladelane")
 
 # of the descriptors; the rest is the reserve. Usual clients hold a third at most, others find room beside
-CLIENT_SHARE, UPSTREAM_SHARE = 0.45, 0.35
+CLIENT_SHARE, UPSTREAM_SHARE = 0.6, 0.25
 HELD_SHARE = 0.25  # of the memory, for bodies and answers not yet taken
 GC_THRESHOLDS = (50_000, 10, 10)  # nearly all is freed by its last reference; cycles are few
 LINES_A_SECOND = 5  # of one wording in the log
--- a/gladelane/choice.py
+++ b/gladelane/choice.py
@@ -697,7 +697,9 @@
         at_once = status is Status.ERROR and self.now - attempt.sent_ms < ERROR_MS
         if owed and at_once:
             owed.errors += 1
-        by_store = at_once or status in (Status.RESET, Status.CONNECT_FAILED)
+        # one that ran out of time while later ones were answered was lost on its way
+        lost = status is Status.TIMEOUT and store is not None and attempt.sent_ms < store.timely_ms
+        by_store = at_once or lost or status in (Status.RESET, Status.CONNECT_FAILED)
         alive = store is not None and self.now - store.answered_ms < ALIVE_MS
         blamed = note in (Note.SOURCE_REFUSED, Note.SOURCE_BROKEN, Note.ORIGIN_FAILED)
         if blamed or (note is Note.UNTOLD and self.settings.notes != "all" and not by_store):
@@ -711,7 +713,7 @@
         if owed and blamed and owed.tried and owed.tried[-1] == attempt.store:
             owed.tried.pop()  # the cache did nothing wrong: ask it again, with another source
         if store and not blamed and status is not Status.FULL:
-            if not (alive and status in (Status.RESET, Status.ERROR)):
+            if not lost and not (alive and status in (Status.RESET, Status.ERROR)):
                 store.fails += 1.0
             if status is Status.CONNECT_FAILED or store.fails >= SILENT_AFTER:
                 store.trip(self.now)
--- a/gladelane/net/director.py
+++ b/gladelane/net/director.py
@@ -43,6 +43,7 @@
         self.wheel = wheel
         self.sender: Sender
         self.live: dict[int, Exchange] = {}
+        self._by_id: dict[str, Exchange] = {}  # the latest of the live ones under a client's id
         self.rev = 0
         self._listed: dict[str, tuple[str, Member]] = {}
         self._numbers = 0
@@ -61,10 +62,18 @@
             ask.size_kb, ask.group, ask.part,
         )
         exchange = Exchange(ask, request, deliver)
-        self.live[self._numbers] = exchange
+        self.live[self._numbers] = self._by_id[ask.id] = exchange
         self.post(request)
         return exchange
 
+    def disputes(self, ask: Ask) -> bool:
+        """Whether its id is open for something else: ids are new with every request, and a cache takes
+        one thing under each. The same again is no dispute: a client repeats it where a connection broke."""
+        other = self._by_id.get(ask.id)
+        if other is None or other.done:
+            return False
+        return (other.ask.cls, other.ask.object, other.ask.part) != (ask.cls, ask.object, ask.part)
+
     def gone(self, exchange: Exchange) -> None:
         """Nobody waits for this exchange any more."""
         if not exchange.done:
@@ -258,6 +267,8 @@
         """Only once the module has heard of the end: what it sends before then must be answered as moot."""
         if exchange.done and not exchange.open:
             self.live.pop(exchange.request.id, None)
+            if self._by_id.get(exchange.ask.id) is exchange:
+                del self._by_id[exchange.ask.id]
 
     def _sweep(self) -> None:
         """Should the module have failed to end a request in time, it is ended here."""
--- a/gladelane/net/ends.py
+++ b/gladelane/net/ends.py
@@ -29,6 +29,7 @@
     CLOSED = auto()
     GARBLED = auto()
     CUT_SHORT = auto()  # an answer began and brought nothing more
+    SILENT = auto()  # nothing came while the peer answered later attempts on another connection
     # the director ended it
     TIMED_OUT = auto()
     CANCELLED = auto()
@@ -56,6 +57,7 @@
     End.CLOSED: Status.RESET,
     End.GARBLED: Status.RESET,
     End.CUT_SHORT: Status.RESET,
+    End.SILENT: Status.RESET,
     End.TIMED_OUT: Status.TIMEOUT,
     End.CANCELLED: Status.CANCELLED,
     End.IDLE: Status.RESET,
--- a/gladelane/net/frames.py
+++ b/gladelane/net/frames.py
@@ -15,6 +15,8 @@
 HEAD = struct.Struct(">IBI")
 LENGTH_COVERS = 5  # type and stream; the length does not count itself
 HEX16 = re.compile(r"[0-9a-fA-F]{16}")
+AMOUNT = re.compile(r"[0-9]{1,9}(\.[0-9]{1,20})?")  # float() also takes signs, nan, inf, 1_0, 1e999
+LONGEST = 10.0  # a wait of so many times its class's deadline is out of range
 TOKEN = re.compile(r"[!-+\--<>-~]{1,256}")  # printable, without the separators of a cache line: space , =
 
 
@@ -101,12 +103,10 @@
     return int(text)
 
 
-def _amount(fields: Mapping[str, str], name: str) -> float:
-    try:
-        value = float(fields[name])
-    except ValueError:
-        raise BadRequest(f"field {name!r} is unusable") from None
-    if not 0.0 <= value < 1e9:
+def _amount(fields: Mapping[str, str], name: str, most: float) -> float:
+    if not AMOUNT.fullmatch(fields[name]):
+        raise BadRequest(f"field {name!r} is unusable")
+    if (value := float(fields[name])) > most:
         raise BadRequest(f"field {name!r} is out of range")
     return value
 
@@ -127,11 +127,11 @@
         return Ask(
             id=_token(fields, "i", HEX16),
             cls=spec.name,
-            wait_ms=_amount(fields, "d"),
+            wait_ms=_amount(fields, "d", spec.deadline_ms * LONGEST),
             object=_token(fields, "o", HEX16),
             part=_whole(fields, "chunk", 2**31),
             group=_whole(fields, "tag", 255),
-            size_kb=_amount(fields, "m") if "m" in fields else 0.0,
+            size_kb=_amount(fields, "m", 1e9) if "m" in fields else 0.0,
             key=_token(fields, "k", TOKEN) if "k" in fields or spec.effect.value == "keyed" else "",
             known=_token(fields, "known", TOKEN) if "known" in fields else "",
             body=body,
--- a/gladelane/net/front.py
+++ b/gladelane/net/front.py
@@ -5,6 +5,8 @@
 import asyncio
 import fcntl
 import logging
+import os
+import socket
 import struct
 import termios
 from collections.abc import Callable
@@ -22,7 +24,8 @@
 MOST_OPEN = 32
 UNSENT_BYTES = 524_288  # unsent answers on one connection above which nothing more is read from it
 STALLED_MS = 10_000.0  # a client that takes no byte of its answers for so long is cut off
-IDLE_MS = 4_500.0  # clients close after 4 s without a request; one that does not is cut off
+IDLE_MS = 4_200.0  # clients close after 4 s without a request; one that does not is cut off
+SPARE_MS = 500.0  # at the cap, a client idle for less is not closed for another
 FIRST_MS = 2_000.0  # a client that has sent no usable frame so long after connecting is cut off
 FRAME_MS = 2_000.0  # and so is one whose frame does not end; 3 s after connecting it is owed some end
 SWEEP_MS = 250.0
@@ -74,8 +77,16 @@
 
     def unread(self) -> bool:
         """Whether the system holds bytes for us: a request that has come already must not meet a close."""
-        socket = self.writer.get_extra_info("socket")
-        return bool(struct.unpack("i", fcntl.ioctl(socket.fileno(), termios.FIONREAD, b"\0\0\0\0"))[0])
+        fd = self.writer.get_extra_info("socket").fileno()
+        return bool(struct.unpack("i", fcntl.ioctl(fd, termios.FIONREAD, b"\0\0\0\0"))[0])
+
+    def close_spare(self) -> None:
+        """At once after spare() has looked: the transport closes a round of the loop later, and a request
+        that came by then would be lost with it."""
+        fd = os.dup(self.writer.get_extra_info("socket").fileno())
+        with suppress(OSError), socket.socket(fileno=fd) as same:
+            same.shutdown(socket.SHUT_RDWR)
+        self.writer.close()
 
     async def serve(self) -> None:
         try:
@@ -132,8 +143,12 @@
             log.warning("bad request stream=%d: %s", stream, error)
             self._send(encode_answer(stream, FAILED))
             return
-        self.proven = True
         front = self.front
+        if front.director.disputes(ask):
+            log.warning("open id asks for something else stream=%d id=%s", stream, ask.id)
+            self._send(encode_answer(stream, FAILED))
+            return
+        self.proven = True
         front.held += len(ask.body)
         answered: list[Final] = []
         try:
@@ -180,7 +195,7 @@
             self._send(encode_answer(0, FAILED))
             self.writer.close()
         elif self.spare() and (idle > IDLE_MS or (not self.proven and now - self.born_ms > FIRST_MS)):
-            self.writer.close()
+            self.close_spare()
 
     def spare(self) -> bool:
         """May be closed at any time: nothing is owed here, nor under way as far as can be seen."""
@@ -223,10 +238,12 @@
     def _spare_one(self) -> bool:
         """At the cap those who never asked for anything make room first, then who has been idle for longest:
         a crowd that holds connections must not keep out those who have something to ask."""
-        waiting = sorted(self.connections, key=lambda c: (c.proven, c.active_ms))
-        spare = next((c for c in waiting if not c.writer.is_closing() and c.spare()), None)
+        latest = self.clock() - SPARE_MS
+        idle = [c for c in self.connections if not c.proven or c.active_ms < latest]
+        idle.sort(key=lambda c: (c.proven, c.active_ms))
+        spare = next((c for c in idle if not c.writer.is_closing() and c.spare()), None)
         if spare is not None:
-            spare.writer.close()
+            spare.close_spare()
             self.connections.discard(spare)
         return spare is not None
 
--- a/gladelane/net/upstream.py
+++ b/gladelane/net/upstream.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 from collections.abc import Callable
+from itertools import islice
 from typing import Protocol
 
 from .config import ConnLimits, host_port
@@ -19,6 +20,9 @@
 IDLE_SHARE = 0.8  # of the peer's idle limit: a request must not meet its close
 SWEEP_MS = 100.0
 STALLED_MS = 400.0  # an answer that has begun and brings nothing more for so long was cut short
+QUIET_MS, QUIET_OPEN = 250.0, 2  # without a byte for so long under so many attempts: new ones go elsewhere
+QUIET_MOST = 2  # quiet connections to a store, beyond which no further one is dialled
+DEAD_MS, DEAD_OPEN = 500.0, 4  # likewise, while later attempts are answered on another: it never will be
 MUTE_AFTER = 2  # attempts that time out in a row without a byte from the peer: one may just be slow
 SPENT = 256  # ids aborted or answered on a connection that are kept off it
 STUCK_BYTES = 262_144  # a connection with this much unsent takes no more
@@ -47,6 +51,7 @@
         self.heard_ms = 0.0
         self.used_ms = pool.clock()
         self.mute = 0
+        self.answered_ms = 0.0  # when the latest attempt that was answered here had been written
         self.end = End.IDLE  # what it ends of, unless told otherwise
         self.task = asyncio.ensure_future(self._run())
 
@@ -109,7 +114,15 @@
         self.retired = True
         self.task.cancel()
 
-    def sweep(self, now: float) -> None:
+    def quiet(self, now: float, for_ms: float = QUIET_MS, under: int = QUIET_OPEN) -> bool:
+        """Whether so many attempts have waited so long while not a byte came: a connection may go silent and
+        stay open, and what is sent on it then is lost."""
+        last = next(islice(self.open.values(), under - 1, None), None)
+        if self.writer is None or last is None or not last.written_ms:
+            return False
+        return now - max(self.heard_ms, last.written_ms) > for_ms + self.pool.wheel.lag()
+
+    def sweep(self, now: float, answered_ms: float) -> None:
         """Closes what has been idle for long, before the peer does, and what a cut-short answer blocks."""
         if self.writer is None:
             return
@@ -120,6 +133,10 @@
             log.warning("cut short peer=%s open=%d", self.address, len(self.open))
             self.end = End.CUT_SHORT
             self.close()
+        elif self.quiet(now, DEAD_MS, DEAD_OPEN) and answered_ms > now - DEAD_MS:
+            log.warning("silent peer=%s open=%d", self.address, len(self.open))
+            self.end = End.SILENT
+            self.close()
 
     async def _run(self) -> None:
         try:
@@ -180,6 +197,7 @@
         if reply.end is End.STILL_GOOD and (not attempt.exchange.ask.known or reply.body):
             raise Garbled("still_good for a copy that no client holds")
         del self.open[reply.id]
+        self.answered_ms = max(self.answered_ms, attempt.written_ms)
         self._spend(reply.id)
         self.pool.owner.ended(attempt, reply.end, reply)
 
@@ -213,16 +231,18 @@
 
     def send(self, attempt: Attempt, address: str) -> None:
         conns = self._pool.setdefault(attempt.store, [])
-        for conn in conns:
-            if conn.takes(attempt.exchange.ask.id):
-                break
-        else:
-            if self._count >= self.cap and not self._spare_one():
-                self.owner.ended(attempt, End.CAPPED)
-                return
+        now = self.clock()
+        able = [c for c in conns if c.takes(attempt.exchange.ask.id)]
+        conn = next((c for c in able if not c.quiet(now)), None)
+        if conn is None and len(able) <= QUIET_MOST and (self._count < self.cap or self._spare_one()):
             conn = Connection(self, attempt.store, address)
             conns.append(conn)
             self._count += 1
+        elif conn is None:
+            if not able:
+                self.owner.ended(attempt, End.CAPPED)
+                return
+            conn = able[-1]
         conn.carry(attempt)
 
     def abandon(self, attempt: Attempt, end: End) -> None:
@@ -255,6 +275,8 @@
 
     def sweep(self) -> None:
         now = self.clock()
-        for conn in [c for conns in self._pool.values() for c in conns]:
-            conn.sweep(now)
+        for conns in list(self._pool.values()):
+            answered = max(conn.answered_ms for conn in conns) if conns else 0.0
+            for conn in list(conns):
+                conn.sweep(now, answered)
         self.wheel.at(now + SWEEP_MS, self.sweep)
--- a/tests/test_net_parsers.py
+++ b/tests/test_net_parsers.py
@@ -58,7 +58,7 @@
 
 @pytest.mark.parametrize("change", [
     {"c": None}, {"c": "song"}, {"i": None}, {"i": "9b1f"}, {"i": "9b1f03aa5c7e2d4g"}, {"d": None}, {"d": "soon"},
-    {"d": "-1"}, {"d": "nan"}, {"d": "inf"}, {"o": None}, {"o": "0x3a9c21e0b4d655"}, {"chunk": None},
+    {"d": "-1"}, {"d": "1_0"}, {"d": "+5"}, {"d": " 5"}, {"d": "1e3"}, {"d": "99999999"}, {"m": "1e5"}, {"d": "nan"}, {"d": "inf"}, {"o": None}, {"o": "0x3a9c21e0b4d655"}, {"chunk": None},
     {"chunk": "-1"}, {"chunk": "1.5"}, {"chunk": "²"}, {"tag": None}, {"tag": "256"}, {"m": "big"},
     {"known": "a b"}, {"known": "a,b=c"}, {"known": ""}, {"c": "sheet"}, {"c": "sheet", "k": "a\r\nabort"},
 ])  # fmt: skip
@@ -132,7 +132,7 @@
 def test_every_end_has_a_status_and_only_what_never_left_is_proved_not_to_have_run() -> None:
     assert set(STATUS) == set(End)
     ran = {end for end in End if STATUS[end] not in NEVER_RAN}
-    assert ran == {End.SERVED, End.STILL_GOOD, End.CRASHED, End.RESET, End.CLOSED, End.GARBLED, End.CUT_SHORT, End.TIMED_OUT,
+    assert ran == {End.SERVED, End.STILL_GOOD, End.CRASHED, End.RESET, End.CLOSED, End.GARBLED, End.CUT_SHORT, End.SILENT, End.TIMED_OUT,
                    End.CANCELLED, End.IDLE}  # fmt: skip
     assert {end for end in End if STATUS[end] is Status.OK} == {End.SERVED, End.STILL_GOOD}
 
--- a/tests/test_net_rules.py
+++ b/tests/test_net_rules.py
@@ -23,6 +23,7 @@
 from gladelane.interface import Event, Outcome, Purge, Request, Status
 from gladelane.net import board as board_module
 from gladelane.net import front as front_module
+from gladelane.net import upstream as upstream_module
 from gladelane.net.board import Board
 from gladelane.net.config import Notice, notice_decoder
 from gladelane.net.exchange import Ask, Attempt, Exchange
@@ -168,6 +169,28 @@
         assert await client.next() == (17, 1, 0, {}, b"slow")
 
 
+@trial
+async def test_a_connection_that_went_silent_is_left_and_what_hangs_on_it_is_asked_again() -> None:
+    # rate+silent+leave: each such connection swallowed some fifty requests until their time was over
+    cache = Cache(lambda command: None if len(cache.conns) == 1 else hit(command))
+    async with running(config({"c0": await cache.start(), "r0": REFUSED})) as (node, client):
+        events = told(node.director)
+        for stream in range(1, 6):
+            client.ask(stream, d="5000")
+        await until(lambda: len(cache.seen) == 5)
+        await asyncio.sleep(upstream_module.QUIET_MS / 1000 + 0.05)
+        client.ask(6, d="5000")  # on a connection of its own, and answered there
+        assert (await client.next())[:3] == (17, 6, 0)
+        while len(outcomes(events)) < 6:
+            client.ask(stream := stream + 2, d="5000")
+            await asyncio.sleep(0.05)
+        assert [s for _, _, s, _ in outcomes(events)].count(Status.RESET) == 5 and len(cache.conns) == 2
+        answered: set[tuple[int, int]] = set()
+        while not {1, 2, 3, 4, 5} <= {stream for stream, _ in answered}:
+            answered.add((await client.next())[1:3])
+        assert {code for _, code in answered} == {0}
+
+
 @trial
 async def test_a_second_copy_of_an_answer_is_not_taken_for_the_answer_to_the_next_attempt() -> None:
     cache = Cache(lambda command: ("crashed -", b"") if len(cache.seen) == 1 else None)
@@ -369,26 +392,29 @@
 async def test_a_crowd_that_holds_connections_keeps_nobody_out_who_asks() -> None:
     # churn: clients that had asked once held all there were, and who came next was turned away
     cache = Cache(hit)
-    async with running(config({"c0": await cache.start(), "r0": REFUSED})) as (node, client):
-        node.front.cap = 3
-        client.ask(1)
-        assert (await client.next())[:3] == (17, 1, 0)
-        first, second, third = [await Client.to(node.port) for _ in range(3)]
-        with pytest.raises((EOFError, ConnectionError)):
-            await first.next()  # who never asked goes first, the longest there before the others
-        second.ask(1)
-        third.ask(1)
-        assert (await second.next())[:3] == (await third.next())[:3] == (17, 1, 0)
-        await Client.to(node.port)
-        with pytest.raises((EOFError, ConnectionError)):
-            await client.next()  # then who has asked for nothing for longest
-        cache.script = mute
-        for one in (second, third):
-            one.ask(2)
-        await until(lambda: len(cache.seen) == 5)
-        for _ in range(3):
+    stores = {"c0": await cache.start(), "r0": REFUSED}
+    with pytest.MonkeyPatch.context() as patch:
+        async with running(config(stores)) as (node, client):
+            node.front.cap = 3
+            patch.setattr(front_module, "SPARE_MS", 0.0)
+            client.ask(1)
+            assert (await client.next())[:3] == (17, 1, 0)
+            first, second, third = [await Client.to(node.port) for _ in range(3)]
+            with pytest.raises((EOFError, ConnectionError)):
+                await first.next()  # who never asked goes first, the longest there before the others
+            second.ask(1)
+            third.ask(1)
+            assert (await second.next())[:3] == (await third.next())[:3] == (17, 1, 0)
             await Client.to(node.port)
-        assert await second.silent() and await third.silent() and not second.reader.at_eof()
+            with pytest.raises((EOFError, ConnectionError)):
+                await client.next()  # then who has asked for nothing for longest
+            cache.script = mute
+            for one in (second, third):
+                one.ask(2)
+            await until(lambda: len(cache.seen) == 5)
+            for _ in range(3):
+                await Client.to(node.port)
+            assert await second.silent() and await third.silent() and not second.reader.at_eof()
 
 
 @trial
@@ -429,6 +455,21 @@
     assert line(2.1, "bad stream=%d", 41) == "bad stream=41"
 
 
+@trial
+async def test_an_open_id_with_another_object_is_an_error_and_goes_to_no_cache() -> None:
+    cache = Cache(mute)
+    async with running(config({"c0": await cache.start(), "r0": REFUSED})) as (node, client):
+        client.ask(1, i="00000000000000aa")
+        client.ask(2, i="00000000000000aa", o="1111111111111111")
+        assert (await client.next())[:3] == (17, 2, 2)
+        await until(lambda: cache.seen)
+        assert len(cache.seen) == 1
+        client.send(18, 1)
+        await until(lambda: not node.director.live)
+        client.ask(3, i="00000000000000aa", o="1111111111111111")  # no longer open
+        await until(lambda: len(cache.seen) == 2)
+
+
 @trial
 async def test_a_client_that_takes_none_of_its_answers_is_cut_off() -> None:
     cache = Cache(lambda command: ("served digest=aa,dated=1", bytes(240_000)))
