Let newcomers wait for room at the cap instead of resetting them

Cause of the failures: Front._accept reset those past the cap with their first request, while all the others had theirs open for some 120 ms.

Now the front accepts by itself, and at the cap leaves newcomers in the system's queue until a client is idle or has gone. A drain closes who is left and waits for the tasks.

--- a/gladelane/__main__.py
+++ b/gladelane/__main__.py
@@ -104,8 +104,8 @@
                 while not self.front.quiet():
                     await asyncio.sleep(0.02)
 
-    def close(self) -> None:
-        self.front.stop_listening()
+    async def close(self) -> None:
+        await self.front.close()
         self.upstream.close()
         for task in [*self._tasks, self._board]:
             if task is not None:
@@ -171,8 +171,8 @@
     await stop.wait()
     log.info("draining")
     await node.drain()
+    await node.close()
     log.info("stopped")
-    node.close()
 
 
 def main() -> int:
--- a/gladelane/net/front.py
+++ b/gladelane/net/front.py
@@ -9,8 +9,9 @@
 import socket
 import struct
 import termios
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from contextlib import suppress
+from typing import SupportsIndex
 
 from .director import Director
 from .exchange import Code, Exchange, Final
@@ -25,7 +26,10 @@
 UNSENT_BYTES = 524_288  # unsent answers on one connection above which nothing more is read from it
 STALLED_MS = 10_000.0  # a client that takes no byte of its answers for so long is cut off
 IDLE_MS = 4_200.0  # clients close after 4 s without a request; one that does not is cut off
-SPARE_MS = 500.0  # at the cap, a client idle for less is not closed for another
+SPARE_MS = 100.0  # at the cap, a client idle for less is not closed for another
+BACKLOG = 512  # connections that the system holds until there is room for them
+CLOSE_S = 0.2  # for the last connections to end
+ROOM_S = 0.005  # how often room is looked for then
 FIRST_MS = 2_000.0  # a client that has sent no usable frame so long after connecting is cut off
 FRAME_MS = 2_000.0  # and so is one whose frame does not end; 3 s after connecting it is owed some end
 SWEEP_MS = 250.0
@@ -53,8 +57,25 @@
         return True
 
 
+class Reader(asyncio.StreamReader):
+    """Knows how much it holds that has not been read: a connection with a request in there is not idle."""
+
+    def __init__(self) -> None:
+        super().__init__(limit=READ_BYTES)
+        self.waiting = 0
+
+    def feed_data(self, data: Iterable[SupportsIndex]) -> None:
+        self.waiting += len(bytes(data))
+        super().feed_data(data)
+
+    async def read(self, n: int = -1) -> bytes:
+        data = await super().read(n)
+        self.waiting -= len(data)
+        return data
+
+
 class ClientConnection:
-    def __init__(self, front: Front, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    def __init__(self, front: Front, reader: Reader, writer: asyncio.StreamWriter) -> None:
         self.front = front
         self.reader = reader
         self.writer = writer
@@ -76,7 +97,9 @@
         return self.unsent() + self._decoder.pending() + sum(len(e.ask.body) for e in self.open.values())
 
     def unread(self) -> bool:
-        """Whether the system holds bytes for us: a request that has come already must not meet a close."""
+        """Whether the reader or the system holds bytes: a request that has come must not meet a close."""
+        if self.reader.waiting:
+            return True
         fd = self.writer.get_extra_info("socket").fileno()
         return bool(struct.unpack("i", fcntl.ioctl(fd, termios.FIONREAD, b"\0\0\0\0"))[0])
 
@@ -213,38 +236,63 @@
         self.held_bytes = held_bytes
         self.draining = False
         self.held = 0  # counted up as bytes come, counted anew each sweep
-        self.connections: set[ClientConnection] = set()
-        self._server: asyncio.Server | None = None
+        self.connections: dict[ClientConnection, asyncio.Task[None]] = {}
+        self._listener: socket.socket | None = None
+        self._accepting: asyncio.Task[None] | None = None
 
     async def listen(self, host: str, port: int) -> int:
-        self._server = await asyncio.start_server(self._accept, host, port, limit=READ_BYTES, backlog=512)
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        self._listener = socket.create_server((host, port), family=family, backlog=BACKLOG)
+        self._listener.setblocking(False)
+        self._accepting = asyncio.create_task(self._accept_all(self._listener))
         self.wheel.at(self.clock() + SWEEP_MS, self._sweep)
-        return int(self._server.sockets[0].getsockname()[1])
-
-    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        if len(self.connections) >= self.cap and not self._spare_one():
-            log.warning("too many clients")
-            writer.transport.abort()
-            return
-        conn = ClientConnection(self, reader, writer)
-        self.connections.add(conn)
+        return int(self._listener.getsockname()[1])
+
+    async def _accept_all(self, listener: socket.socket) -> None:
+        """At the cap newcomers wait in the system's queue: a crowd that comes at once is served by and by."""
+        while True:
+            if len(self.connections) >= self.cap and not self._spare_one():
+                log.warning("clients wait for room open=%d", len(self.connections))
+                await asyncio.sleep(ROOM_S)
+                continue
+            try:
+                accepted, _ = await asyncio.get_running_loop().sock_accept(listener)
+                reader, writer = await self._streams(accepted)
+            except OSError as error:  # the client has gone already, or descriptors are out
+                log.warning("accept failed: %s", error)
+                await asyncio.sleep(ROOM_S)
+                continue
+            conn = ClientConnection(self, reader, writer)
+            self.connections[conn] = asyncio.create_task(self._serve(conn))
+
+    @staticmethod
+    async def _streams(accepted: socket.socket) -> tuple[Reader, asyncio.StreamWriter]:
+        loop, reader = asyncio.get_running_loop(), Reader()
+        protocol = asyncio.StreamReaderProtocol(reader)
+        transport, _ = await loop.connect_accepted_socket(lambda: protocol, accepted)
+        return reader, asyncio.StreamWriter(transport, protocol, reader, loop)
+
+    async def _serve(self, conn: ClientConnection) -> None:
         try:
             await conn.serve()
             with suppress(OSError):
-                await writer.wait_closed()  # until then it holds a descriptor, and the sweep watches it
+                await conn.writer.wait_closed()  # until then it holds a descriptor, and the sweep watches it
+        except Exception:
+            log.exception("connection failed")
+            conn.writer.transport.abort()
         finally:
-            self.connections.discard(conn)
+            self.connections.pop(conn, None)
 
     def _spare_one(self) -> bool:
         """At the cap those who never asked for anything make room first, then who has been idle for longest:
         a crowd that holds connections must not keep out those who have something to ask."""
         latest = self.clock() - SPARE_MS
-        idle = [c for c in self.connections if not c.proven or c.active_ms < latest]
+        idle = [c for c in self.connections if c.active_ms < latest]
         idle.sort(key=lambda c: (c.proven, c.active_ms))
         spare = next((c for c in idle if not c.writer.is_closing() and c.spare()), None)
         if spare is not None:
             spare.close_spare()
-            self.connections.discard(spare)
+            self.connections.pop(spare)
         return spare is not None
 
     def overloaded(self) -> bool:
@@ -258,11 +306,20 @@
             conn.no_more()
 
     def stop_listening(self) -> None:
-        if self._server is not None:
-            self._server.close()
+        if self._accepting is not None and self._listener is not None:
+            self._accepting.cancel()
+            self._listener.close()
         for conn in self.connections:
             conn.no_more()
 
+    async def close(self) -> None:
+        """Ends what is still connected, and waits for it: a task cancelled half-way leaves a trace."""
+        self.stop_listening()
+        for conn in self.connections:
+            conn.writer.close()
+        if self.connections:
+            await asyncio.wait(self.connections.values(), timeout=CLOSE_S)
+
     def quiet(self) -> bool:
         return not any(c.open or c.unsent() for c in self.connections)
 
