Spread a store's attempts over up to four connections

The log: one connection in two seconds ends as SILENT or CUT_SHORT with 19 to 23 open. Upstream.send filled one connection to a store up to 100 attempts, so each that stopped held up all its store had. Ruled out: the caches (answers on new connections came at once), the loop (late twice, at the start).

Now six attempts go on a connection before the next is dialled, up to four to a store, the least loaded first, while the pool is under three quarters of its cap; an answer cut short ends after 0.25 s and a silent one after 0.4 s.

--- a/gladelane/net/upstream.py
+++ b/gladelane/net/upstream.py
@@ -19,10 +19,12 @@
 READ_BYTES = 65_536
 IDLE_SHARE = 0.8  # of the peer's idle limit: a request must not meet its close
 SWEEP_MS = 100.0
-STALLED_MS = 400.0  # an answer that has begun and brings nothing more for so long was cut short
+STALLED_MS = 250.0  # an answer that has begun and brings nothing more for so long was cut short
 QUIET_MS, QUIET_OPEN = 250.0, 2  # without a byte for so long under so many attempts: new ones go elsewhere
-QUIET_MOST = 2  # quiet connections to a store, beyond which no further one is dialled
-DEAD_MS, DEAD_OPEN = 500.0, 4  # likewise, while later attempts are answered on another: it never will be
+QUIET_MOST = 4  # quiet connections to a store, beyond which no further one is dialled
+SPREAD, SPREAD_MOST = 6, 4  # attempts on each connection from which a store gets a further one, and how many
+SPREAD_ROOM = 0.75  # part of the cap up to which that is done
+DEAD_MS, DEAD_OPEN = 400.0, 3  # likewise, while later attempts are answered on another: it never will be
 MUTE_AFTER = 2  # attempts that time out in a row without a byte from the peer: one may just be slow
 SPENT = 256  # ids aborted or answered on a connection that are kept off it
 STUCK_BYTES = 262_144  # a connection with this much unsent takes no more
@@ -233,8 +235,13 @@
         conns = self._pool.setdefault(attempt.store, [])
         now = self.clock()
         able = [c for c in conns if c.takes(attempt.exchange.ask.id)]
-        conn = next((c for c in able if not c.quiet(now)), None)
-        if conn is None and len(able) <= QUIET_MOST and (self._count < self.cap or self._spare_one()):
+        conn = min((c for c in able if not c.quiet(now)), key=lambda c: len(c.open), default=None)
+        full = conn is not None and len(conn.open) >= SPREAD and len(conns) < SPREAD_MOST
+        if full and self._count < self.cap * SPREAD_ROOM:
+            conn = None
+        if conn is None and len(able) <= QUIET_MOST and (
+            self._count < self.cap or self._spare_one()
+        ):
             conn = Connection(self, attempt.store, address)
             conns.append(conn)
             self._count += 1
--- a/tests/test_net_rules.py
+++ b/tests/test_net_rules.py
@@ -191,6 +191,19 @@
         assert {code for _, code in answered} == {0}
 
 
+@trial
+async def test_many_attempts_at_a_store_are_spread_so_that_a_silent_connection_takes_few() -> None:
+    # incident rc6e763: each connection that fell silent held up some twenty requests
+    cache = Cache(mute)
+    async with running(config({"c0": await cache.start(), "r0": REFUSED})) as (node, client):
+        for stream in range(1, 33):
+            client.ask(stream)
+            await until(lambda: len(cache.seen) == stream)  # noqa: B023
+        assert len(cache.conns) == upstream_module.SPREAD_MOST
+        (conns,) = node.upstream._pool.values()
+        assert max(len(conn.open) for conn in conns) <= 32 // upstream_module.SPREAD_MOST + 1
+
+
 @trial
 async def test_a_second_copy_of_an_answer_is_not_taken_for_the_answer_to_the_next_attempt() -> None:
     cache = Cache(lambda command: ("crashed -", b"") if len(cache.seen) == 1 else None)
