--- a/gladelane/choice.py
+++ b/gladelane/choice.py
@@ -52,6 +52,7 @@
 COLD_RATE, COLD_BURST = 0.35, 0.15  # parts of a cold store's bearing that are sent steadily, and at once
 RATE_MS, FIRST_RATE_MS = 5000.0, 1000.0  # spans over which the usual load of warm stores is learned
 LIMIT_LEAST, LIMIT_MOST = 2.0, 64.0  # attempts out at one cache, least and most; by weight it may be more
+START_BY_LINK = 2.5  # a store's limit at first, in answers that its link carries at full pace
 GROW_NEAR = 0.7  # part of the limit that must be in use for a timely answer to raise it
 GROW_MOST = 0.25  # most by which one timely answer raises it, as a part of it
 SPILL_SHARE = 0.8  # part of its room that a cache gives to what the one before it had no room for
@@ -128,6 +129,8 @@
         most = max(LIMIT_MOST, member.weight if weighted else 0.0)
         self.concurrency = ConcurrencyLimit(most=most)
         self.fills = ConcurrencyLimit(most=most)
+        if weighted and member.weight > 1.0:
+            self.concurrency.limit = min(most, START_BY_LINK * member.weight)
         self.timely_ms = 0.0  # when the latest attempt that was answered in time was sent
         self.tokens = 0.0
         self.tokens_at = -1.0
--- a/tests/test_failure.py
+++ b/tests/test_failure.py
@@ -75,6 +75,19 @@
         assert d.router.origin and d.router.origin.concurrency.limit == most
 
 
+def test_a_small_link_starts_with_what_it_answers_in_time_and_timely_answers_open_it() -> None:
+    # reload, lbsim overload: 64 out at links of 12 made all late at once, and the cuts refused for 20 s
+    stores = tuple(replace(m, weight=1.0 if m.kind == "root" else 12.0) for m in members(caches=1))
+    d = Driver(stores, weights="nominal", second_copies=False)
+    cache = d.router.caches[0]
+    assert (cache.concurrency.limit, cache.fills.limit) == (30.0, 64.0)
+    asked = open_fetches(d, 40, cls="film")
+    assert len(asked) == 30
+    for fetch in asked:
+        d.answer(fetch, after=1.0)
+    assert cache.concurrency.limit > 30.0
+
+
 def test_a_refused_fill_costs_its_source_and_not_the_hits_where_notes_tell_no_cause() -> None:
     # fleet seed 12: a few refusals of the origin closed caches that were serving hits in time
     for notes, cut in (("hit", False), ("all", True)):
