Dial servers by a race over several addresses, with health by address and family

Need: a server had one host:port, and a failing address cost its client the whole dial time-out. Change: endpoints/ holds addresses, an operator's rules, the owner of each address, RFC 6724 and 8305 order, the race of dials as a pure machine, and what was learnt by address and family; the pool carries its orders out and falls back only while no byte is written.

--- a/gladelane/__main__.py
+++ b/gladelane/__main__.py
@@ -7,12 +7,19 @@
 import gc
 import logging
 import os
+import random
 import signal
 import sys
 import time
+from typing import TYPE_CHECKING
 
 import uvloop
 
+if TYPE_CHECKING:
+    from .settings.operator import Operator
+
+from . import logs
+from .endpoints.plan import Endpoints
 from .net.board import Board
 from .net.config import BadConfig, Config, read_config
 from .net.director import Director
@@ -21,13 +28,14 @@
 from .net.wheel import Clock, Wheel
 
 log = logging.getLogger("gladelane")
+endpoints_log = logging.getLogger("gladelane.endpoints")
 
 # of the descriptors; the rest is the reserve. Usual clients hold a third at most, others find room beside
 CLIENT_SHARE, UPSTREAM_SHARE = 0.6, 0.25
 HELD_SHARE = 0.25  # of the memory, for bodies and answers not yet taken
 GC_THRESHOLDS = (50_000, 10, 10)  # nearly all is freed by its last reference; cycles are few
-LINES_A_SECOND = 5  # of one wording in the log
 GC_LONG_MS = 10.0  # a collection this long is logged
+ENDPOINTS_SEED = 0x656E6473
 LINGER_S = 0.8  # after SIGTERM clients go on arriving for up to 0.6 s
 SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 LAST_S, LAST_MOST_S = 0.5, 3.5  # from SIGTERM, beyond the longest deadline and at most: then all is answered
@@ -37,19 +45,22 @@
 class Node:
     """The parts of one director and who holds whom; `config` says all that differs between two of them."""
 
-    def __init__(self, config: Config) -> None:
+    def __init__(self, config: Config, operator: Operator | None = None) -> None:
         self.config = config
         self.clock = Clock()
         self.wheel = Wheel(self.clock.now)
-        self.director = Director(config.settings, config.seed, self.clock.now, self.wheel)
+        # randomness of its own: the module's decisions must not hang on what was dialled
+        self.endpoints = Endpoints(random.Random(config.seed ^ ENDPOINTS_SEED), told=endpoints_log.warning)
+        self.director = Director(config.settings, config.seed, self.clock.now, self.wheel, self.endpoints)
         limits = config.limits
         most = int(limits.sockets * UPSTREAM_SHARE)
-        self.upstream = Upstream(config.conn, most, self.clock.now, self.wheel)
+        self.upstream = Upstream(config.conn, most, self.clock.now, self.wheel, self.endpoints)
         self.director.sender, self.upstream.owner = self.upstream, self.director
         self.front = Front(
             self.director, self.clock.now, self.wheel, int(limits.sockets * CLIENT_SHARE),
             limits.memory_mb * 1_000_000 * HELD_SHARE,
         )
+        self.configure(operator)
         self.port = 0
         self._tasks: list[asyncio.Task[None]] = []
         self._board: asyncio.Task[None] | None = None
@@ -71,8 +82,15 @@
         board = Board(*self.config.board, lambda: self.director.rev, self.director.notice)
         self._board = asyncio.create_task(board.run())
 
-    def reload(self, config: Config) -> None:
-        """What may change under load is the board; all else is bound to sockets and figures in use."""
+    def configure(self, operator: Operator | None) -> None:
+        """An operator's file changes under load as a whole: addresses that went lose their dials."""
+        if operator is not None:
+            self.director.configure(operator.options, operator.rules)
+
+    def reload(self, config: Config, operator: Operator | None = None) -> None:
+        """What may change under load is the board and the operator's file; all else is bound to sockets and
+        figures in use."""
+        self.configure(operator)
         moved = config.board != self.config.board
         self.config.board = config.board
         for notice in config.known.notices:
@@ -112,24 +130,6 @@
                 task.cancel()
 
 
-class Flood(logging.Filter):
-    """Bounds what bad clients make the log cost: so many lines of one wording a second, and a count."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self._seen: dict[str, tuple[int, int]] = {}
-
-    def filter(self, record: logging.LogRecord) -> bool:
-        wording, now = str(record.msg), int(record.created)
-        second, lines = self._seen.get(wording, (now, 0))
-        if second != now:
-            if lines > LINES_A_SECOND:
-                record.msg = f"{wording} (and {lines - LINES_A_SECOND} like it)"
-            lines = 0
-        self._seen[wording] = now, lines + 1
-        return lines < LINES_A_SECOND
-
-
 def watch_gc() -> None:
     began = 0.0
 
@@ -144,19 +144,43 @@
 
 
 def load(path: str) -> Config:
+    """Raises BadConfig, which names the file, and OSError."""
     with open(path, "rb") as file:
-        return read_config(file.read())
+        data = file.read()
+    try:
+        return read_config(data)
+    except BadConfig as error:
+        raise BadConfig(f"{path}: {error}") from None
+
+
+def load_operator(path: str) -> Operator | None:
+    """None without a path. Raises BadConfig, which names the file, and OSError. The readers of JSON5 are
+    imported for such a file alone."""
+    if not path:
+        return None
+    from .settings.operator import BadOperatorFile, read_operator
+
+    with open(path, "rb") as file:
+        data = file.read()
+    try:
+        return read_operator(data)
+    except BadOperatorFile as error:
+        raise BadConfig(f"{path}: {error}") from None
 
 
-async def serve(config: Config, path: str) -> None:
-    node = Node(config)
+async def serve(config: Config, path: str, operator: Operator | None, operator_path: str) -> None:
+    node = Node(config, operator)
     stop = asyncio.Event()
 
     def reload() -> None:
         try:
-            node.reload(load(path))
+            new, operator = load(path), load_operator(operator_path)  # both, before either is applied
         except (BadConfig, OSError) as error:
-            log.error("reload failed, the old configuration stays: %s: %s", path, error)
+            log.error("reload failed, the old configuration stays: %s", error)
+            return
+        if operator is not None:
+            logs.set_up(operator.logs.format, operator.logs.level)
+        node.reload(new, operator)
 
     for number in (signal.SIGTERM, signal.SIGINT):
         asyncio.get_running_loop().add_signal_handler(number, stop.set)
@@ -176,16 +200,18 @@
 
 
 def main() -> int:
-    logging.basicConfig(level=logging.INFO, format="%(asctime)s %(levelname)s %(name)s %(message)s")
-    for handler in logging.getLogger().handlers:
-        handler.addFilter(Flood())
-    path = os.environ.get("GW_CONFIG", "")
+    """GW_CONFIG names the platform's file, GW_OPERATOR an operator's own; the latter may be absent."""
+    logs.set_up()
+    path, operator_path = os.environ.get("GW_CONFIG", ""), os.environ.get("GW_OPERATOR", "")
     # one that comes while the file is read waits for its handler: by default it would end the process
     signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
     try:
-        uvloop.run(serve(load(path), path))
+        config, operator = load(path), load_operator(operator_path)
+        if operator is not None:
+            logs.set_up(operator.logs.format, operator.logs.level)
+        uvloop.run(serve(config, path, operator, operator_path))
     except (BadConfig, OSError) as error:
-        print(f"gladelane: {path or 'GW_CONFIG'}: {error}", file=sys.stderr)
+        print(f"gladelane: {error if path else 'GW_CONFIG names no file'}", file=sys.stderr)
         return 1
     return 0
 
--- /dev/null
+++ b/gladelane/endpoints/order.py
@@ -0,0 +1,86 @@
+"""In which order a server's addresses are dialled: RFC 6724 as far as it applies, RFC 8305 section 4, what
+was learnt.
+
+Of RFC 6724 section 6: rule 1 (avoid unusable destinations) is what was learnt here; rule 6 (higher
+precedence) and rule 8 (smaller scope) are applied as written, with the policy table of section 2.1 and Unix
+sockets above all of it; rule 10 leaves the listed order. Rules 2 to 5, 7 and 9 compare source addresses,
+which this program does not choose: an operator who knows better says so with `prefer`, which stands before
+the table. Learnt connect times come where RFC 8305 section 4 puts them, after rule 8, in steps of a factor of
+four so that noise does not change the order.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Sequence
+from math import log2
+
+from .address import Address, Family
+from .rules import Network, Preference, preference
+
+UNIX_PRECEDENCE = 60  # above ::1/128: it never leaves the machine
+V4_PRECEDENCE = 35  # ::ffff:0:0/96
+_TABLE = tuple(
+    (Network(bytes.fromhex(prefix).ljust(16, b"\0"), bits), precedence)
+    for prefix, bits, precedence in (
+        ("00" * 15 + "01", 128, 50), ("", 96, 1), ("2002", 16, 30), ("20010000", 32, 5), ("fc00", 7, 3),
+        ("fec0", 10, 1), ("3ffe", 16, 1),
+    )
+)  # the longest match first where two hold; ::/0 is 40
+GLOBAL, SITE, LINK = 14, 5, 2
+UNTOLD_STEP = 0  # a connect time not yet known is taken for a quick one: it gets its chance
+
+
+def precedence(address: Address) -> int:
+    """RFC 6724 section 2.1."""
+    if address.family is Family.UNIX:
+        return UNIX_PRECEDENCE
+    if address.family is Family.V4:
+        return V4_PRECEDENCE
+    return next((value for network, value in _TABLE if network.holds(address.packed)), 40)
+
+
+def scope(address: Address) -> int:
+    """RFC 6724 sections 3.1 and 3.2: the smaller, the closer. Loopback counts as link-local."""
+    packed = address.packed
+    if address.family is Family.UNIX:
+        return 1
+    if address.family is Family.V4:
+        return LINK if packed[0] == 127 or packed[:2] == b"\xa9\xfe" else GLOBAL
+    if packed == bytes(15) + b"\1" or (packed[0] == 0xFE and packed[1] & 0xC0 == 0x80):
+        return LINK
+    return SITE if packed[0] == 0xFE and packed[1] & 0xC0 == 0xC0 else GLOBAL
+
+
+def step(connect_ms: float | None) -> int:
+    """The step of a connect time: under 4 ms 0, under 16 ms 1, under 64 ms 2, and so on."""
+    return UNTOLD_STEP if connect_ms is None or connect_ms < 4.0 else int(log2(connect_ms) / 2)
+
+
+def arrange(
+    addresses: Sequence[Address], prefer: Sequence[Preference] = (),
+    connect_ms: Callable[[Address], float | None] = lambda _: None, first_family_count: int = 1,
+) -> list[Address]:
+    """All addresses, best first: sorted, then the families interleaved. connect_ms: smoothed, None if
+    unknown."""
+
+    def key(address: Address) -> tuple[int, int, int, int]:
+        return (
+            preference(address, prefer), -precedence(address), scope(address), step(connect_ms(address))
+        )
+
+    return interleave(sorted(addresses, key=key), first_family_count)
+
+
+def interleave(addresses: Iterable[Address], first_family_count: int = 1) -> list[Address]:
+    """RFC 8305 section 4: so many of the first family, then one of each family in turn, each in its order."""
+    queues: dict[Family, list[Address]] = {}
+    for address in addresses:
+        queues.setdefault(address.family, []).append(address)
+    if not queues:
+        return []
+    first = next(iter(queues))
+    made, queues[first] = queues[first][:first_family_count], queues[first][first_family_count:]
+    turns = [*list(queues)[1:], first]
+    while any(queues.values()):
+        made += [queues[family].pop(0) for family in turns if queues[family]]
+    return made
--- a/gladelane/net/config.py
+++ b/gladelane/net/config.py
@@ -28,6 +28,7 @@
     cell: int = 0
     weight: float = 1.0
     started_at_ms: float = 0.0
+    addresses: list[str] = []  # further ways to reach it; this platform tells none
 
 
 class Pool(msgspec.Struct):
--- a/gladelane/net/director.py
+++ b/gladelane/net/director.py
@@ -10,6 +10,10 @@
 from typing import Protocol
 
 from ..choice import Router
+from ..endpoints.address import Address
+from ..endpoints.book import Change
+from ..endpoints.plan import Endpoints, Options
+from ..endpoints.rules import Listing, Rules
 from ..interface import Cancel, ClientGone, Event, Fail, Fetch, ListKind, Log, Lookup, Member, Members, Note
 from ..interface import Outcome, Purge, Refuse, Request, SetTimer, Settings, State, Status, Timer
 from .config import Instance, Notice
@@ -28,15 +32,20 @@
 class Sender(Protocol):
     """The upstream side, as the director sees it."""
 
-    def send(self, attempt: Attempt, address: str) -> None: ...
+    def send(self, attempt: Attempt) -> None: ...
 
     def abandon(self, attempt: Attempt, end: End) -> None: ...
 
     def forsake(self, store: str) -> None: ...
 
+    def withdraw(self, store: str, address: Address) -> None: ...
+
 
 class Director:
-    def __init__(self, settings: Settings, seed: int, clock: Callable[[], float], wheel: Wheel) -> None:
+    def __init__(
+        self, settings: Settings, seed: int, clock: Callable[[], float], wheel: Wheel, endpoints: Endpoints
+    ) -> None:
+        self.endpoints = endpoints
         self.settings = settings
         self.router = Router(settings, seed)
         self.clock = clock
@@ -45,7 +54,7 @@
         self.live: dict[int, Exchange] = {}
         self._by_id: dict[str, Exchange] = {}  # the latest of the live ones under a client's id
         self.rev = 0
-        self._listed: dict[str, tuple[str, Member]] = {}
+        self._listed: dict[str, Member] = {}
         self._numbers = 0
         self._events: deque[Event] = deque()
         self._busy = False
@@ -119,19 +128,33 @@
         )
 
     def _list(self, told: list[tuple[Instance, Member]], complete: bool) -> None:
-        before = dict(self._listed)
         if complete:
             self._listed.clear()
+        gone: list[str] = []
+        listings: dict[str, Listing] = {}
         for instance, member in told:
             if member.state is State.GONE:
                 self._listed.pop(member.store, None)
-            else:
-                self._listed[member.store] = (instance.host_port, member)
-        for store, (address, old) in before.items():
-            # a store that left, moved or came up anew: its connections end there, and may do so in silence
-            now = self._listed.get(store)
-            if now is None or now[0] != address or now[1].came_up_ms != old.came_up_ms:
-                self.sender.forsake(store)
+                listings.pop(member.store, None)
+                gone.append(member.store)
+                continue
+            self._listed[member.store] = member
+            listings[member.store] = Listing(
+                member.store, instance.host_port, member.zone, member.kind, member.cell,
+                member.state is State.READY, member.came_up_ms, tuple(instance.addresses),
+            )
+        self._apply(self.endpoints.tell(listings.values(), gone, complete))
+
+    def configure(self, options: Options, rules: Rules) -> None:
+        """A new operator's file, as one change."""
+        self._apply(self.endpoints.configure(options, rules))
+
+    def _apply(self, change: Change) -> None:
+        # a store that left, moved or came up anew: its connections end there, and may do so in silence
+        for store in dict.fromkeys((*change.renewed, *change.gone)):
+            self.sender.forsake(store)
+        for store, address in change.lost:
+            self.sender.withdraw(store, address)
 
     # --- from the upstream side
 
@@ -148,7 +171,7 @@
         return None
 
     def _ready(self, store: str) -> bool:
-        return store in self._listed and self._listed[store][1].state is State.READY
+        return store in self._listed and self._listed[store].state is State.READY
 
     def ended(self, attempt: Attempt, end: End, reply: Reply | None = None) -> None:
         """The one place where an attempt ends; the first end counts."""
@@ -241,7 +264,7 @@
             self.ended(attempt, End.WITHDRAWN)
         else:
             attempt.timer = self.wheel.at(due, lambda: self._give_up(attempt, End.TIMED_OUT))
-            self.sender.send(attempt, self._listed[action.store][0])
+            self.sender.send(attempt)
 
     def _cancel(self, action: Cancel) -> None:
         exchange = self.live.get(action.id)
--- a/gladelane/net/ends.py
+++ b/gladelane/net/ends.py
@@ -4,6 +4,7 @@
 
 from enum import Enum, auto
 
+from ..endpoints.health import DialEnd
 from ..interface import Status
 
 
@@ -62,3 +63,13 @@
     End.CANCELLED: Status.CANCELLED,
     End.IDLE: Status.RESET,
 }
+
+#: a race of dials that was lost, by what its dials came to; none of these wrote a byte
+DIAL_END: dict[DialEnd, End] = {
+    DialEnd.REFUSED: End.REFUSED,
+    DialEnd.UNREACHABLE: End.UNREACHABLE,
+    DialEnd.TIMED_OUT: End.DIAL_TIMED_OUT,
+    DialEnd.OVERTAKEN: End.DIAL_TIMED_OUT,
+    DialEnd.DIED: End.LOST_UNSENT,
+    DialEnd.NO_SOCKET: End.CAPPED,
+}
--- a/gladelane/net/upstream.py
+++ b/gladelane/net/upstream.py
@@ -1,18 +1,28 @@
-"""The client side: connections to caches, parents and the origin, and the attempts they carry."""
+"""The client side: connections to caches, parents and the origin, and the attempts they carry.
+
+Which address a connection is dialled at, and what was learnt of it, is `endpoints`'; here a race of dials is
+one connection until it is won, and from the first byte on nothing falls back.
+"""
 
 from __future__ import annotations
 
 import asyncio
 import logging
+import socket
 from collections.abc import Callable
+from contextlib import suppress
 from itertools import islice
 from typing import Protocol
 
-from .config import ConnLimits, host_port
-from .ends import End
+from ..endpoints.address import Address
+from ..endpoints.dialling import Dialling, alive, try_again
+from ..endpoints.health import DialEnd
+from ..endpoints.plan import Endpoints
+from .config import ConnLimits
+from .ends import DIAL_END, End
 from .exchange import Attempt
 from .lines import Garbled, Reply, ReplyDecoder, encode_abort, encode_fetch
-from .wheel import Wheel
+from .wheel import Entry, Wheel
 
 log = logging.getLogger(__name__)
 
@@ -41,10 +51,11 @@
 class Connection:
     """One connection, from its dial to its end. Attempts wait here while it is dialled."""
 
-    def __init__(self, pool: Upstream, store: str, address: str) -> None:
+    def __init__(self, pool: Upstream, store: str) -> None:
         self.pool = pool
         self.store = store
-        self.address = address
+        self.address: Address | None = None  # the winner's, once it is dialled
+        self.dialling: Dialling | None = None
         self.open: dict[str, Attempt] = {}  # by the request's id, which is all that answers carry
         self.spent: dict[str, None] = {}  # the latest, oldest first
         self.decoder = ReplyDecoder()
@@ -56,6 +67,13 @@
         self.answered_ms = 0.0  # when the latest attempt that was answered here had been written
         self.end = End.IDLE  # what it ends of, unless told otherwise
         self.task = asyncio.ensure_future(self._run())
+        # not a `finally` of the task: one that is cancelled before its first step never gets there
+        self.task.add_done_callback(lambda _: self._finish(self.end))
+
+    @property
+    def peer(self) -> str:
+        """For the log."""
+        return self.address.text if self.address is not None else self.store
 
     def takes(self, id_: str) -> bool:
         """An id that is open here, or was aborted or answered, would make its next answer ambiguous: peers
@@ -94,16 +112,41 @@
                 self.writer.write(encode_abort(id_))
             if end is End.TIMED_OUT and self.heard_ms <= attempt.written_ms:
                 self.mute += 1
-                if self.mute >= MUTE_AFTER and not self.retired:
-                    log.warning("mute peer=%s open=%d", self.address, len(self.open))
+                # with another way to this store one is enough where nothing ever came
+                stalled = (self.mute >= MUTE_AFTER or not self.heard_ms) and self._stalled()
+                if stalled and not self.retired:
+                    log.warning("stalled peer=%s open=%d", self.peer, len(self.open))
+                    self.retire()
+                elif self.mute >= MUTE_AFTER and not self.retired:
+                    log.warning("mute peer=%s open=%d", self.peer, len(self.open))
                     self.retire()
         self._close_if_done()
 
+    def _stalled(self) -> bool:
+        """Whether new attempts are better dialled elsewhere."""
+        if self.address is None:
+            return False
+        return self.pool.endpoints.stalled(self.store, self.address, self.pool.clock())
+
     def _spend(self, id_: str) -> None:
         self.spent[id_] = None
         if len(self.spent) > SPENT:
             del self.spent[next(iter(self.spent))]
 
+    def withdraw(self) -> None:
+        """What waits for a dial is told now that the store may not be used; what was written finishes."""
+        if self.writer is None:
+            self.end = End.WITHDRAWN
+            self.close()
+        else:
+            self.retire()
+
+    def withdraw_address(self, address: Address) -> None:
+        if self.address == address:
+            self.retire()
+        elif self.dialling is not None:
+            self.dialling.withdraw(address)
+
     def retire(self) -> None:
         self.retired = True
         self._close_if_done()
@@ -132,45 +175,48 @@
         if not self.open and quiet > self.pool.limits.conn_idle_ms * IDLE_SHARE:
             self.close()
         elif self.decoder.pending() and now - self.heard_ms > STALLED_MS + self.pool.wheel.lag():
-            log.warning("cut short peer=%s open=%d", self.address, len(self.open))
+            log.warning("cut short peer=%s open=%d", self.peer, len(self.open))
             self.end = End.CUT_SHORT
             self.close()
         elif self.quiet(now, DEAD_MS, DEAD_OPEN) and answered_ms > now - DEAD_MS:
-            log.warning("silent peer=%s open=%d", self.address, len(self.open))
+            log.warning("silent peer=%s open=%d", self.peer, len(self.open))
             self.end = End.SILENT
+            self._stalled()
             self.close()
 
     async def _run(self) -> None:
         try:
             self.end = await self._dial() or await self._read()
         except Exception:
-            log.exception("connection failed peer=%s", self.address)
+            log.exception("connection failed peer=%s", self.peer)
             self.end = End.RESET
-        finally:
-            self._finish(self.end)
 
     async def _dial(self) -> End | None:
-        timeout = self.pool.limits.dial_timeout_ms
-        expired = False
-
-        def expire() -> None:
-            nonlocal expired
-            if self.writer is None and not self.task.done():
-                expired = True
-                self.task.cancel()
-
-        self.pool.wheel.at(self.pool.clock() + timeout, expire)
-        try:
-            reader, writer = await asyncio.open_connection(*host_port(self.address))
-        except asyncio.CancelledError:
-            if not expired:
-                raise
-            return End.DIAL_TIMED_OUT
-        except ConnectionRefusedError:
-            return End.REFUSED
-        except (OSError, ValueError):
+        pool = self.pool
+        plan = pool.endpoints.plan(self.store, pool.clock())
+        if not plan.addresses:
             return End.UNREACHABLE
-        self.reader, self.writer = reader, writer
+        if plan.trial is not None:
+            pool.try_again(self.store, plan.trial)
+        dialling = Dialling(self.store, plan, pool.endpoints, pool, pool.limits.dial_timeout_ms)
+        self.dialling = dialling
+        try:
+            while True:
+                won = await dialling.winner()
+                if isinstance(won, DialEnd):
+                    return DIAL_END[won]
+                sock, address = won
+                with suppress(OSError):
+                    reader, writer = await open_stream(sock)
+                    # with no byte written the peer's end costs the request nothing: the race goes on, once
+                    if not writer.is_closing() and not reader.at_eof() and alive(sock):
+                        break
+                    writer.close()
+                dialling.winner_died()
+            dialling.written()
+        finally:
+            dialling.close()
+        self.reader, self.writer, self.address = reader, writer, address
         for attempt in list(self.open.values()):
             if self.open.get(attempt.exchange.ask.id) is attempt:
                 self._write(attempt)
@@ -180,13 +226,15 @@
     async def _read(self) -> End:
         try:
             while data := await self.reader.read(READ_BYTES):
+                if not self.heard_ms and self.address is not None:
+                    self.pool.endpoints.health.answered(self.store, self.address)
                 self.heard_ms = self.pool.clock()
                 self.mute = 0
                 for reply in self.decoder.feed(data):
                     self._answered(reply)
                 self._close_if_done()
         except Garbled as error:
-            log.warning("garbled peer=%s: %s", self.address, error)
+            log.warning("garbled peer=%s: %s", self.peer, error)
             return End.GARBLED
         except OSError:
             return End.RESET
@@ -209,7 +257,7 @@
         if self.writer is not None:
             self.writer.close()
         if self.open:
-            log.info("connection ended peer=%s end=%s open=%d", self.address, end.name, len(self.open))
+            log.info("connection ended peer=%s end=%s open=%d", self.peer, end.name, len(self.open))
         ended, self.open = list(self.open.values()), {}
         for attempt in ended:
             # bytes handed to the system may have reached the peer: only an unwritten request surely never ran
@@ -217,32 +265,73 @@
             self.pool.owner.ended(attempt, End.LOST_UNSENT if unsent else end)
 
 
+async def open_stream(sock: socket.socket) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """Takes the socket over: it is closed with the stream, or here if there is none."""
+    try:
+        if sock.family == socket.AF_UNIX:
+            return await asyncio.open_unix_connection(sock=sock)
+        return await asyncio.open_connection(sock=sock)
+    except BaseException:
+        sock.close()
+        raise
+
+
 class Upstream:
     """The pool: up to max_streams attempts share a connection to a store, more are dialled as needed. Another
     store at the same address inherits nothing."""
 
-    def __init__(self, limits: ConnLimits, cap: int, clock: Callable[[], float], wheel: Wheel) -> None:
+    def __init__(
+        self, limits: ConnLimits, cap: int, clock: Callable[[], float], wheel: Wheel, endpoints: Endpoints
+    ) -> None:
+        self.endpoints = endpoints
         self.limits = limits
         self.cap = cap
         self.clock = clock
         self.wheel = wheel
         self.owner: Owner
         self._pool: dict[str, list[Connection]] = {}
-        self._count = 0
+        self._count = 0  # connections, each with one socket at least
+        self._extra = 0  # further sockets: of races and of trials
+        self._trials: set[asyncio.Task[None]] = set()
         self.sweep()
 
-    def send(self, attempt: Attempt, address: str) -> None:
+    # --- for races and trials
+
+    def at(self, due_ms: float, call: Callable[[], None]) -> Entry:
+        return self.wheel.at(due_ms, call)
+
+    def room(self) -> int:
+        if self._held() < self.cap or self._spare_one():
+            return self.cap - self._held()
+        return 0
+
+    def hold(self, sockets: int) -> None:
+        self._extra += sockets
+
+    def _held(self) -> int:
+        return self._count + self._extra
+
+    def try_again(self, store: str, address: Address) -> None:
+        if self._held() < self.cap * SPREAD_ROOM:  # never at the cost of a connection that is wanted
+            trial = try_again(store, address, self.endpoints, self, self.limits.dial_timeout_ms)
+            task = asyncio.ensure_future(trial)
+            self._trials.add(task)
+            task.add_done_callback(self._trials.discard)
+
+    # --- for the director
+
+    def send(self, attempt: Attempt) -> None:
         conns = self._pool.setdefault(attempt.store, [])
         now = self.clock()
         able = [c for c in conns if c.takes(attempt.exchange.ask.id)]
         conn = min((c for c in able if not c.quiet(now)), key=lambda c: len(c.open), default=None)
         full = conn is not None and len(conn.open) >= SPREAD and len(conns) < SPREAD_MOST
-        if full and self._count < self.cap * SPREAD_ROOM:
+        if full and self._held() < self.cap * SPREAD_ROOM:
             conn = None
         if conn is None and len(able) <= QUIET_MOST and (
-            self._count < self.cap or self._spare_one()
+            self._held() < self.cap or self._spare_one()
         ):
-            conn = Connection(self, attempt.store, address)
+            conn = Connection(self, attempt.store)
             conns.append(conn)
             self._count += 1
         elif conn is None:
@@ -257,10 +346,18 @@
             conn.drop(attempt, end)
 
     def forsake(self, store: str) -> None:
+        """It left, came up anew or drains: what waits for a dial hears so now, what is open finishes."""
+        for conn in list(self._pool.get(store, ())):
+            conn.withdraw()
+
+    def withdraw(self, store: str, address: Address) -> None:
+        """It is no longer an address of this store."""
         for conn in list(self._pool.get(store, ())):
-            conn.retire()
+            conn.withdraw_address(address)
 
     def close(self) -> None:
+        for trial in self._trials:
+            trial.cancel()
         for conn in [c for conns in self._pool.values() for c in conns]:
             conn.close()
 
--- /dev/null
+++ b/gladelane/settings/operator.py
@@ -0,0 +1,198 @@
+"""Every key of an operator's file. `deploy/operator.example.json5` is the same with comments.
+
+The file is JSON5. Unknown keys are refused, and each error is one line: file, key path, what was expected.
+"""
+
+from __future__ import annotations
+
+import re
+from typing import Any, Literal
+
+import msgspec
+import netaddr
+import pyjson5
+
+from ..endpoints.address import BadAddress, Family
+from ..endpoints.plan import Options
+from ..endpoints.rules import Network, Preference, Rule, Rules, check_template
+
+MOST_BYTES = 4_000_000
+_FAMILIES = {family.value: family for family in Family}
+_ACTIONS = ("add", "replace", "order")
+
+
+class BadOperatorFile(Exception):
+    """What is wrong, in one line: the key's path and what was expected."""
+
+    def __init__(self, path: str, why: str) -> None:
+        super().__init__(f"{path}: {why}" if path else why)
+
+
+class Match(msgspec.Struct, forbid_unknown_fields=True):
+    """All that is given must hold. id: a glob; network: of the server's hostPort."""
+
+    id: str = ""
+    zone: str = ""
+    kind: str = ""
+    network: str = ""
+
+
+class RuleText(msgspec.Struct, forbid_unknown_fields=True):
+    name: str
+    match: Match = msgspec.field(default_factory=Match)
+    add: list[str] = []
+    replace: list[str] = []
+    order: list[str] = []
+    last: bool = False
+
+
+class DelayText(msgspec.Struct, forbid_unknown_fields=True):
+    """Between the dials of a race, ms."""
+
+    first_ms: float = 250.0
+    least_ms: float = 20.0
+    most_ms: float = 250.0
+
+
+class PauseText(msgspec.Struct, forbid_unknown_fields=True):
+    """For which an address is passed over, ms."""
+
+    first_ms: float = 500.0
+    most_ms: float = 30_000.0
+    stall_ms: float = 5_000.0
+
+
+class EndpointsText(msgspec.Struct, forbid_unknown_fields=True):
+    rules: list[RuleText] = []
+    prefer: list[str] = []
+    first_family_count: int = 1
+    family_few: int = 3
+    delay: DelayText = msgspec.field(default_factory=DelayText)
+    pause: PauseText = msgspec.field(default_factory=PauseText)
+
+
+class LogsText(msgspec.Struct, forbid_unknown_fields=True):
+    format: Literal["plain", "keyvalue", "json"] = "plain"
+    level: Literal["debug", "info", "warning", "error"] = "info"
+
+
+class OperatorText(msgspec.Struct, forbid_unknown_fields=True):
+    endpoints: EndpointsText = msgspec.field(default_factory=EndpointsText)
+    logs: LogsText = msgspec.field(default_factory=LogsText)
+
+
+class Operator(msgspec.Struct, frozen=True):
+    """A checked file, in the words of those who use it."""
+
+    options: Options
+    rules: Rules
+    logs: LogsText
+
+
+def read_operator(data: bytes) -> Operator:
+    """Raises BadOperatorFile."""
+    if len(data) > MOST_BYTES:
+        raise BadOperatorFile("", f"{len(data)} bytes; expected {MOST_BYTES} at most")
+    try:
+        raw = pyjson5.decode(data.decode("utf-8"))
+    except UnicodeDecodeError as error:
+        raise BadOperatorFile("", f"byte {error.start} is not UTF-8; expected JSON5 in UTF-8") from None
+    except pyjson5.Json5DecoderException as error:
+        why = " ".join(str(error.args[0] if error.args else error).split())
+        raise BadOperatorFile("", f"{_line(data.decode(), why)}{why}; expected JSON5") from None
+    try:
+        text = msgspec.convert(raw, OperatorText)
+    except msgspec.ValidationError as error:
+        raise _worded(str(error)) from None
+    return Operator(_options(text.endpoints), _rules(text.endpoints.rules), text.logs)
+
+
+def _line(text: str, message: str) -> str:
+    found = re.search(r"near (\d+)", message)
+    return f"line {text.count(chr(10), 0, int(found[1])) + 1}: " if found else ""
+
+
+def _worded(message: str) -> BadOperatorFile:
+    """msgspec's words in ours: `Expected `int`, got `str` - at `$.a[0].b``; what is unknown with the
+    known."""
+    what, _, at = message.partition(" - at `$")
+    path = at.rstrip("`").lstrip(".")
+    if unknown := re.fullmatch(r"Object contains unknown field `(.*)`", what):
+        known = ", ".join(_type_at(path).cls.__struct_fields__)
+        return BadOperatorFile(f"{path}.{unknown[1]}".lstrip("."), f"unknown key; expected one of {known}")
+    if what.startswith("Invalid enum value"):
+        known = ", ".join(_type_at(path).values)
+        return BadOperatorFile(path, f"{what[19:].strip()}; expected one of {known}")
+    return BadOperatorFile(path or "the whole file", what[:1].lower() + what[1:].replace("`", ""))
+
+
+def _type_at(path: str) -> Any:
+    kind: Any = msgspec.inspect.type_info(OperatorText)
+    for step in re.findall(r"\w+|\[[^]]*\]", path):
+        if step.startswith("["):
+            kind = kind.item_type
+        else:
+            kind = next(field.type for field in kind.fields if field.name == step)
+    return kind
+
+
+def _bounded(path: str, value: float, least: float, most: float) -> float:
+    if not least <= value <= most:
+        raise BadOperatorFile(path, f"{value:g}; expected a number from {least:g} to {most:g}")
+    return value
+
+
+def _options(text: EndpointsText) -> Options:
+    at, delay, pause = "endpoints", text.delay, text.pause
+    _bounded(f"{at}.first_family_count", text.first_family_count, 1, 16)
+    _bounded(f"{at}.family_few", text.family_few, 1, 100)
+    # RFC 8305 section 5: never under 10 ms
+    _bounded(f"{at}.delay.least_ms", delay.least_ms, 10, 2_000)
+    _bounded(f"{at}.delay.most_ms", delay.most_ms, delay.least_ms, 2_000)
+    _bounded(f"{at}.delay.first_ms", delay.first_ms, delay.least_ms, delay.most_ms)
+    _bounded(f"{at}.pause.first_ms", pause.first_ms, 10, 600_000)
+    _bounded(f"{at}.pause.most_ms", pause.most_ms, pause.first_ms, 3_600_000)
+    _bounded(f"{at}.pause.stall_ms", pause.stall_ms, 10, 3_600_000)
+    return Options(
+        _order(f"{at}.prefer", text.prefer), text.first_family_count, delay.first_ms, delay.least_ms,
+        delay.most_ms, pause.first_ms, pause.most_ms, pause.stall_ms, text.family_few,
+    )
+
+
+def _rules(texts: list[RuleText]) -> Rules:
+    rules, names = [], set()
+    for place, text in enumerate(texts):
+        at = f"endpoints.rules[{place}]"
+        if not text.name or text.name in names:
+            raise BadOperatorFile(f"{at}.name", f"{text.name!r}; expected a name that no other rule has")
+        names.add(text.name)
+        if sum(bool(getattr(text, action)) for action in _ACTIONS) != 1:
+            raise BadOperatorFile(at, f"expected exactly one of {', '.join(_ACTIONS)}")
+        for action in ("add", "replace"):
+            for number, template in enumerate(getattr(text, action)):
+                try:
+                    check_template(template)
+                except BadAddress as error:
+                    raise BadOperatorFile(f"{at}.{action}[{number}]", str(error)) from None
+        network = _network(f"{at}.match.network", text.match.network) if text.match.network else None
+        rules.append(Rule(
+            text.name, text.match.id, text.match.zone, text.match.kind, network, tuple(text.add),
+            tuple(text.replace), _order(f"{at}.order", text.order), text.last,
+        ))
+    return Rules(rules)
+
+
+def _order(path: str, texts: list[str]) -> tuple[Preference, ...]:
+    return tuple(
+        _FAMILIES[text] if text in _FAMILIES else _network(f"{path}[{place}]", text, "a family or ")
+        for place, text in enumerate(texts)
+    )
+
+
+def _network(path: str, text: str, also: str = "") -> Network:
+    try:
+        network = netaddr.IPNetwork(text)
+    except (netaddr.AddrFormatError, ValueError):
+        also = f"unix, ipv4, ipv6 or {also.removeprefix('a family or ')}" if also else ""
+        raise BadOperatorFile(path, f"{text!r}; expected {also}a network such as 10.1.0.0/16") from None
+    return Network(network.cidr.network.packed, network.prefixlen)
--- a/tests/test_net_rules.py
+++ b/tests/test_net_rules.py
@@ -19,8 +19,9 @@
 from harness import Cache, Client, Command, config, hit, mute, raw_frame, running, trial, until
 
 import gladelane.__main__ as main_module
-from gladelane.__main__ import LINES_A_SECOND, Flood, Node
+from gladelane.__main__ import Node
 from gladelane.interface import Event, Outcome, Purge, Request, Status
+from gladelane.logs import LINES_A_SECOND, Flood
 from gladelane.net import board as board_module
 from gladelane.net import front as front_module
 from gladelane.net import upstream as upstream_module
@@ -290,8 +291,8 @@
 def during_the_dial(node: Node, happens: Callable[[], None]) -> None:
     send = node.upstream.send
 
-    def sends(attempt: Attempt, address: str) -> None:
-        send(attempt, address)
+    def sends(attempt: Attempt) -> None:
+        send(attempt)
         happens()
 
     node.upstream.send = sends  # type: ignore[method-assign]
