Test addresses on real sockets with stand-ins, and pass over what breaks unanswered

Need: the hard cases of several addresses had no test, and an address whose connections end under requests without ever answering was dialled again by each further attempt.

--- a/gladelane/endpoints/address.py
+++ b/gladelane/endpoints/address.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import re
 import socket
 from enum import Enum
 
@@ -13,6 +14,7 @@
 
 UNIX_MOST = 107  # bytes of a path in sockaddr_un (unix(7)), less its end
 MAPPED = bytes(10) + b"\xff\xff"  # ::ffff:0:0/96, RFC 4291 section 2.5.5.2
+_SCOPE = re.compile(r"[!-Z^-~]{1,15}")  # an interface's name or number: printable, without brackets
 EXPECTED = "IPv4:port, [IPv6]:port, [IPv6%zone]:port, unix:/path or unix:@name"
 
 
@@ -72,7 +74,7 @@
 
 def _v6(text: str, host: str, port: int) -> Address:
     literal, percent, scope = host.partition("%")
-    if percent and not (scope.isascii() and scope.isprintable() and 0 < len(scope) < 16 and "]" not in scope):
+    if percent and not _SCOPE.fullmatch(scope):
         raise BadAddress(text, "the zone is unusable")
     try:
         packed = socket.inet_pton(socket.AF_INET6, literal)
--- a/gladelane/endpoints/health.py
+++ b/gladelane/endpoints/health.py
@@ -252,10 +252,10 @@
             health.trial = False
             self._changed(server)
 
-    def stalled(self, server: str, address: Address, now: float) -> None:
-        """It took bytes of a request and brought nothing. Only an answer clears this, or its time."""
+    def stalled(self, server: str, address: Address, now: float, why: str = "STALLED") -> None:
+        """It took bytes of a request and brought no answer. Only an answer clears this, no connection."""
         self._of(server, address).stalled = True
-        self._pass_over(server, address, self.pauses.stall_ms, "STALLED", now)
+        self._pass_over(server, address, self.pauses.stall_ms, why, now)
 
     def answered(self, server: str, address: Address) -> None:
         """A byte came from it."""
--- a/gladelane/endpoints/plan.py
+++ b/gladelane/endpoints/plan.py
@@ -150,9 +150,9 @@
 
     # --- what connections tell
 
-    def stalled(self, server: str, address: Address, now: float) -> bool:
-        """A connection took bytes and brought nothing. Whether there is another way, not passed over."""
+    def stalled(self, server: str, address: Address, now: float, why: str = "STALLED") -> bool:
+        """A connection took bytes and brought no answer. Whether there is another way, not passed over."""
         if len(self.book.addresses(server)) < 2 or self.book.owner(address) != server:
             return False
-        self.health.stalled(server, address, now)
+        self.health.stalled(server, address, now, why)
         return not self.health.passed_over(server, self.plan(server, now).addresses[0])
--- a/gladelane/endpoints/race.py
+++ b/gladelane/endpoints/race.py
@@ -5,7 +5,8 @@
 winner that is found dead before that first byte may be replaced once. From the first byte on the race is
 over, whatever comes: falling back after it would send a request twice.
 
-Every socket beyond the first must be granted (`room`): the first is the connection's own.
+Every socket beyond the first must be granted (`room`): the first is the connection's own. Without room the
+race goes on one address at a time: a dial that has had its share of the time gives its socket to the next.
 """
 
 from __future__ import annotations
@@ -21,6 +22,7 @@
     DIALLING = auto()
     FAILED = auto()
     CLOSED = auto()  # overtaken by the winner
+    YIELDED = auto()  # had its share of the time, and another needed its socket
     WITHDRAWN = auto()  # no longer an address of the server
     WON = auto()
 
@@ -56,7 +58,8 @@
     wake_ms says when `wake` is due next, infinity: never. Every method returns the steps to carry out, in
     order."""
 
-    __slots__ = ("addresses", "dials", "phase", "delay_ms", "end_ms", "next_ms", "replaced")
+    __slots__ = ("addresses", "dials", "phase", "delay_ms", "share_ms", "end_ms", "next_ms", "since",
+                 "replaced")
 
     def __init__(self, addresses: int, now: float, delay_ms: float, timeout_ms: float) -> None:
         if addresses < 1 or delay_ms < 0 or timeout_ms <= 0:
@@ -65,9 +68,11 @@
         self.dials = [Dial.WAITING] * addresses
         self.phase = Phase.RACING
         # each address gets its turn before the end, however many there are
-        self.delay_ms = min(delay_ms, timeout_ms / addresses)
+        self.share_ms = timeout_ms / addresses
+        self.delay_ms = min(delay_ms, self.share_ms)
         self.end_ms = now + timeout_ms
         self.next_ms = now
+        self.since = [now] * addresses  # when each was dialled
         self.replaced = False
 
     @property
@@ -96,8 +101,13 @@
             return []
         if room > 0 or not self.open():
             return self._dial(self._next(), now)
-        self.next_ms = now + self.delay_ms  # no descriptor to spare: asked again later
-        return []
+        oldest = min(self.since[n] for n, dial in enumerate(self.dials) if dial is Dial.DIALLING)
+        if now - oldest < self.share_ms:
+            self.next_ms = min(now + self.delay_ms, oldest + self.share_ms)
+            return []
+        number = next(n for n, d in enumerate(self.dials) if d is Dial.DIALLING and self.since[n] == oldest)
+        self.dials[number] = Dial.YIELDED
+        return [Step(Order.CLOSE, number), *self._dial(self._next(), now)]
 
     def connected(self, number: int) -> list[Step]:
         """A dial came up. Of two in one tick the first told wins, and the other is closed."""
@@ -141,7 +151,8 @@
             return self._over(Phase.LOST)
         self.replaced = True
         self.phase = Phase.RACING
-        self.dials = [Dial.WAITING if dial is Dial.CLOSED else dial for dial in self.dials]
+        back = (Dial.CLOSED, Dial.YIELDED)
+        self.dials = [Dial.WAITING if dial in back else dial for dial in self.dials]
         return self._over(Phase.LOST) if now >= self.end_ms else self._go_on(now)
 
     def written(self) -> None:
@@ -160,6 +171,7 @@
 
     def _dial(self, number: int, now: float) -> list[Step]:
         self.dials[number] = Dial.DIALLING
+        self.since[number] = now
         self.next_ms = now + self.delay_ms
         return [Step(Order.DIAL, number)]
 
--- a/gladelane/lab/races.py
+++ b/gladelane/lab/races.py
@@ -43,8 +43,8 @@
     def key(self) -> Hashable:
         race = self.race
         return (
-            tuple(race.dials), race.phase, race.next_ms, race.replaced, race.addresses, self.now,
-            self.sockets, self.granted, self.bytes, self.winner, self.ended,
+            tuple(race.dials), race.phase, race.next_ms, tuple(race.since), race.replaced, race.addresses,
+            self.now, self.sockets, self.granted, self.bytes, self.winner, self.ended,
         )
 
     def carry_out(self, steps: list[Step], room: int) -> World:
--- /dev/null
+++ b/gladelane/lab/standins.py
@@ -0,0 +1,261 @@
+"""Stand-ins for caches, parents and the origin: the cache protocol on IPv4, IPv6 and Unix sockets at once, with
+faults set by address at any time, and the books of what reached which server at which address.
+
+They are servers written from the protocol's description. Loopback only.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import socket
+import struct
+import tempfile
+from collections import Counter
+from collections.abc import Callable
+from contextlib import suppress
+from enum import Enum
+from pathlib import Path
+from typing import NamedTuple
+
+from ..endpoints.address import Address, Family, parse
+
+LATE_S = 0.2
+FILL_MOST = 64  # dials that a listener without a backlog must swallow at the most before it drops
+
+
+class Fault(Enum):
+    """What an address does to who dials it. The values are the words of reports."""
+
+    NONE = "none"
+    REFUSED = "refused"  # of a Unix socket: a stale file
+    BLACK_HOLE = "black hole"  # packets are dropped; of a Unix socket: the backlog is full
+    RESET_ON_ACCEPT = "reset on accept"
+    CLOSED_ON_ACCEPT = "closed on accept"
+    LATE = "accepted late"
+    STALL = "takes bytes and stalls"
+    CUT = "answer cut half way"
+    CUT_SILENT = "answer stops half way"
+    GARBLED = "garbled"
+    FULL = "overload"
+    RESET_ON_REQUEST = "reset on request"
+    MISSING = "socket file missing"
+    NOT_A_SOCKET = "not a socket"
+
+
+UNIX_ONLY = frozenset({Fault.MISSING, Fault.NOT_A_SOCKET})
+#: at these the dial fails, at the others a request may have been read
+NO_LISTENER = frozenset({Fault.REFUSED, Fault.BLACK_HOLE, Fault.MISSING, Fault.NOT_A_SOCKET})
+
+
+class Seen(NamedTuple):
+    """One fetch as it arrived."""
+
+    id: str
+    fields: dict[str, str]
+    body: bytes
+    address: str
+    at: float  # seconds of the loop
+
+
+Answer = Callable[[Seen], tuple[str, bytes] | None]
+
+
+def hit(seen: Seen) -> tuple[str, bytes] | None:
+    """A copy that the store holds."""
+    return "served digest=aa,dated=1,remark=h", b"\x00bytes of " + seen.fields["thing"].encode()
+
+
+class _Place:
+    """One address of a stand-in."""
+
+    def __init__(self, address: Address) -> None:
+        self.address = address
+        self.fault = Fault.NONE
+        self.server: asyncio.Server | None = None
+        self.hole: list[socket.socket] = []
+        self.open: set[asyncio.StreamWriter] = set()
+        self.accepted = 0
+
+
+class Standin:
+    """One server. `seen` has every fetch in order; `counts` how often an id arrived at an address."""
+
+    def __init__(self, name: str, answer: Answer = hit) -> None:
+        self.name = name
+        self.answer = answer
+        self.seen: list[Seen] = []
+        self.counts: Counter[tuple[str, str]] = Counter()
+        self.aborted: list[str] = []
+        self.probed = 0
+        self._places: dict[str, _Place] = {}
+        self._folder: tempfile.TemporaryDirectory[str] | None = None
+
+    def times(self, id_: str) -> int:
+        """How often an id arrived, over all addresses."""
+        return sum(count for (seen, _), count in self.counts.items() if seen == id_)
+
+    def accepted(self, address: str) -> int:
+        return self._places[address].accepted
+
+    def open(self, address: str) -> int:
+        """Connections open at an address now."""
+        return len(self._places[address].open)
+
+    async def listen(self, family: Family, host: str = "") -> str:
+        """Opens one more address on a free port or a new socket file, and gives its text."""
+        if family is Family.UNIX:
+            if self._folder is None:
+                self._folder = tempfile.TemporaryDirectory(prefix="gl")
+            address = parse(f"unix:{self._folder.name}/{self.name}-{len(self._places)}.sock")
+        else:
+            kind, local = (
+                (socket.AF_INET, host or "127.0.0.1") if family is Family.V4 else (socket.AF_INET6, "::1")
+            )
+            with socket.socket(kind, socket.SOCK_STREAM) as free:
+                free.bind((local, 0))
+                port = free.getsockname()[1]
+            address = parse(f"{local}:{port}" if family is Family.V4 else f"[{local}]:{port}")
+        place = self._places[address.text] = _Place(address)
+        await self._open(place)
+        return address.text
+
+    async def set(self, address: str, fault: Fault, drop: bool = True) -> None:
+        """From now on; with `drop` what is connected there is reset too."""
+        place = self._places[address]
+        if fault in UNIX_ONLY and place.address.family is not Family.UNIX:
+            raise ValueError(f"{fault.value} is for Unix sockets")
+        was, place.fault = place.fault, fault
+        if drop:
+            for writer in list(place.open):
+                _reset(writer)
+        if was in NO_LISTENER or fault in NO_LISTENER:
+            await self._shut(place)
+            await self._open(place)
+
+    async def close(self) -> None:
+        for place in self._places.values():
+            for writer in list(place.open):
+                writer.close()
+            await self._shut(place)
+        if self._folder is not None:
+            self._folder.cleanup()
+
+    # --- listeners
+
+    async def _open(self, place: _Place) -> None:
+        fault, path = place.fault, Path(place.address.host)
+        if fault is Fault.MISSING:
+            return
+        if fault is Fault.NOT_A_SOCKET:
+            path.write_text("no socket")
+            return
+        sock = self._bound(place.address)
+        if fault is Fault.REFUSED:
+            sock.close()  # a Unix socket's file stays behind: stale
+            return
+        if fault is Fault.BLACK_HOLE:
+            await self._fill(place, sock)
+            return
+        sock.listen(512)
+        start = asyncio.start_unix_server if place.address.family is Family.UNIX else asyncio.start_server
+        place.server = await start(lambda r, w: self._serve(place, r, w), sock=sock)
+
+    @staticmethod
+    def _bound(address: Address) -> socket.socket:
+        kind = {Family.V4: socket.AF_INET, Family.V6: socket.AF_INET6, Family.UNIX: socket.AF_UNIX}
+        sock = socket.socket(kind[address.family], socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind(address.host if address.family is Family.UNIX else (address.host, address.port))
+        return sock
+
+    @staticmethod
+    async def _fill(place: _Place, sock: socket.socket) -> None:
+        """A listener that accepts nobody and whose backlog is full drops what comes, as a bad link does."""
+        sock.listen(0)
+        place.hole = [sock]
+        for _ in range(FILL_MOST):
+            filler = socket.socket(sock.family, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+            place.hole.append(filler)
+            target = sock.getsockname()
+            code = filler.connect_ex(target)
+            if place.address.family is Family.UNIX and code:
+                return
+            await asyncio.sleep(0.005)
+            try:
+                filler.getpeername()
+            except OSError:  # still on its way: the backlog is full
+                return
+        raise RuntimeError("the backlog never filled")
+
+    @staticmethod
+    async def _shut(place: _Place) -> None:
+        if place.server is not None:
+            place.server.close()
+            place.server = None
+            await asyncio.sleep(0)  # the loop closes a listener a turn later
+        for sock in place.hole:
+            sock.close()
+        place.hole = []
+        if place.address.family is Family.UNIX:
+            with suppress(FileNotFoundError):
+                os.unlink(place.address.host)
+
+    # --- connections
+
+    async def _serve(self, place: _Place, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        place.accepted += 1
+        place.open.add(writer)
+        try:
+            if place.fault is Fault.RESET_ON_ACCEPT:
+                _reset(writer)
+                return
+            if place.fault is Fault.CLOSED_ON_ACCEPT:
+                return
+            if place.fault is Fault.LATE:
+                await asyncio.sleep(LATE_S)
+            while words := (await reader.readline()).decode().split():
+                await self._command(place, words, reader, writer)
+        except (OSError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            place.open.discard(writer)
+            writer.close()
+
+    async def _command(
+        self, place: _Place, words: list[str], reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        if words[0] == "abort":
+            self.aborted.append(words[1])
+            return
+        if words[0] == "alive":
+            self.probed += 1
+            if place.fault is not Fault.STALL:
+                writer.write(f"{words[1]} green - 0\r\n\r\n".encode())
+            return
+        body = (await reader.readexactly(int(words[3]) + 2))[:-2]
+        fields = dict(pair.split("=", 1) for pair in words[2].split(","))
+        seen = Seen(words[1], fields, body, place.address.text, asyncio.get_running_loop().time())
+        self.seen.append(seen)
+        self.counts[seen.id, seen.address] += 1
+        fault = place.fault
+        if fault is Fault.RESET_ON_REQUEST:
+            _reset(writer)
+        elif fault is Fault.GARBLED:
+            writer.write(b"\xff what is this\r\n")
+        elif fault is Fault.FULL:
+            writer.write(f"{seen.id} overload - 0\r\n\r\n".encode())
+        elif fault is not Fault.STALL and (answer := self.answer(seen)) is not None:
+            head, content = answer
+            whole = f"{seen.id} {head} {len(content)}\r\n".encode() + content + b"\r\n"
+            writer.write(whole[: len(whole) // 2] if fault in (Fault.CUT, Fault.CUT_SILENT) else whole)
+            if fault is Fault.CUT:
+                writer.close()
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    """Ends a connection by a reset rather than a close; a Unix socket knows closes only."""
+    sock = writer.get_extra_info("socket")
+    with suppress(OSError, AttributeError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
--- a/gladelane/net/upstream.py
+++ b/gladelane/net/upstream.py
@@ -37,6 +37,8 @@
 DEAD_MS, DEAD_OPEN = 400.0, 3  # likewise, while later attempts are answered on another: it never will be
 MUTE_AFTER = 2  # attempts that time out in a row without a byte from the peer: one may just be slow
 SPENT = 256  # ids aborted or answered on a connection that are kept off it
+#: a connection that ends so under requests, and answered none before, has an address better passed over
+UNANSWERED = frozenset({End.RESET, End.CLOSED, End.GARBLED, End.CUT_SHORT})
 STUCK_BYTES = 262_144  # a connection with this much unsent takes no more
 
 
@@ -122,11 +124,11 @@
                     self.retire()
         self._close_if_done()
 
-    def _stalled(self) -> bool:
+    def _stalled(self, why: str = "STALLED") -> bool:
         """Whether new attempts are better dialled elsewhere."""
         if self.address is None:
             return False
-        return self.pool.endpoints.stalled(self.store, self.address, self.pool.clock())
+        return self.pool.endpoints.stalled(self.store, self.address, self.pool.clock(), why)
 
     def _spend(self, id_: str) -> None:
         self.spent[id_] = None
@@ -181,7 +183,7 @@
         elif self.quiet(now, DEAD_MS, DEAD_OPEN) and answered_ms > now - DEAD_MS:
             log.warning("silent peer=%s open=%d", self.peer, len(self.open))
             self.end = End.SILENT
-            self._stalled()
+            self._stalled(End.SILENT.name)
             self.close()
 
     async def _run(self) -> None:
@@ -258,6 +260,8 @@
             self.writer.close()
         if self.open:
             log.info("connection ended peer=%s end=%s open=%d", self.peer, end.name, len(self.open))
+            if not self.answered_ms and end in UNANSWERED:
+                self._stalled(end.name)
         ended, self.open = list(self.open.values()), {}
         for attempt in ended:
             # bytes handed to the system may have reached the peer: only an unwritten request surely never ran
--- a/tests/endpoints/test_race.py
+++ b/tests/endpoints/test_race.py
@@ -26,6 +26,9 @@
     ("no room: asked again, and a failure frees a socket", 3, [
         ("start", (0,), "dial0"), ("wake", (100, 0), ""), ("wake", (150, 1), ""), ("wake", (200, 1), "dial1"),
         ("failed", (0, 210), "dial2")]),
+    ("no room for long: one at a time, each its share", 2, [
+        ("start", (0,), "dial0"), ("wake", (100, 0), ""), ("wake", (499, 0), ""), ("wake", (500, 0), "close0 dial1"),
+        ("wake", (999, 0), ""), ("wake", (1000, 0), "close1 lose-1")]),
     ("the end closes all", 2, [
         ("start", (0,), "dial0"), ("wake", (100, 9), "dial1"), ("wake", (1000, 9), "close0 close1 lose-1")]),
     ("two in one tick", 2, [
