--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements, one a module: `python -m benchmarks.NAME [--quick]`. The last line is one JSON object."""
--- a/gladelane/endpoints/address.py
+++ b/gladelane/endpoints/address.py
@@ -9,6 +9,7 @@
 import re
 import socket
 from enum import Enum
+from weakref import WeakValueDictionary
 
 import msgspec
 
@@ -33,24 +34,31 @@
     V4 = "ipv4"
 
 
-class Address(msgspec.Struct, frozen=True, gc=False):
-    """One address. `text` is canonical: equal texts are the same address, and it alone is compared.
+class Address(msgspec.Struct, frozen=True, eq=False, weakref=True):
+    """One address, made by `parse` alone: equal addresses are one object, so that tables of thousands cost
+    neither comparisons nor copies.
 
     host: the literal, a socket path, or a NUL and an abstract name; port: 0 for Unix sockets; packed: the IP
     address in network order, empty for Unix sockets; scope: the IPv6 zone, empty where none is named."""
 
-    text: str
+    text: str  # canonical
     family: Family
     host: str
     port: int = 0
     packed: bytes = b""
     scope: str = ""
 
-    def __eq__(self, other: object) -> bool:
-        return isinstance(other, Address) and self.text == other.text
 
-    def __hash__(self) -> int:
-        return hash(self.text)
+_known: WeakValueDictionary[str, Address] = WeakValueDictionary()
+
+
+def _one(
+    text: str, family: Family, host: str, port: int = 0, packed: bytes = b"", scope: str = ""
+) -> Address:
+    address = _known.get(text)
+    if address is None:
+        address = _known[text] = Address(text, family, host, port, packed, scope)
+    return address
 
 
 def parse(text: str) -> Address:
@@ -69,7 +77,7 @@
         packed = socket.inet_pton(socket.AF_INET, host)
     except (OSError, ValueError):
         raise BadAddress(text) from None
-    return Address(f"{host}:{port}", Family.V4, host, port, packed)
+    return _one(f"{host}:{port}", Family.V4, host, port, packed)
 
 
 def _v6(text: str, host: str, port: int) -> Address:
@@ -82,10 +90,10 @@
         raise BadAddress(text) from None
     if packed.startswith(MAPPED) and not scope:
         plain = socket.inet_ntop(socket.AF_INET, packed[12:])
-        return Address(f"{plain}:{port}", Family.V4, plain, port, packed[12:])
+        return _one(f"{plain}:{port}", Family.V4, plain, port, packed[12:])
     literal = socket.inet_ntop(socket.AF_INET6, packed)
     shown = f"{literal}%{scope}" if scope else literal
-    return Address(f"[{shown}]:{port}", Family.V6, literal, port, packed, scope)
+    return _one(f"[{shown}]:{port}", Family.V6, literal, port, packed, scope)
 
 
 def _unix(text: str) -> Address:
@@ -93,7 +101,7 @@
     if "\0" in name or not 1 < len(name.encode("utf-8", "surrogateescape")) <= UNIX_MOST:
         raise BadAddress(text, f"a socket's name holds 1 to {UNIX_MOST} bytes")
     if name.startswith("@"):
-        return Address(text, Family.UNIX, "\0" + name[1:])
+        return _one(text, Family.UNIX, "\0" + name[1:])
     if not name.startswith("/") or "/../" in name or "//" in name:
         raise BadAddress(text, "a socket's path is absolute and plain")
-    return Address(text, Family.UNIX, name)
+    return _one(text, Family.UNIX, name)
--- a/gladelane/endpoints/book.py
+++ b/gladelane/endpoints/book.py
@@ -58,7 +58,7 @@
         self._wanted: dict[str, tuple[Address, ...]] = {}  # what each server claims, in listed order
         self._usable: dict[str, tuple[Address, ...]] = {}  # what each server owns of that
         self._prefer: dict[str, tuple[Preference, ...]] = {}  # where a rule set one for the server
-        self._claims: dict[Address, dict[str, Held]] = {}
+        self._claims: dict[Address, tuple[Held, ...]] = {}  # nearly always one
         self._owner: dict[Address, str] = {}
         self._count = 0
 
@@ -110,8 +110,7 @@
             self._withdraw(server, before, touched)
         for server, listing in told.items():
             fresh = server in renewed
-            kept = {} if fresh else {a: self._claims[a][server].since for a in self._wanted.get(server, ())}
-            self._withdraw(server, before, touched)
+            kept = {a: held.since for a, held in self._withdraw(server, before, touched)}
             self._listed[server] = listing
             claims, prefer, lines = self.rules.claims(listing)
             bad += [(server, line) for line in lines]
@@ -121,9 +120,9 @@
             self._wanted[server] = tuple(claim.address for claim in claims)
             for address, rank in claims:
                 self._count += 1
-                since = kept.get(address, self._count)
+                since = self._count if fresh else kept.get(address, self._count)
                 held = Held(listing.ready, -rank, listing.started_ms, since, server)
-                self._claims.setdefault(address, {})[server] = held
+                self._claims[address] = (*self._claims.get(address, ()), held)
                 touched[address] = None
         conflicts = self._own(touched, before)
         for server in before:
@@ -136,11 +135,16 @@
 
     def _withdraw(
         self, server: str, before: dict[str, tuple[Address, ...]], touched: dict[Address, None]
-    ) -> None:
+    ) -> list[tuple[Address, Held]]:
+        """Takes back all that a server claims, and gives the claims."""
         before.setdefault(server, self._usable.get(server, ()))
+        taken = []
         for address in self._wanted.pop(server, ()):
-            del self._claims[address][server]
+            claims = self._claims[address]
+            taken += [(address, held) for held in claims if held.server == server]
+            self._claims[address] = tuple(held for held in claims if held.server != server)
             touched[address] = None
+        return taken
 
     def _own(
         self, touched: Iterable[Address], before: dict[str, tuple[Address, ...]]
@@ -152,11 +156,11 @@
             if not claims:
                 del self._claims[address]
                 continue
-            owner = max(claims.values()).server
+            owner = max(claims).server
             self._owner[address] = owner
             for server in (had, owner):
                 if server is not None:
                     before.setdefault(server, self._usable.get(server, ()))
             if owner != had or len(claims) > 1:
-                conflicts += [Conflict(address, owner, other) for other in claims if other != owner]
+                conflicts += [Conflict(address, owner, c.server) for c in claims if c.server != owner]
         return tuple(conflicts)
--- a/gladelane/endpoints/dialling.py
+++ b/gladelane/endpoints/dialling.py
@@ -138,7 +138,7 @@
         self.endpoints, self.budget = endpoints, budget
         self.race = Race(len(plan.addresses), now, plan.delay_ms, timeout_ms)
         self._ways = len({address.family for address in plan.addresses})
-        self._dials: dict[int, tuple[Connect, float]] = {}
+        self._dials: dict[int, Connect] = {}
         self._ends: dict[int, DialEnd] = {}
         self._timer: Timer | None = None
         self._held = 0
@@ -191,11 +191,10 @@
             if order is Order.DIAL:
                 if not self._dials and self._ways > 1:
                     self.endpoints.health.dialled(self.server, self.addresses[number], now)
-                self._dials[number] = Connect(self.addresses[number], partial(self._told, number)), now
+                self._dials[number] = Connect(self.addresses[number], partial(self._told, number))
             elif order is Order.CLOSE:
-                connect, began = self._dials.pop(number)
-                connect.cancel()
-                self._overtaken(number, began, now)
+                self._dials.pop(number).cancel()
+                self._overtaken(number, now)
             elif not self._result.done():
                 self._result.set_result(number)
         extra = max(self.race.open() - 1, 0)
@@ -208,10 +207,10 @@
         if self.race.phase is Phase.RACING:
             self._timer = self.budget.at(self.race.wake_ms, self._wake)
 
-    def _overtaken(self, number: int, began: float, now: float) -> None:
+    def _overtaken(self, number: int, now: float) -> None:
         """A closed dial. What it tells depends on why: its time was over, a later one was quicker, or
         nothing."""
-        health, address = self.endpoints.health, self.addresses[number]
+        health, address, began = self.endpoints.health, self.addresses[number], self.race.since[number]
         if self.race.phase is Phase.LOST and now >= self.race.end_ms:
             self._failed(number, DialEnd.TIMED_OUT)
         elif self.race.phase is Phase.WON and began < self._won_since and now - began >= self.race.delay_ms:
@@ -224,8 +223,8 @@
         self.endpoints.health.failed(self.server, self.addresses[number], end, self.budget.clock())
 
     def _told(self, number: int, sock: socket.socket | None, end: DialEnd | None) -> None:
-        _, began = self._dials.pop(number)
-        now = self.budget.clock()
+        del self._dials[number]
+        now, began = self.budget.clock(), self.race.since[number]
         if sock is None:
             self._failed(number, end or DialEnd.UNREACHABLE)
             self._carry_out(self.race.failed(number, now))
--- a/gladelane/endpoints/health.py
+++ b/gladelane/endpoints/health.py
@@ -171,6 +171,10 @@
         overdue = max((state.timing.usual_ms() or 0.0) * OVERDUE_FACTOR, OVERDUE_LEAST_MS)
         return not state.leading or state.doubts(now, overdue) < few
 
+    def broken(self, family: Family) -> bool:
+        state = self.families.get(family)
+        return state is not None and state.broken()
+
     def wants_trial(self, server: str, address: Address, now: float) -> bool:
         """Whether a dial that nobody waits for may try this address again, one at a time."""
         state = self.families.get(address.family)
--- a/gladelane/endpoints/order.py
+++ b/gladelane/endpoints/order.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable, Sequence
+from functools import lru_cache
 from math import log2
 
 from .address import Address, Family
@@ -64,13 +65,18 @@
     unknown."""
 
     def key(address: Address) -> tuple[int, int, int, int]:
-        return (
-            preference(address, prefer), -precedence(address), scope(address), step(connect_ms(address))
-        )
+        worth, near = _fixed(address)
+        return preference(address, prefer) if prefer else 0, worth, near, step(connect_ms(address))
 
     return interleave(sorted(addresses, key=key), first_family_count)
 
 
+@lru_cache(65_536)
+def _fixed(address: Address) -> tuple[int, int]:
+    """The part of the order that never changes."""
+    return -precedence(address), scope(address)
+
+
 def interleave(addresses: Iterable[Address], first_family_count: int = 1) -> list[Address]:
     """RFC 8305 section 4: so many of the first family, then one of each family in turn, each in its order."""
     queues: dict[Family, list[Address]] = {}
--- a/gladelane/endpoints/plan.py
+++ b/gladelane/endpoints/plan.py
@@ -115,11 +115,15 @@
             addresses, self.book.prefer(server) or options.prefer,
             lambda a: health.connect_ms(server, a), options.first_family_count,
         )
-        leads = {family: health.family_leads(family, server, now) for family in {a.family for a in addresses}}
+        families = {a.family for a in addresses}
+        leads = {family: health.family_leads(family, server, now) for family in families}
         good = [a for a in ordered if leads[a.family] and not health.passed_over(server, a)]
-        # within what is passed over, a family in doubt goes before an address that failed, the soonest due
-        # first
+        # where several families are unproven and each has its few, the last of them takes the crowd: the
+        # better ones have been asked, and lead again a round trip later if they work. Broken ones come after
+        # these, and addresses that failed last, the soonest due first
         doubted = [a for a in ordered if not leads[a.family] and not health.passed_over(server, a)]
+        places = {family: place for place, family in enumerate(dict.fromkeys(a.family for a in ordered))}
+        doubted.sort(key=lambda a: (health.broken(a.family), -places[a.family]))
         bad = [a for a in ordered if health.passed_over(server, a)]
         bad.sort(key=lambda a: self._until(server, a))
         chosen = [*good, *doubted, *bad]
--- /dev/null
+++ b/gladelane/lab/client.py
@@ -0,0 +1,71 @@
+"""A client of the director for experiments: many requests on one connection, each answer counted."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from typing import NamedTuple
+
+from ..net.frames import FrameDecoder, Type, decode_fields, encode_fields, encode_frame
+
+
+class Answer(NamedTuple):
+    """code: 0 served, 1 refused, 2 failed; took_ms: from the request's writing to the answer's last byte."""
+
+    code: int
+    body: bytes
+    took_ms: float
+
+
+class Client:
+    """`answers` counts the final answers a stream got: any other number than one is a broken rule."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.answers: Counter[int] = Counter()
+        self._reader, self._writer = reader, writer
+        self._stream = 0
+        self._waiting: dict[int, tuple[asyncio.Future[Answer], float]] = {}
+        self._task = asyncio.ensure_future(self._read())
+
+    @classmethod
+    async def to(cls, host: str, port: int) -> Client:
+        return cls(*await asyncio.open_connection(host, port))
+
+    async def ask(self, fields: dict[str, str], body: bytes = b"", patience_s: float = 10.0) -> Answer | None:
+        """None: no answer in time, or the connection ended before it."""
+        loop = asyncio.get_running_loop()
+        self._stream += 1
+        stream, future = self._stream, loop.create_future()
+        self._waiting[stream] = future, loop.time()
+        self._writer.write(encode_frame(Type.REQUEST, stream, encode_fields(fields) + body))
+        try:
+            async with asyncio.timeout(patience_s):
+                answer: Answer = await future
+                return answer
+        except (TimeoutError, ConnectionError):
+            return None
+
+    async def close(self) -> None:
+        self._writer.close()
+        self._task.cancel()
+        await asyncio.gather(self._task, return_exceptions=True)
+
+    async def _read(self) -> None:
+        decoder = FrameDecoder()
+        try:
+            while data := await self._reader.read(65_536):
+                for frame in decoder.feed(data):
+                    if frame.type != Type.ANSWER:
+                        continue
+                    self.answers[frame.stream] += 1
+                    waiting = self._waiting.pop(frame.stream, None)
+                    if waiting is not None and not waiting[0].done():
+                        took = (asyncio.get_running_loop().time() - waiting[1]) * 1000.0
+                        body = decode_fields(frame.payload[1:])[1]
+                        waiting[0].set_result(Answer(frame.payload[0], body, took))
+        except OSError:
+            pass
+        finally:
+            for future, _ in self._waiting.values():
+                if not future.done():
+                    future.set_exception(ConnectionError("the director closed the connection"))
--- a/gladelane/lab/standins.py
+++ b/gladelane/lab/standins.py
@@ -1,5 +1,5 @@
-"""Stand-ins for caches, parents and the origin: the cache protocol on IPv4, IPv6 and Unix sockets at once, with
-faults set by address at any time, and the books of what reached which server at which address.
+"""Stand-ins for caches, parents and the origin: the cache protocol on IPv4, IPv6 and Unix sockets at once,
+with faults set by address at any time, and the books of what reached which server at which address.
 
 They are servers written from the protocol's description. Loopback only.
 """
@@ -256,6 +256,6 @@
 def _reset(writer: asyncio.StreamWriter) -> None:
     """Ends a connection by a reset rather than a close; a Unix socket knows closes only."""
     sock = writer.get_extra_info("socket")
-    with suppress(OSError, AttributeError):
+    with suppress(OSError, ValueError):  # it may have ended just now
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
     writer.transport.abort()
