--- a/gladelane/choice.py
+++ b/gladelane/choice.py
@@ -23,6 +23,7 @@
 from .interface import NEVER_RAN, Action, Cancel, ClassSpec, ClientGone, Effect, Event, Fail, Fetch, ListKind
 from .interface import Lookup, Member, Members, Note, Outcome, Purge, Refuse, Request, SetTimer, Settings
 from .interface import Started, State, Status, Subscribe, Timer
+from .purges.index import Index
 
 LAMBDA = 2  # counted requests until a fill is kept; the design's two
 WHOLE_PASS_SEATS = 2  # proxies in a location among which most of a pass over an object's parts is still seen
@@ -199,8 +200,9 @@
 class Router:
     """The decisions of one proxy. `handle` takes the clock and one event and returns what to do."""
 
-    def __init__(self, settings: Settings, seed: int) -> None:
+    def __init__(self, settings: Settings, seed: int, purges: Index | None = None) -> None:
         self.settings = settings
+        self.purges = Index() if purges is None else purges  # shared; objects count from 0 there
         self.random = random.Random(seed)
         self.now = 0.0
         self.actions: list[Action] = []
@@ -211,7 +213,6 @@
         self.pending: dict[int, Pending] = {}
         self.objects: OrderedDict[int, Object] = OrderedDict()
         self.lingering: OrderedDict[tuple[int, int], Try] = OrderedDict()
-        self.purged: dict[tuple[int, int], float] = {}
         self.retries = RETRY_MOST / 2
         self.hedges = HEDGE_MOST / 2
         self.inlet = ConcurrencyLimit(INLET_SHARE, self.random.random)
@@ -293,8 +294,9 @@
         return store.member.kind not in behind and store.member.zone == self.settings.zone
 
     def on_purge(self, event: Purge) -> None:
-        key = (event.object, 0) if event.object else (0, event.group)
-        self.purged[key] = max(self.now - event.age_ms, self.purged.get(key, 0.0))
+        at = self.now - event.age_ms
+        until = at + self.settings.purge_done_ms + PURGE_SLACK_MS  # dropped everywhere by then
+        self.purges.add_one(event.object - 1, event.group, at, until)
 
     def on_request(self, request: Request) -> None:
         spec = self.settings.class_named(request.cls)
@@ -500,8 +502,8 @@
     def age_bound(self, request: Request) -> tuple[float, bool]:
         """Oldest copy that will do (0: the class's fresh time) and whether a purge set it."""
         fresh = self.settings.classes[request.cls].fresh_ms
-        at = max(self.purged.get((request.object, 0), 0.0), self.purged.get((0, request.group), 0.0))
-        if not at or self.now > at + self.settings.purge_done_ms + PURGE_SLACK_MS:
+        at = self.purges.newest(request.cls, request.group, request.object - 1, request.part, self.now)
+        if not at:
             return 0.0, False
         bound = max(self.now - at - self.settings.tick_ms, 1.0)
         return (min(bound, fresh) if fresh else bound), True
@@ -781,6 +783,4 @@
                 known = sorted(e.utility for n in cache.sent if (e := self.objects.get(n)) and e.admitted)
                 if known:
                     cache.cuts = (known[len(known) // 3], known[2 * len(known) // 3])
-        until = self.now - self.settings.purge_done_ms - PURGE_SLACK_MS
-        for key in [k for k, at in self.purged.items() if at < until]:
-            del self.purged[key]
+        self.purges.expire(self.now)
--- a/gladelane/purges/index.py
+++ b/gladelane/purges/index.py
@@ -151,6 +151,11 @@
             for level, number in dyadic(box.part_low, box.part_high):
                 self._add(box, level, number, bound)
 
+    def add_one(self, object_: int, group: int, at: float, until: float) -> None:
+        """One object, or below 0 a whole group: what the notice board tells."""
+        box = Box(low=object_, high=object_) if object_ >= 0 else Box(group=group)
+        self._add(box, -1, 0, ((at, until),))
+
     def _add(self, box: Box, level: int, number: int, bound: Bound) -> None:
         shape = Shape(bool(box.cls), box.group >= 0, level)
         name = box.cls, box.group, number
--- a/gladelane/purges/scope.py
+++ b/gladelane/purges/scope.py
@@ -4,8 +4,8 @@
     box    = term *( "&" term )             an intersection
     term   = "object:" HEX16                one object
            | "objects:" PREFIX "*"          all whose id begins so
-           | "objects:" FROM ".." TO        a range of ids, both included; short ends are filled up with 0 and f
-           | "objects:" GLOB                16 places of hex digits and "?"; one "*" stands for the missing places
+           | "objects:" FROM ".." TO        ids, both included; short ends are filled up with 0 and f
+           | "objects:" GLOB                16 places of hex digits and "?"; one "*" for missing places
            | "group:" 0..255 | "class:" NAME | "parts:" N [ "-" M ]
            | "tag:" NAME                    what the catalog says: a union
            | "all"                          everything, and the only way to say so
--- a/tests/test_failure.py
+++ b/tests/test_failure.py
@@ -213,7 +213,7 @@
     r = d.router
     assert len(r.objects) <= TABLE and len(r.lingering) <= LINGERING and not r.pending
     assert all(len(c.sent) <= SENT_TABLE for c in r.caches)
-    assert len(r.purged) <= d.settings.purge_done_ms + 1000 + 7
+    assert len(r.purges) <= d.settings.purge_done_ms + 1000 + 7
 
 
 def test_a_store_in_a_strange_zone_or_kind_is_never_used_as_a_cache() -> None:
