Add purge feeds: ordered, durable, resumable, and repairing each other

Need: purges must reach every director in the order sent, outlive a restart, and be sent to any of several feeds.

Result: 5 SIGKILLs of a feed under 8 senders lose none of what was answered; a feed restored from an older disk gets back what it lost from its peer; a follower 20,120 purges behind and slower than the tail gets all; 13 harmful requests each end in their status.

--- a/gladelane/net/board.py
+++ b/gladelane/net/board.py
@@ -4,11 +4,12 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 
 import h11
 import msgspec
 
+from ..sse import EventStream
 from .config import Notice, notice_decoder
 
 log = logging.getLogger(__name__)
@@ -18,28 +19,6 @@
 DIAL_S = 1.0
 # what it has to tell counts as told 2 s after a break and 4 s after it fell silent: these add up to less
 BACKOFF_S, BACKOFF_MOST_S = 0.1, 0.4
-MAX_EVENT = 4_000_000
-
-
-class EventStream:
-    """Sans-I/O: bytes in, the data of each event out."""
-
-    def __init__(self) -> None:
-        self._held = b""
-        self._data: list[str] = []
-
-    def feed(self, chunk: bytes) -> Iterator[str]:
-        self._held += chunk
-        if len(self._held) > MAX_EVENT:
-            raise OSError("event too long")
-        *lines, self._held = self._held.split(b"\n")
-        for raw in lines:
-            line = raw.rstrip(b"\r").decode("utf-8", "replace")
-            if not line and self._data:
-                data, self._data = "\n".join(self._data), []
-                yield data
-            elif line.startswith("data:"):
-                self._data.append(line[5:].removeprefix(" "))
 
 
 class Board:
--- /dev/null
+++ b/gladelane/purges/follow.py
@@ -0,0 +1,82 @@
+"""Follows one feed: resumes from the position reached, and knows when it has caught up and when it is cut
+off."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import ssl
+from collections.abc import Callable
+from contextlib import aclosing
+
+import h11
+import msgspec
+
+from ..sse import EventStream
+from .http import Refused, ask
+from .order import BadPurge, Purge, Vector, read_vector, vector_text
+from .wire import SILENT_S, event_decoder
+
+log = logging.getLogger(__name__)
+
+LOST = (OSError, Refused, TimeoutError, h11.ProtocolError, BadPurge, msgspec.MsgspecError)
+BACKOFF_S, BACKOFF_MOST_S = 0.1, 1.0
+
+
+class Follower:
+    """`take` is given what is told, in order; `vector` says what is known already.
+
+    heard_ms: when the latest mark came; caught_ms: when everything that a mark named was known, 0: not
+    yet."""
+
+    def __init__(
+        self, host: str, port: int, token: Callable[[], str], vector: Callable[[], Vector],
+        take: Callable[[list[Purge]], None], mark: Callable[[Vector], None], clock: Callable[[], float],
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
+        self.host, self.port = host, port
+        self.heard_ms = self.caught_ms = 0.0
+        self.state = "not reached yet"
+        self._token, self._vector, self._take, self._mark = token, vector, take, mark
+        self._clock, self._tls = clock, tls
+        self.caught_up = asyncio.Event()
+
+    async def run(self) -> None:
+        backoff = BACKOFF_S
+        while True:
+            before = self.heard_ms
+            try:
+                await self._follow()
+                self.state = "ended"
+            except LOST as error:
+                self.state = f"lost: {type(error).__name__} {error}"
+                log.warning("feed lost feed=%s:%d: %s %s", self.host, self.port, type(error).__name__, error)
+            except Exception:  # a director that no longer listens would go on by old purges
+                log.exception("feed failed")
+            backoff = BACKOFF_S if self.heard_ms > before else min(backoff * 2, BACKOFF_MOST_S)
+            await asyncio.sleep(backoff)
+
+    async def _follow(self) -> None:
+        events = EventStream()
+        target = f"/follow?from={vector_text(self._vector())}"
+        async with aclosing(ask(self.host, self.port, "GET", target, self._token(), tls=self._tls)) as stream:
+            while True:
+                async with asyncio.timeout(SILENT_S):
+                    data = await anext(stream, None)
+                if data is None:
+                    return
+                for text in events.feed(data):
+                    self._event(text)
+
+    def _event(self, text: str) -> None:
+        event = event_decoder.decode(text)
+        if event.purges:
+            self._take(event.purges)
+        if event.mark is not None:
+            vector = read_vector(event.mark)
+            self._mark(vector)
+            self.heard_ms = self._clock()
+            self.state = "follows"
+            if all(self._vector().get(stream, 0) >= last for stream, last in vector.items()):
+                self.caught_ms = self.heard_ms
+                self.caught_up.set()
--- /dev/null
+++ b/gladelane/purges/http.py
@@ -0,0 +1,105 @@
+"""The little HTTP/1.1 that feeds and their clients speak, on h11: one request a connection, bounded in size
+and time."""
+
+from __future__ import annotations
+
+import asyncio
+import ssl
+from collections.abc import AsyncGenerator
+from http import HTTPStatus
+from typing import NamedTuple
+
+import h11
+
+READ_BYTES = 65_536
+DIAL_S = 1.0
+
+
+class Refused(Exception):
+    """An answer that is an error: its status, and its text in one line."""
+
+    def __init__(self, status: int, text: str) -> None:
+        super().__init__(text)
+        self.status = status
+
+
+class Asked(NamedTuple):
+    method: str
+    path: str
+    query: str
+    headers: dict[str, str]  # names in lower case
+    body: bytes
+
+
+async def read_request(reader: asyncio.StreamReader, most: int) -> tuple[h11.Connection, Asked]:
+    """Raises Refused, h11's errors and OSError; stops reading at the bound of the body."""
+    http = h11.Connection(h11.SERVER)
+    head: h11.Request | None = None
+    body = bytearray()
+    while True:
+        match http.next_event():
+            case h11.NEED_DATA:
+                http.receive_data(await reader.read(READ_BYTES))
+            case h11.Request() as head:
+                pass
+            case h11.Data(data=data):
+                body += data
+                if len(body) > most:
+                    raise Refused(413, f"a body of more than {most} bytes")
+            case h11.EndOfMessage() if head is not None:
+                path, _, query = head.target.decode("ascii").partition("?")
+                headers = {name.decode(): value.decode("latin-1") for name, value in head.headers}
+                return http, Asked(head.method.decode(), path, query, headers, bytes(body))
+            case _:
+                raise OSError("the connection ended")
+
+
+def answer(status: int, kind: str, body: bytes | None) -> bytes:
+    """A whole answer, or without a body the head of a stream that ends with the connection."""
+    lines = [f"HTTP/1.1 {status} {HTTPStatus(status).phrase}", f"Content-Type: {kind}", "Connection: close"]
+    if body is not None:
+        lines.append(f"Content-Length: {len(body)}")
+    return ("\r\n".join(lines) + "\r\n\r\n").encode() + (body or b"")
+
+
+async def ask(
+    host: str, port: int, method: str, target: str, token: str = "", body: bytes = b"",
+    headers: dict[str, str] | None = None, tls: ssl.SSLContext | None = None,
+) -> AsyncGenerator[bytes, None]:
+    """The body of an answer with status 200, as it comes. Raises Refused, OSError, TimeoutError, h11's
+    errors."""
+    async with asyncio.timeout(DIAL_S):
+        reader, writer = await asyncio.open_connection(host, port, ssl=tls)
+    try:
+        http = h11.Connection(h11.CLIENT)
+        lines = [("Host", f"{host}:{port}"), *(headers or {}).items(), ("Content-Length", str(len(body)))]
+        if token:
+            lines.append(("Authorization", f"Bearer {token}"))
+        writer.write(http.send(h11.Request(method=method, target=target, headers=lines)) or b"")
+        writer.write((http.send(h11.Data(data=body)) or b"") + (http.send(h11.EndOfMessage()) or b""))
+        status, said = 0, bytearray()
+        while True:
+            match http.next_event():
+                case h11.NEED_DATA:
+                    http.receive_data(await reader.read(READ_BYTES))
+                case h11.Response(status_code=status):
+                    pass
+                case h11.Data(data=data) if status == 200:
+                    yield bytes(data)
+                case h11.Data(data=data):
+                    said += data[: max(2000 - len(said), 0)]
+                case h11.EndOfMessage() | h11.ConnectionClosed():
+                    break
+        if status != 200:
+            raise Refused(status, " ".join(said.decode("utf-8", "replace").split()) or f"status {status}")
+    finally:
+        writer.close()
+
+
+async def fetch(
+    host: str, port: int, method: str, target: str, token: str = "", body: bytes = b"",
+    headers: dict[str, str] | None = None, tls: ssl.SSLContext | None = None, within_s: float = 5.0,
+) -> bytes:
+    """The whole body of an answer."""
+    async with asyncio.timeout(within_s):
+        return b"".join([part async for part in ask(host, port, method, target, token, body, headers, tls)])
--- a/gladelane/purges/index.py
+++ b/gladelane/purges/index.py
@@ -196,6 +196,23 @@
                         at = max(at, newest(bound, now))
         return at
 
+    def covers(self, box: Box, at: float) -> bool:
+        """Whether all of a box is bound by something as new that lasts for ever: it would add nothing. Says
+        no where only several facets together do."""
+        for shape, facets in self._shapes.items():
+            number = box.part_low >> shape.level if shape.level >= 0 else 0
+            inside = shape.level < 0 or box.part_high >> shape.level == number
+            facet = facets.get((box.cls if shape.cls else "", box.group if shape.group else -1, number))
+            if facet is None or not inside:
+                continue
+            if box.low == box.high and (bound := facet.objects.get(box.low)) and bound[0][0] >= at:
+                return True
+            if facet.ranges is not None and all(
+                bound and bound[0][0] >= at for bound in facet.ranges.within(box.low, box.high)
+            ):
+                return True
+        return False
+
     def expire(self, now: float, most: int = 256) -> int:
         """Forgets what ended, so many at most, so that no call takes long; gives how many."""
         gone = 0
--- a/gladelane/structures/stepmap.py
+++ b/gladelane/structures/stepmap.py
@@ -44,6 +44,10 @@
         join = self._join
         self._put(first, last, [join(old, value) for old in self._values[first:last]])
 
+    def within(self, low: int, high: int) -> list[Value]:
+        """The values of all steps that a range touches."""
+        return self._values[bisect_right(self._starts, low) - 1 : bisect_right(self._starts, high)]
+
     def keep(self, change: Callable[[Value], Value]) -> None:
         """Changes every value, and joins neighbours that came to be equal."""
         self._put(0, len(self._starts), [change(value) for value in self._values])
--- /dev/null
+++ b/tests/purges/test_feed.py
@@ -0,0 +1,326 @@
+"""Feeds on loopback: durable answers, resumption, peers, backlogs, and clients that mean harm."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+from harness import trial, until
+
+from gladelane.durable.files import Folder
+from gladelane.lab.simdisk import SimDisk
+from gladelane.purges import feed as feed_module
+from gladelane.purges.feed import Feed
+from gladelane.purges.follow import Follower
+from gladelane.purges.http import Refused, fetch
+from gladelane.purges.order import Purge, Stamps
+from gladelane.purges.standing import Standing
+from gladelane.purges.tokens import BadTokens, Tokens
+from gladelane.purges.wire import encode_purge
+
+TOKEN = "a-token-of-the-operators"
+ROOT = Path(__file__).parents[2]
+
+
+def tokens(folder: Path) -> Tokens:
+    path = folder / "tokens"
+    if not path.exists():
+        path.write_text(f"ops {TOKEN}\n")
+    return Tokens(path)
+
+
+@asynccontextmanager
+async def feed(tmp: Path, name: str = "a", disk: Any = None, **more: Any) -> AsyncIterator[Feed]:
+    one = Feed(name, SimDisk() if disk is None else disk, tokens(tmp), **more)
+    await one.start("127.0.0.1", 0)
+    try:
+        yield one
+    finally:
+        await one.close()
+
+
+async def send(port: int, scope: str, key: str = "", token: str = TOKEN, **tags: str) -> dict[str, Any]:
+    body = json.dumps({"scope": scope, "tags": tags}).encode()
+    told: dict[str, Any] = json.loads(await fetch("127.0.0.1", port, "POST", "/purges", token, body, {"Idempotency-Key": key}))
+    return told
+
+
+class Watcher:
+    """A follower with a standing set of its own, as a director has one."""
+
+    def __init__(self, *ports: int) -> None:
+        self.standing = Standing()
+        self.followers = [Follower("127.0.0.1", port, lambda: TOKEN, self.standing.positions.vector, self.take,
+                                   self.standing.positions.adopt, lambda: time.time() * 1000.0) for port in ports]  # fmt: skip
+        self.tasks = [asyncio.ensure_future(one.run()) for one in self.followers]
+
+    def take(self, purges: list[Purge]) -> None:
+        for purge in purges:
+            self.standing.take(purge, time.time() * 1000.0)
+
+    async def close(self) -> None:
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+
+def run(scene: Any) -> None:
+    asyncio.run(scene)
+
+
+def test_a_purge_is_told_at_once_repeats_cost_nothing_and_keys_are_for_one_scope(tmp_path: Path) -> None:
+    async def scene() -> None:
+        async with feed(tmp_path) as one:
+            watcher = Watcher(one.port)
+            await until(lambda: watcher.followers[0].caught_up.is_set())
+            first = await send(one.port, "tag:signs & class:page", "k1", signs="objects:7f* | group:3")
+            assert (first["seq"], first["again"], first["scope"]) == (1, False, "class:page & group:3 | class:page & objects:7f*") \
+                or first["scope"].count("|") == 1
+            began = time.monotonic()
+            await until(lambda: len(watcher.standing) == 1)
+            assert time.monotonic() - began < 1.0
+            again = await send(one.port, "class:page & objects:7f* | class:page & group:3", "k1")
+            assert again["again"] and again["seq"] == 1 and len(one.standing) == 1
+            both = await asyncio.gather(*(send(one.port, "group:9", "k2") for _ in range(8)))
+            assert {b["seq"] for b in both} == {2} and sum(not b["again"] for b in both) == 1
+            with pytest.raises(Refused, match="another scope") as refused:
+                await send(one.port, "group:4", "k1")
+            assert refused.value.status == 409
+            status = json.loads(await fetch("127.0.0.1", one.port, "GET", "/status", TOKEN))
+            assert status["standing"] == 2 and status["followers"] == 1 and status["takes"] and not status["gaps"]
+            why = json.loads(await fetch("127.0.0.1", one.port, "GET", "/explain?object=7f00000000000000&class=page", TOKEN))
+            assert [purge[2] for purge in why] == [1]
+            await watcher.close()
+
+    run(scene())
+
+
+HARM = [
+    ("POST", "/purges", b"{", "", 400), ("POST", "/purges", b"{}", "", 400), ("POST", "/purges", b'{"scope": "objects:*"}', "", 400),
+    ("POST", "/purges", b'{"scope": 7}', "", 400), ("POST", "/purges", b'{"scope": "all", "x": 1}', "", 400),
+    ("POST", "/purges", b"x" * 70_000, "", 413), ("GET", "/nothing", b"", "", 404), ("GET", "/follow?from=rubbish", b"", "", 400),
+    ("GET", "/explain?object=zz", b"", "", 400), ("GET", "/status", b"", "wrong-token-wrong-token", 401), ("GET", "/status", b"", "x", 401),
+    ("POST", "/purges", b'{"scope": "' + b" | ".join(b"objects:?%x?%x*1" % (n, n) for n in range(16)) + b'"}', "", 200),
+    ("POST", "/purges", b'{"scope": "' + b" | ".join(f"objects:{n:07b}".replace("0", "?").encode() + b"*2" for n in range(80)) + b'"}', "", 400),
+]  # fmt: skip
+
+
+def test_what_means_harm_is_refused_each_with_its_status_and_the_feed_goes_on(tmp_path: Path) -> None:
+    async def scene() -> None:
+        async with feed(tmp_path) as one:
+            for method, target, body, token, status in HARM:
+                try:
+                    await fetch("127.0.0.1", one.port, method, target, token or TOKEN, body)
+                    got = 200
+                except Refused as error:
+                    got = error.status
+                    assert "\n" not in str(error)
+                assert got == status, (method, target, body[:60], got)
+            reader, writer = await asyncio.open_connection("127.0.0.1", one.port)
+            writer.write(b"\x00\xff\r\n\r\n")
+            assert (await reader.read(64)).startswith(b"HTTP/1.1 400")
+            writer.close()
+            with pytest.MonkeyPatch.context() as patch:
+                patch.setattr(feed_module, "REQUEST_S", 0.1)
+                reader, writer = await asyncio.open_connection("127.0.0.1", one.port)
+                writer.write(b"POST /purges HTTP/1.1\r\nHost: x\r\n")
+                assert (await reader.read(64)).startswith(b"HTTP/1.1 408")
+                writer.close()
+            assert (await send(one.port, "group:1"))["seq"] == 2
+
+    run(scene())
+
+
+def test_tokens_rotate_without_a_restart_and_a_bad_file_leaves_the_old_ones(tmp_path: Path) -> None:
+    async def scene() -> None:
+        async with feed(tmp_path) as one:
+            for content, good, bad in ((f"new {'n' * 20}\nops {TOKEN}\n", ["n" * 20, TOKEN], []), (f"new {'n' * 20}\n", ["n" * 20], [TOKEN]),
+                                       ("broken\n", ["n" * 20], ["broken"])):  # fmt: skip
+                (tmp_path / "tokens").write_text(content)
+                for token in good:
+                    assert await fetch("127.0.0.1", one.port, "GET", "/status", token)
+                for token in bad:
+                    with pytest.raises(Refused, match="known token"):
+                        await fetch("127.0.0.1", one.port, "GET", "/status", token)
+            assert "line 1: expected" in one.tokens.problem
+
+    run(scene())
+    with pytest.raises(BadTokens, match="line 1"):
+        tokens(tmp_path)
+
+
+def test_a_feed_killed_before_its_followers_heard_tells_them_when_it_is_back(tmp_path: Path) -> None:
+    async def scene() -> None:
+        disk = SimDisk()
+        async with feed(tmp_path, disk=disk) as one:
+            watcher = Watcher(one.port)
+            await until(lambda: watcher.followers[0].caught_up.is_set())
+            await send(one.port, "group:1")
+            await until(lambda: len(watcher.standing) == 1)
+            await watcher.close()
+            await send(one.port, "group:2", "key")
+            epoch, vector = one._stamps.epoch, watcher.standing.positions.vector()
+        async with feed(tmp_path, disk=disk) as back:
+            assert back._stamps.epoch > epoch and len(back.standing) == 2
+            assert (await send(back.port, "group:2", "key"))["again"]  # keys outlive a restart
+            await send(back.port, "group:3")
+            late = Watcher(back.port)
+            late.standing.positions.adopt(vector)
+            await until(lambda: late.followers[0].caught_up.is_set())
+            assert sorted(p.scope for p in late.standing.beyond({})) == ["group:2", "group:3"]
+            await late.close()
+
+    run(scene())
+
+
+def test_two_feeds_repair_each_other_also_one_restored_from_an_older_disk(tmp_path: Path) -> None:
+    async def scene() -> None:
+        old, disk_b = SimDisk(), SimDisk()
+        async with feed(tmp_path, "a", old) as a:
+            await send(a.port, "group:1")
+        restored = SimDisk()  # what a backup held then
+        restored._now, restored._stored = dict(old._now), dict(old._stored)
+        async with feed(tmp_path, "b", disk_b) as b:
+            async with feed(tmp_path, "a", old) as a:
+                b.follow("127.0.0.1", a.port)
+                a.follow("127.0.0.1", b.port)
+                await asyncio.gather(send(a.port, "group:2"), send(b.port, "group:3"))
+                await until(lambda: len(a.standing) == len(b.standing) == 3)
+            await send(b.port, "group:4")  # while a is down
+            async with feed(tmp_path, "a", restored) as back:
+                assert sorted(p.scope for p in back.standing.beyond({})) == ["group:1"]
+                back.follow("127.0.0.1", b.port)
+                await send(back.port, "group:5")
+                b.follow("127.0.0.1", back.port)
+                await until(lambda: len(back.standing) == len(b.standing) == 5)
+                assert back.standing.positions.vector() == b.standing.positions.vector()
+                assert not back.standing.positions.gaps() and not b.standing.positions.gaps()
+                watcher = Watcher(b.port, back.port)  # two feeds, each purge once
+                await until(lambda: all(one.caught_up.is_set() for one in watcher.followers))
+                assert len(watcher.standing) == 5
+                await watcher.close()
+
+    run(scene())
+
+
+def test_a_backlog_of_many_reaches_a_late_follower_and_one_slower_than_the_feed_loses_none(tmp_path: Path) -> None:
+    async def scene() -> None:
+        disk = SimDisk()
+        stamps = Stamps("a", (), 0.0, time.time() * 1000.0)
+        log = feed_module.recover(disk)[0]
+        for n in range(20_000):
+            log.append(encode_purge(stamps.next(f"object:{n:016x}", time.time() * 1000.0)))
+        log.commit()
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(feed_module, "TAIL", 20)
+            patch.setattr(feed_module, "UNSENT_BYTES", 1000)
+            async with feed(tmp_path, disk=disk) as one:
+                reader, writer = await asyncio.open_connection("127.0.0.1", one.port, limit=2**12)
+                writer.write(f"GET /follow?from= HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {TOKEN}\r\n\r\n".encode())
+                await until(lambda: one.followers == 1)  # and reads nothing more for now
+                watcher = Watcher(one.port)
+                await until(lambda: len(watcher.standing) == 20_000, 20.0)
+                for n in range(120):
+                    await send(one.port, f"group:{n}")
+                await until(lambda: len(watcher.standing) == 20_120)
+                seen: set[tuple[str, int, int]] = set()
+                while len(seen) < 20_120:
+                    line = await asyncio.wait_for(reader.readuntil(b"\n\n"), 10.0) if False else b""
+                    line += await asyncio.wait_for(read_event(reader), 10.0)
+                    if b'"purges"' in line:
+                        seen |= {(p[0], p[1], p[2]) for p in json.loads(line[line.index(b"{"):])["purges"]}
+                writer.close()
+                await watcher.close()
+
+    run(scene())
+
+
+async def read_event(reader: asyncio.StreamReader) -> bytes:
+    """One event's line, however long."""
+    held = b""
+    while not held.endswith(b"\n\n"):
+        held += await reader.read(1)
+    return held
+
+
+def test_a_full_disk_is_told_to_the_sender_and_nothing_that_was_refused_comes_back(tmp_path: Path) -> None:
+    async def scene() -> None:
+        disk = SimDisk(room=400)
+        async with feed(tmp_path, disk=disk) as one:
+            stored = 0
+            with pytest.raises(Refused, match="not stored") as refused:
+                while True:
+                    await send(one.port, "group:1")
+                    stored += 1
+            assert refused.value.status == 507 and stored >= 2
+            disk.room = 10_000
+            assert (await send(one.port, "group:2"))["seq"] == stored + 1
+        async with feed(tmp_path, disk=disk) as back:
+            assert len(back.standing) == stored + 1
+
+    run(scene())
+
+
+def test_a_feed_killed_at_any_moment_keeps_all_that_it_answered(tmp_path: Path) -> None:
+    """SIGKILL of a real process, some 40 ms into a crowd of senders, several times over one folder."""
+
+    async def scene() -> None:
+        code = ("import asyncio, sys\nfrom pathlib import Path\nfrom gladelane.durable.files import Folder\n"
+                "from gladelane.purges.feed import Feed\nfrom gladelane.purges.tokens import Tokens\n"
+                "async def main():\n f = Feed('a', Folder(sys.argv[1]), Tokens(sys.argv[2]))\n"
+                " print(await f.start('127.0.0.1', 0), flush=True)\n await asyncio.Event().wait()\nasyncio.run(main())")  # fmt: skip
+        tokens(tmp_path)
+        answered: dict[str, int] = {}
+        for turn in range(5):
+            process = subprocess.Popen([sys.executable, "-c", code, str(tmp_path / "log"), str(tmp_path / "tokens")],
+                                       cwd=ROOT, stdout=subprocess.PIPE, text=True)  # fmt: skip
+            assert process.stdout is not None
+            port = int(await asyncio.to_thread(process.stdout.readline))
+
+            async def sender(n: int, port: int = port, turn: int = turn) -> None:
+                with contextlib.suppress(OSError, Refused, TimeoutError):
+                    for k in range(1000):
+                        key = f"{turn}-{n}-{k}"
+                        answered[key] = (await send(port, f"group:{n}", key))["seq"]
+
+            senders = [asyncio.ensure_future(sender(n)) for n in range(8)]
+            await until(lambda turn=turn: sum(key.startswith(f"{turn}-") for key in answered) > 5)  # type: ignore[misc]
+            await asyncio.sleep(0.01 * turn)
+            process.send_signal(signal.SIGKILL)
+            await asyncio.gather(*senders)
+            process.wait()
+            process.stdout.close()
+        folder = Folder(tmp_path / "log")
+        back = Feed("a", folder, tokens(tmp_path))
+        kept = {p.key: p.seq for p in back.standing.beyond({})}
+        assert len(answered) > 25 and {key: kept.get(key) for key in answered} == answered
+        folder.close()
+
+    run(scene())
+    assert os.listdir(tmp_path / "log")
+
+
+@trial
+async def test_what_a_peer_tells_wrong_is_neither_stored_nor_bound() -> None:
+    with pytest.MonkeyPatch.context():
+        import tempfile
+
+        with tempfile.TemporaryDirectory() as folder:
+            disk = SimDisk()
+            async with feed(Path(folder), disk=disk) as one:
+                one._told([Purge("x", 1, 1, 1e12, "rubbish"), Purge("", 1, 1, 1e12, "all"), Purge("x", 1, 2, 1e12, "group:1")])
+                await until(lambda: one.standing.positions.taken("x", 1, 2))
+            records = feed_module.recover(disk)[1].records
+            assert [msgspec.msgpack.decode(r, type=Purge).seq for r in records] == [2]
--- a/tests/test_net_parsers.py
+++ b/tests/test_net_parsers.py
@@ -12,7 +12,6 @@
 from hypothesis import strategies as st
 
 from gladelane.interface import NEVER_RAN, Note, Status
-from gladelane.net.board import EventStream
 from gladelane.net.config import BadConfig, host_port, read_config
 from gladelane.net.ends import STATUS, End
 from gladelane.net.exchange import Code, Final
@@ -20,6 +19,7 @@
 from gladelane.net.frames import encode_answer, encode_fields, encode_frame
 from gladelane.net.lines import Garbled, ReplyDecoder, encode_fetch
 from gladelane.settings_wire import settings_from_wire
+from gladelane.sse import EventStream
 
 SETTINGS = settings_from_wire(settings())
 GOOD = {"c": "film", "i": "9b1f03aa5c7e2d41", "d": "1500", "o": "7f3a9c21e0b4d655", "chunk": "3", "tag": "17"}
