--- a/gladelane/purges/follow.py
+++ b/gladelane/purges/follow.py
@@ -9,7 +9,6 @@
 from collections.abc import Callable
 from contextlib import aclosing
 
-import h11
 import msgspec
 
 from ..sse import EventStream
@@ -19,7 +18,7 @@
 
 log = logging.getLogger(__name__)
 
-LOST = (OSError, Refused, TimeoutError, h11.ProtocolError, BadPurge, msgspec.MsgspecError)
+LOST = (OSError, Refused, TimeoutError, BadPurge, msgspec.MsgspecError)
 BACKOFF_S, BACKOFF_MOST_S = 0.1, 1.0
 
 
--- a/gladelane/purges/http.py
+++ b/gladelane/purges/http.py
@@ -66,8 +66,7 @@
     host: str, port: int, method: str, target: str, token: str = "", body: bytes = b"",
     headers: dict[str, str] | None = None, tls: ssl.SSLContext | None = None,
 ) -> AsyncGenerator[bytes, None]:
-    """The body of an answer with status 200, as it comes. Raises Refused, OSError, TimeoutError, h11's
-    errors."""
+    """The body of an answer with status 200, as it comes. Raises Refused, OSError and TimeoutError."""
     async with asyncio.timeout(DIAL_S):
         reader, writer = await asyncio.open_connection(host, port, ssl=tls)
     try:
@@ -92,6 +91,8 @@
                     break
         if status != 200:
             raise Refused(status, " ".join(said.decode("utf-8", "replace").split()) or f"status {status}")
+    except h11.RemoteProtocolError as error:
+        raise OSError(f"the answer is cut or unreadable: {error}") from None
     finally:
         writer.close()
 
--- a/tests/purges/test_feed.py
+++ b/tests/purges/test_feed.py
@@ -17,7 +17,7 @@
 
 import msgspec
 import pytest
-from harness import trial, until
+from harness import until
 
 from gladelane.durable.files import Folder
 from gladelane.lab.simdisk import SimDisk
@@ -86,8 +86,8 @@
             watcher = Watcher(one.port)
             await until(lambda: watcher.followers[0].caught_up.is_set())
             first = await send(one.port, "tag:signs & class:page", "k1", signs="objects:7f* | group:3")
-            assert (first["seq"], first["again"], first["scope"]) == (1, False, "class:page & group:3 | class:page & objects:7f*") \
-                or first["scope"].count("|") == 1
+            assert (first["seq"], first["again"]) == (1, False)
+            assert set(first["scope"].split(" | ")) == {"class:page & group:3", "class:page & objects:7f*"}
             began = time.monotonic()
             await until(lambda: len(watcher.standing) == 1)
             assert time.monotonic() - began < 1.0
@@ -237,8 +237,7 @@
                 await until(lambda: len(watcher.standing) == 20_120)
                 seen: set[tuple[str, int, int]] = set()
                 while len(seen) < 20_120:
-                    line = await asyncio.wait_for(reader.readuntil(b"\n\n"), 10.0) if False else b""
-                    line += await asyncio.wait_for(read_event(reader), 10.0)
+                    line = await asyncio.wait_for(read_event(reader), 10.0)
                     if b'"purges"' in line:
                         seen |= {(p[0], p[1], p[2]) for p in json.loads(line[line.index(b"{"):])["purges"]}
                 writer.close()
@@ -312,15 +311,13 @@
     assert os.listdir(tmp_path / "log")
 
 
-@trial
-async def test_what_a_peer_tells_wrong_is_neither_stored_nor_bound() -> None:
-    with pytest.MonkeyPatch.context():
-        import tempfile
+def test_what_a_peer_tells_wrong_is_neither_stored_nor_bound(tmp_path: Path) -> None:
+    async def scene() -> None:
+        disk = SimDisk()
+        async with feed(tmp_path, disk=disk) as one:
+            one._told([Purge("x", 1, 1, 1e12, "rubbish"), Purge("", 1, 1, 1e12, "all"), Purge("x", 1, 2, 1e12, "group:1")])
+            await until(lambda: one.standing.positions.taken("x", 1, 2))
+        records = feed_module.recover(disk)[1].records
+        assert [msgspec.msgpack.decode(r, type=Purge).seq for r in records] == [2]
 
-        with tempfile.TemporaryDirectory() as folder:
-            disk = SimDisk()
-            async with feed(Path(folder), disk=disk) as one:
-                one._told([Purge("x", 1, 1, 1e12, "rubbish"), Purge("", 1, 1, 1e12, "all"), Purge("x", 1, 2, 1e12, "group:1")])
-                await until(lambda: one.standing.positions.taken("x", 1, 2))
-            records = feed_module.recover(disk)[1].records
-            assert [msgspec.msgpack.decode(r, type=Purge).seq for r in records] == [2]
+    run(scene())
