Let directors follow purge feeds, refuse outdated answers, and serve on when cut off

Need: a director must hold the fleet's purges across its own restarts, be ready only once caught up, and keep the stated delay also when it hears of no feed. Off without the file.

--- a/gladelane/__main__.py
+++ b/gladelane/__main__.py
@@ -16,6 +16,8 @@
 import uvloop
 
 if TYPE_CHECKING:
+    from .purges.holder import Holder
+    from .purges.holder import Options as HolderOptions
     from .settings.operator import Operator
 
 from . import logs
@@ -61,6 +63,9 @@
             limits.memory_mb * 1_000_000 * HELD_SHARE,
         )
         self.configure(operator)
+        self.purges: Holder | None = None
+        if operator is not None and operator.purges is not None:
+            self.purges = self.director.guard = open_purges(operator.purges, self.director, self.clock)
         self.port = 0
         self._tasks: list[asyncio.Task[None]] = []
         self._board: asyncio.Task[None] | None = None
@@ -72,6 +77,9 @@
         self.director.rev = max(self.director.rev, self.config.known.rev)
         self._tasks = [asyncio.create_task(self.wheel.run())]
         self._follow()
+        if self.purges is not None:
+            self.purges.start()
+            await self.purges.ready()
         self.port = await self.front.listen(*self.config.listen)
         return self.port
 
@@ -125,11 +133,30 @@
     async def close(self) -> None:
         await self.front.close()
         self.upstream.close()
+        if self.purges is not None:
+            await self.purges.close()
         for task in [*self._tasks, self._board]:
             if task is not None:
                 task.cancel()
 
 
+def open_purges(options: HolderOptions, director: Director, clock: Clock) -> Holder:
+    """Follows the fleet's purges. Raises BadConfig for what the files say, and OSError."""
+    from .durable.files import Folder
+    from .durable.log import Damaged
+    from .purges.holder import Holder
+    from .purges.tokens import BadTokens
+
+    unknown = sorted(options.strict - director.settings.classes.keys())
+    if unknown:
+        raise BadConfig(f"purges.strict: {unknown[0]!r}; expected classes of the settings")
+    try:
+        disk = Folder(options.folder) if options.folder else None
+        return Holder(options, director.router.purges, clock.now, disk)
+    except (BadTokens, Damaged) as error:
+        raise BadConfig(str(error)) from None
+
+
 def watch_gc() -> None:
     began = 0.0
 
--- a/gladelane/cli/__init__.py
+++ b/gladelane/cli/__init__.py
@@ -21,7 +21,7 @@
 
 
 def build() -> typer.Typer:
-    from . import addresses, director
+    from . import addresses, director, purge
 
     app = typer.Typer(
         name="gladelane", no_args_is_help=True, add_completion=False, pretty_exceptions_enable=False,
@@ -30,6 +30,7 @@
     app.command("serve")(director.serve)
     app.command("check")(director.check)
     app.add_typer(addresses.app, name="addresses")
+    app.add_typer(purge.app, name="purge")
     return app
 
 
--- /dev/null
+++ b/gladelane/cli/purge.py
@@ -0,0 +1,169 @@
+"""`gladelane purge`: a feed of purges, and speaking to one."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import signal
+import ssl
+from pathlib import Path
+from typing import Annotated, Any
+from urllib.parse import quote
+
+import typer
+from rich.table import Table
+
+from ..durable.files import Folder
+from ..durable.log import Damaged
+from ..endpoints.address import BadAddress, Family, parse
+from ..logs import set_up
+from ..purges.feed import Feed
+from ..purges.http import Refused, fetch
+from ..purges.scope import BadScope
+from ..purges.scope import parse as parse_scope
+from ..purges.tokens import BadTokens, Tokens
+from . import fail, out
+
+app = typer.Typer(no_args_is_help=True, help="Fleet-wide purges: a feed, and speaking to one.")
+
+FeedAt = Annotated[str, typer.Option("--feed", envvar="GL_FEED", help="A feed's IP:PORT.")]
+TokenFile = Annotated[Path, typer.Option("--tokens", envvar="GL_TOKENS", help="Lines of NAME TOKEN.")]
+CaFile = Annotated[Path | None, typer.Option("--tls-ca", help="Speak TLS; whom to trust.")]
+
+
+def _place(text: str) -> tuple[str, int]:
+    try:
+        address = parse(text)
+    except BadAddress as error:
+        fail(error)
+    if address.family is Family.UNIX:
+        fail(f"{text!r}: expected an IP address and a port")
+    return address.host, address.port
+
+
+def _catalog(path: Path | None) -> dict[str, str]:
+    if path is None:
+        return {}
+    import pyjson5
+
+    raw = pyjson5.decode(path.read_text())
+    if not isinstance(raw, dict) or not all(isinstance(v, str) for v in raw.values()):
+        raise BadScope(str(path), "no catalog", "an object of names and scopes")
+    for name in raw:
+        parse_scope(f"tag:{name}", raw)
+    return raw
+
+
+def _trust(ca: Path | None) -> ssl.SSLContext | None:
+    return None if ca is None else ssl.create_default_context(cafile=str(ca))
+
+
+@app.command()
+def serve(
+    dir: Annotated[Path, typer.Option(help="Where purges are stored; one feed a folder.")],
+    tokens: TokenFile,
+    listen: Annotated[str, typer.Option(help="IP:PORT.")] = "127.0.0.1:4300",
+    name: Annotated[str, typer.Option(help="The issuer's name; no two feeds have one.")] = "feed",
+    peer: Annotated[list[str] | None, typer.Option(help="Another feed's IP:PORT.")] = None,
+    catalog: Annotated[Path | None, typer.Option(help="JSON5: names of tags and their scopes.")] = None,
+    retention_s: Annotated[float, typer.Option(help="For which a purge stands.")] = 604_800.0,
+    tls_cert: Annotated[Path | None, typer.Option(help="Serve TLS.")] = None,
+    tls_key: Annotated[Path | None, typer.Option(help="Its key.")] = None,
+    tls_ca: CaFile = None,
+) -> None:
+    """Runs a feed until SIGTERM. It says `feed ready` once purges are taken."""
+    set_up()
+    logging.getLogger("asyncio").setLevel(logging.ERROR)
+    host, port = _place(listen)
+    peers = [_place(text) for text in peer or ()]
+
+    async def run() -> None:
+        known = _catalog(catalog)
+        tls = None
+        if tls_cert is not None:
+            tls = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+            tls.load_cert_chain(tls_cert, tls_key)
+        feed = Feed(name, Folder(dir), Tokens(tokens), lambda: known, retention_ms=retention_s * 1000.0)
+        stop = asyncio.Event()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, stop.set)
+        await feed.start(host, port, tls)
+        for place in peers:
+            feed.follow(*place, tls=_trust(tls_ca))
+        await stop.wait()
+        await feed.close()
+
+    try:
+        asyncio.run(run())
+    except (BadTokens, BadScope, Damaged, OSError) as error:
+        fail(error)
+
+
+def _ask(
+    feed: str, tokens: Path, ca: Path | None, method: str, target: str, body: bytes = b"", key: str = ""
+) -> Any:
+    host, port = _place(feed)
+    try:
+        token = Tokens(tokens).own()
+        headers = {"Idempotency-Key": key} if key else {}
+        told = asyncio.run(fetch(host, port, method, target, token, body, headers, _trust(ca)))
+        return json.loads(told)
+    except Refused as error:
+        fail(f"{feed}: {error.status}: {error}")
+    except (BadTokens, OSError, TimeoutError) as error:
+        fail(f"{feed}: {type(error).__name__} {error}")
+
+
+@app.command()
+def send(
+    scope: Annotated[str, typer.Argument(help="Such as 'tag:road-signs' or 'objects:7f3a* & group:17'.")],
+    feed: FeedAt, tokens: TokenFile,
+    key: Annotated[str, typer.Option(help="Makes a repeat harmless; give the same again.")] = "",
+    tag: Annotated[list[str] | None, typer.Option(help="NAME=SCOPE, sent along.")] = None,
+    tls_ca: CaFile = None,
+) -> None:
+    """Purges; says so once it is stored."""
+    tags = {name: value for name, _, value in (text.partition("=") for text in tag or ())}
+    body = json.dumps({"scope": scope, "tags": tags}).encode()
+    told = _ask(feed, tokens, tls_ca, "POST", "/purges", body, key)
+    again = ", asked for before" if told["again"] else ""
+    out.print(f"{told['issuer']}:{told['epoch']}={told['seq']} {told['scope']}{again}")
+
+
+def _rows(purges: list[list[Any]]) -> None:
+    table = Table("issuer", "epoch", "seq", "moment", "scope", box=None, pad_edge=False)
+    for issuer, epoch, seq, at_ms, scope, *_ in purges:
+        table.add_row(issuer, str(epoch), str(seq), f"{at_ms:.0f}", scope)
+    out.print(table)
+
+
+@app.command("list")
+def list_(feed: FeedAt, tokens: TokenFile, tls_ca: CaFile = None) -> None:
+    """All purges that stand."""
+    _rows(_ask(feed, tokens, tls_ca, "GET", "/purges"))
+
+
+@app.command()
+def status(feed: FeedAt, tokens: TokenFile, tls_ca: CaFile = None) -> None:
+    """How a feed is: positions, gaps, followers, peers."""
+    for name, value in _ask(feed, tokens, tls_ca, "GET", "/status").items():
+        out.print(f"{name}: {value}")
+
+
+@app.command()
+def explain(
+    object: Annotated[str, typer.Argument(help="16 hex digits.")],
+    feed: FeedAt, tokens: TokenFile,
+    cls: Annotated[str, typer.Option("--class", help="Of the request.")] = "",
+    group: Annotated[int, typer.Option(help="Of the object.")] = -1,
+    part: Annotated[int, typer.Option(help="Of the object.")] = 0,
+    tls_ca: CaFile = None,
+) -> None:
+    """Which purges bind a request, newest first: its copies must be from after the first."""
+    target = f"/explain?object={quote(object)}&class={quote(cls)}&group={group}&part={part}"
+    found = _ask(feed, tokens, tls_ca, "GET", target)
+    if not found:
+        out.print("no purge binds it")
+        return
+    _rows(found)
--- a/gladelane/net/director.py
+++ b/gladelane/net/director.py
@@ -25,7 +25,9 @@
 
 log = logging.getLogger(__name__)
 
+CUT_OFF_BACK_MS = 1000.0  # advice to who is refused while no feed is heard of
 STATES = {"in_service": State.READY, "terminating": State.DRAINING, "terminated": State.GONE}
+DATED_SLACK_MS = 5.0  # dates and ages are rounded to ms on their way
 OVERDUE_MS = 20.0  # past its deadline, when an exchange is ended without the module
 
 
@@ -41,6 +43,14 @@
     def withdraw(self, store: str, address: Address) -> None: ...
 
 
+class Guard(Protocol):
+    """What purges, known or missed, forbid beyond the module's own bounds."""
+
+    def oldest_ms(self, cls: str) -> float: ...
+
+    def admits(self, cls: str) -> bool: ...
+
+
 class Director:
     def __init__(
         self, settings: Settings, seed: int, clock: Callable[[], float], wheel: Wheel, endpoints: Endpoints
@@ -53,6 +63,7 @@
         self.sender: Sender
         self.live: dict[int, Exchange] = {}
         self._by_id: dict[str, Exchange] = {}  # the latest of the live ones under a client's id
+        self.guard: Guard | None = None  # the fleet's purges, where feeds are followed
         self.rev = 0
         self._listed: dict[str, Member] = {}
         self._numbers = 0
@@ -71,6 +82,9 @@
             ask.size_kb, ask.group, ask.part,
         )
         exchange = Exchange(ask, request, deliver)
+        if self.guard is not None and not self.guard.admits(ask.cls):
+            exchange.finish(Final(Code.REFUSED, come_back_ms=CUT_OFF_BACK_MS))
+            return exchange
         self.live[self._numbers] = self._by_id[ask.id] = exchange
         self.post(request)
         return exchange
@@ -168,6 +182,14 @@
         bound = self.router.age_now(now, attempt.exchange.request)
         if bound:
             attempt.max_age_ms = min(attempt.max_age_ms or bound, bound)
+        request = attempt.exchange.request
+        purged = self.router.purges.newest(request.cls, request.group, request.object - 1, request.part, now)
+        attempt.bound_ms = min(purged, now)
+        if self.guard is not None:
+            oldest = self.guard.oldest_ms(request.cls)
+            usual = attempt.max_age_ms or self.settings.classes[request.cls].fresh_ms
+            if not usual or oldest < usual:  # 0: copies of any age would do
+                attempt.max_age_ms = oldest
         return None
 
     def _ready(self, store: str) -> bool:
@@ -180,6 +202,11 @@
             return
         if attempt.timer is not None:
             attempt.timer.cancel()  # else it would keep the request and its body until then
+        if reply is not None and reply.dated_ms and reply.dated_ms + DATED_SLACK_MS < attempt.bound_ms:
+            if STATUS[end] is Status.OK:
+                by = attempt.bound_ms - reply.dated_ms
+                log.warning("outdated answer store=%s by_ms=%.0f", attempt.store, by)
+                end = End.OUTDATED
         status = STATUS[end]
         if status is Status.OK and reply is not None:
             exchange.finish(Final(Code.SERVED, reply.body, valid=end is End.STILL_GOOD))
--- a/gladelane/net/ends.py
+++ b/gladelane/net/ends.py
@@ -30,6 +30,7 @@
     CLOSED = auto()
     GARBLED = auto()
     CUT_SHORT = auto()  # an answer began and brought nothing more
+    OUTDATED = auto()  # the answer is from a copy older than a purge that held when the request was written
     SILENT = auto()  # nothing came while the peer answered later attempts on another connection
     # the director ended it
     TIMED_OUT = auto()
@@ -58,6 +59,7 @@
     End.CLOSED: Status.RESET,
     End.GARBLED: Status.RESET,
     End.CUT_SHORT: Status.RESET,
+    End.OUTDATED: Status.ERROR,
     End.SILENT: Status.RESET,
     End.TIMED_OUT: Status.TIMEOUT,
     End.CANCELLED: Status.CANCELLED,
--- a/gladelane/net/exchange.py
+++ b/gladelane/net/exchange.py
@@ -70,6 +70,7 @@
     max_age_ms: float = 0.0
     hints: tuple[str, ...] = ()
     timer: Entry | None = None
+    bound_ms: float = 0.0  # the purge that held when it was written: no older copy may answer it
     written_ms: float = 0.0  # 0 until a byte of it may have left
 
     def fields(self, now_ms: float) -> dict[str, str]:
--- a/gladelane/net/lines.py
+++ b/gladelane/net/lines.py
@@ -20,6 +20,7 @@
     "nobody": End.NOBODY,
 }
 AMOUNT = re.compile(r"[0-9]{1,9}(\.[0-9]{1,20})?")  # float() also takes signs, nan, inf, 1_0, 1e999
+DATE = re.compile(r"[0-9]{1,15}(\.[0-9]{1,20})?")
 NOTES = dict(zip("hfojsrblnx", list(Note)[1:], strict=True))
 
 
@@ -33,6 +34,7 @@
     note: Note = Note.UNTOLD
     source_wait_ms: float = 0.0
     body: bytes = b""
+    dated_ms: float = 0.0  # when the origin gave the copy out, Unix; 0: untold
 
 
 class ReplyDecoder:
@@ -75,7 +77,9 @@
         waited = fields.get("first", "0")
         if not AMOUNT.fullmatch(waited) or not length.isdecimal() or len(length) > 12:
             raise ValueError(f"first={waited} length {length}")
-        reply = Reply(id_, WORDS[word], note, float(waited))
+        dated = fields.get("dated", "")
+        told = float(dated) if DATE.fullmatch(dated) else 0.0
+        reply = Reply(id_, WORDS[word], note, float(waited), dated_ms=told)
         size = int(length)
     except (ValueError, KeyError) as error:
         raise Garbled(f"unreadable answer: {error}") from None
--- a/gladelane/purges/standing.py
+++ b/gladelane/purges/standing.py
@@ -22,7 +22,7 @@
 
 AHEAD_MS = 60_000.0
 RETENTION_MS = 7 * 86_400_000.0
-SKEW_MS = 500.0
+SKEW_MS = 0.0
 FORMAT = 1
 
 
--- a/gladelane/settings/operator.py
+++ b/gladelane/settings/operator.py
@@ -12,9 +12,10 @@
 import netaddr
 import pyjson5
 
-from ..endpoints.address import BadAddress, Family
+from ..endpoints.address import BadAddress, Family, parse
 from ..endpoints.plan import Options
 from ..endpoints.rules import Network, Preference, Rule, Rules, check_template
+from ..purges.holder import Options as HolderOptions
 
 MOST_BYTES = 4_000_000
 _FAMILIES = {family.value: family for family in Family}
@@ -76,8 +77,21 @@
     level: Literal["debug", "info", "warning", "error"] = "info"
 
 
+class PurgesText(msgspec.Struct, forbid_unknown_fields=True):
+    feeds: list[str]
+    token_file: str
+    dir: str = ""
+    retention_s: float = 604_800.0
+    skew_ms: float = 0.0
+    delay_ms: float = 3_000.0
+    strict: list[str] = []
+    cut_off_per_s: float = 20.0
+    start_wait_ms: float = 5_000.0
+
+
 class OperatorText(msgspec.Struct, forbid_unknown_fields=True):
     endpoints: EndpointsText = msgspec.field(default_factory=EndpointsText)
+    purges: PurgesText | None = None
     logs: LogsText = msgspec.field(default_factory=LogsText)
 
 
@@ -87,6 +101,7 @@
     options: Options
     rules: Rules
     logs: LogsText
+    purges: HolderOptions | None = None
 
 
 def read_operator(data: bytes) -> Operator:
@@ -104,7 +119,8 @@
         text = msgspec.convert(raw, OperatorText)
     except msgspec.ValidationError as error:
         raise _worded(str(error)) from None
-    return Operator(_options(text.endpoints), _rules(text.endpoints.rules), text.logs)
+    purges = None if text.purges is None else _purges(text.purges)
+    return Operator(_options(text.endpoints), _rules(text.endpoints.rules), text.logs, purges)
 
 
 def _line(text: str, message: str) -> str:
@@ -133,6 +149,8 @@
             kind = kind.item_type
         else:
             kind = next(field.type for field in kind.fields if field.name == step)
+        if isinstance(kind, msgspec.inspect.UnionType):  # a part that may be left out
+            kind = next(one for one in kind.types if not isinstance(one, msgspec.inspect.NoneType))
     return kind
 
 
@@ -159,6 +177,30 @@
     )
 
 
+def _purges(text: PurgesText) -> HolderOptions:
+    feeds = []
+    for place, feed in enumerate(text.feeds):
+        try:
+            address = parse(feed)
+        except BadAddress as error:
+            raise BadOperatorFile(f"purges.feeds[{place}]", str(error)) from None
+        if address.family is Family.UNIX:
+            raise BadOperatorFile(f"purges.feeds[{place}]", f"{feed!r}; expected an IP address and a port")
+        feeds.append((address.host, address.port))
+    if not feeds:
+        raise BadOperatorFile("purges.feeds", "expected at least one feed")
+    _bounded("purges.retention_s", text.retention_s, 60, 31_536_000)
+    _bounded("purges.skew_ms", text.skew_ms, 0, 60_000)
+    # a feed says every second that it is there
+    _bounded("purges.delay_ms", text.delay_ms, 2_000, 600_000)
+    _bounded("purges.cut_off_per_s", text.cut_off_per_s, 0, 1_000_000)
+    _bounded("purges.start_wait_ms", text.start_wait_ms, 0, 30_000)
+    return HolderOptions(
+        tuple(feeds), text.token_file, text.dir, text.retention_s * 1000.0, text.skew_ms, text.delay_ms,
+        frozenset(text.strict), text.cut_off_per_s, text.start_wait_ms,
+    )
+
+
 def _rules(texts: list[RuleText]) -> Rules:
     rules, names = [], set()
     for place, text in enumerate(texts):
--- /dev/null
+++ b/tests/purges/test_director.py
@@ -0,0 +1,180 @@
+"""Directors that follow feeds: enforcement on answers, readiness, cut off and back, what a restart keeps."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import pytest
+from harness import Cache, Client, Command, config, hit, trial, until
+from test_feed import feed, send, tokens
+from test_net_rules import REFUSED, notice_flush, outcomes, told
+
+from gladelane.__main__ import Node
+from gladelane.interface import Status
+from gladelane.lab.simdisk import Lost, SimDisk
+from gladelane.net.config import BadConfig, Notice, read_config
+from gladelane.purges.cutoff import LIFT_MS, CutOff, Link
+from gladelane.purges.holder import Holder
+from gladelane.settings.operator import BadOperatorFile, Operator, read_operator
+
+
+def operator(tmp: Path, *ports: int, **more: Any) -> Operator:
+    tokens(tmp)
+    feeds = [f"127.0.0.1:{port}" for port in ports]
+    text = {"feeds": feeds, "token_file": str(tmp / "tokens"), "strict": ["film"], "delay_ms": 2000, "start_wait_ms": 300, **more}
+    return read_operator(json.dumps({"purges": text}).encode())
+
+
+@asynccontextmanager
+async def director(cache: str, op: Operator) -> AsyncIterator[tuple[Node, Client]]:
+    node = Node(read_config(config({"c0": cache, "r0": REFUSED})), op)
+    client = await Client.to(await node.start())
+    try:
+        yield node, client
+    finally:
+        client.writer.close()
+        await node.close()
+
+
+def test_a_director_is_ready_once_caught_up_and_binds_what_comes_within_the_second(tmp_path: Path) -> None:
+    async def scene() -> None:
+        cache = Cache(hit)
+        address = await cache.start()
+        async with feed(tmp_path) as one:
+            await send(one.port, "objects:7f* & class:film")
+            async with director(address, operator(tmp_path, one.port)) as (node, client):
+                client.ask(1)  # known at the start
+                await client.next()
+                client.ask(2, o="1111111111111111", tag="9")
+                await client.next()
+                began = time.time()
+                await send(one.port, "group:9 & parts:0-7")
+                await until(lambda: node.director.router.purges.newest("film", 9, 5, 3, node.clock.now()) > 0.0)
+                assert time.time() - began < 1.0
+                client.ask(3, o="1111111111111111", tag="9")
+                await client.next()
+                client.ask(4, o="1111111111111111", tag="9", chunk="8")
+                await client.next()
+                ages = [int(seen[1].get("accept", 0)) for seen in cache.seen]
+                assert 0 < ages[0] < 60_000 and 0 < ages[2] < 2_000
+                assert ages[1] == ages[3] == 604_800_000  # nothing older than the retention is accepted
+                assert node.purges is not None and node.purges.cut_off.link is Link.FOLLOWS
+
+    asyncio.run(scene())
+
+
+@trial
+async def test_an_answer_from_a_copy_older_than_the_purge_it_was_sent_under_is_not_passed_on() -> None:
+    dated = [0.0]
+
+    def dating(command: Command) -> tuple[str, bytes]:
+        return f"served digest=aa,dated={int(dated[0])},remark=h", b"\x00bytes"
+
+    liar = Cache(dating)
+    node = Node(read_config(config({"c0": await liar.start(), "r0": REFUSED})))
+    client = await Client.to(await node.start())
+    events = told(node.director)
+    now = node.clock.now()
+    node.director.notice(Notice(2, flush=notice_flush(asset="7f3a9c21e0b4d655", ms=now - 1000.0)))
+    for stream, age, served in ((1, 900.0, True), (2, 1004.0, True), (3, 1200.0, False)):
+        dated[0] = now - age
+        client.ask(stream, d="400")
+        assert ((await client.next())[2] == 0) is served
+    assert Status.ERROR in {status for _, _, status, _ in outcomes(events)}
+    client.writer.close()
+    await node.close()
+
+
+def test_cut_off_from_all_feeds_strict_classes_take_young_copies_only_within_a_limit_and_come_back(tmp_path: Path) -> None:
+    async def scene() -> None:
+        cache = Cache(hit)
+        address = await cache.start()
+        op = operator(tmp_path, 1, cut_off_per_s=4)
+        async with director(address, op) as (node, client):
+            codes = []
+            for stream in range(1, 9):
+                client.ask(stream)
+                codes.append((await client.next())[2])
+            assert codes.count(0) == 2 and codes.count(1) == 6  # half a second's worth, and no more
+            assert all(int(seen[1]["accept"]) <= 2000 for seen in cache.seen)
+            client.ask(20, c="sheet", k="5c")  # not strict: goes on
+            await client.next()
+            assert node.director.router.pending == {} and node.purges is not None and node.purges.cut_off.refused == 6
+
+    asyncio.run(scene())
+
+
+def test_the_limit_of_a_director_that_is_cut_off_lifts_by_and_by_once_it_is_back() -> None:
+    lines: list[Any] = []
+    link = CutOff(2000.0, frozenset({"film"}), 10.0, 0.0, lambda *line: lines.append(line[0].split()[0]))
+    link.update(100.0, 100.0)
+    assert link.link is Link.FOLLOWS and link.oldest_ms("film") == 0.0  # a start is no return
+    link.update(100.0, 2100.0)
+    assert link.link is Link.FOLLOWS
+    link.update(100.0, 2101.0)
+    assert link.link is Link.CUT_OFF and link.oldest_ms("film") == 2000.0 and link.oldest_ms("page") == 0.0
+    assert [link.admits("film", 2101.0) for _ in range(7)] == [True] * 5 + [False] * 2 and link.admits("page", 2101.0)
+
+    def rate(at: float) -> int:
+        return sum(link.admits("film", at + step) for step in range(0, 1000, 2))
+
+    assert 8 <= rate(3000.0) <= 16
+    link.update(5000.0, 5000.0)
+    assert link.link is Link.RETURNING and link.oldest_ms("film") == 0.0  # what is known binds; what is not is none
+    rates = [rate(5000.0 + second * 1000.0) for second in range(4)]
+    assert rates[0] < rates[1] < rates[2] < rates[3]
+    link.update(15_100.0, 5000.0 + LIFT_MS + 1.0)
+    assert link.link is Link.FOLLOWS and link.admits("film", 1e6) and lines == ["feeds", "cut", "feeds"]
+
+
+def test_what_a_director_stored_binds_again_before_any_feed_answers_and_it_asks_only_for_the_rest(tmp_path: Path) -> None:
+    async def scene() -> None:
+        disk, feed_disk = SimDisk(), SimDisk()
+        index_of = Node(read_config(config({"r0": REFUSED})))
+        async with feed(tmp_path, disk=feed_disk) as one:
+            for n in range(300):
+                await send(one.port, f"object:{n:016x}")
+            options = operator(tmp_path, one.port).purges
+            assert options is not None
+            holder = Holder(options, index_of.director.router.purges, index_of.clock.now, disk)
+            holder.start()
+            await holder.ready()
+            assert len(holder.standing) == 300
+            await until(lambda: holder._log is not None and not holder._fresh.purges)
+            holder._tasks[-1].cancel()  # no chance to store more: the process dies here
+            left = disk.after_crash(Lost.ALL, False)
+            again = Holder(options, type(index_of.director.router.purges)(), index_of.clock.now, left)
+            assert len(again.standing) == 300 and again.standing.index.newest("film", 0, 7, 0, index_of.clock.now())
+            told_: list[int] = []
+            take = again.take
+            again.followers[0]._take = lambda purges: (told_.append(len(purges)), take(purges))[1]
+            again.start()
+            await again.ready()
+            assert not told_
+            await send(one.port, "group:1")
+            await until(lambda: told_ == [1])
+            await holder.close()
+            await again.close()
+
+    asyncio.run(scene())
+
+
+def test_what_the_file_says_wrong_of_purges_is_one_line(tmp_path: Path) -> None:
+    for more, says in (({"feeds": []}, "purges.feeds: expected at least one"), ({"feeds": ["x:1"]}, r"purges.feeds\[0\]: 'x:1'"),
+                       ({"delay_ms": 100}, "purges.delay_ms: 100; expected a number from 2000"), ({"dirr": "x"}, "purges.dirr: unknown key")):  # fmt: skip
+        with pytest.raises(BadOperatorFile, match=says):
+            operator(tmp_path, 1, **more)
+    config_ = read_config(config({"r0": REFUSED}))
+    with pytest.raises(BadConfig, match="purges.strict: 'song'; expected classes"):
+        Node(config_, operator(tmp_path, 1, strict=["song"]))
+    good = operator(tmp_path, 1)
+    assert good.purges is not None
+    (tmp_path / "tokens").write_text("short x\n")
+    with pytest.raises(BadConfig, match="tokens: line 1"):
+        Node(config_, good)
--- a/tests/test_net_parsers.py
+++ b/tests/test_net_parsers.py
@@ -86,11 +86,11 @@
 
 
 LINES = [
-    (b"a1 served digest=x,dated=5,remark=f,first=12.5 3\r\nab\n\r\n", ("a1", End.SERVED, Note.PARENT_HELD, 12.5, b"ab\n")),
-    (b"a1 still_good digest=x,remark=h 0\r\n\r\n", ("a1", End.STILL_GOOD, Note.HIT, 0.0, b"")),
-    (b"a1 not_here - 0\r\n\r\n", ("a1", End.NOT_HERE, Note.UNTOLD, 0.0, b"")),
-    (b"a1 not_here remark=j 0\r\n\r\n", ("a1", End.NOT_HERE, Note.JOINED, 0.0, b"")),
-    (b"a1 overload remark= 0\r\n\r\n", ("a1", End.OVERLOAD, Note.UNTOLD, 0.0, b"")),
+    (b"a1 served digest=x,dated=5,remark=f,first=12.5 3\r\nab\n\r\n", ("a1", End.SERVED, Note.PARENT_HELD, 12.5, b"ab\n", 5.0)),
+    (b"a1 still_good digest=x,remark=h 0\r\n\r\n", ("a1", End.STILL_GOOD, Note.HIT, 0.0, b"", 0.0)),
+    (b"a1 not_here - 0\r\n\r\n", ("a1", End.NOT_HERE, Note.UNTOLD, 0.0, b"", 0.0)),
+    (b"a1 not_here remark=j 0\r\n\r\n", ("a1", End.NOT_HERE, Note.JOINED, 0.0, b"", 0.0)),
+    (b"a1 overload remark= 0\r\n\r\n", ("a1", End.OVERLOAD, Note.UNTOLD, 0.0, b"", 0.0)),
 ]
 
 
@@ -133,7 +133,7 @@
     assert set(STATUS) == set(End)
     ran = {end for end in End if STATUS[end] not in NEVER_RAN}
     assert ran == {End.SERVED, End.STILL_GOOD, End.CRASHED, End.RESET, End.CLOSED, End.GARBLED, End.CUT_SHORT, End.SILENT, End.TIMED_OUT,
-                   End.CANCELLED, End.IDLE}  # fmt: skip
+                   End.CANCELLED, End.IDLE, End.OUTDATED}  # fmt: skip
     assert {end for end in End if STATUS[end] is Status.OK} == {End.SERVED, End.STILL_GOOD}
 
 
