Order servers to drop what was purged, with retries, a budget and resumption

Need: the director's bounds keep old copies from clients, but nothing told a cache or a hub that came back with old copies to drop them. Change: purges/orders.py (a place in one list for each server; one that came up anew begins again), deliver.py (drop over the same addresses and socket budget as requests), keys order_kinds and orders_per_s, drop in the stand-ins.

--- a/gladelane/__main__.py
+++ b/gladelane/__main__.py
@@ -78,7 +78,10 @@
         self._tasks = [asyncio.create_task(self.wheel.run())]
         self._follow()
         if self.purges is not None:
-            self.purges.start()
+            from .purges.deliver import Deliver
+
+            timeout = self.config.conn.dial_timeout_ms
+            self.purges.start(Deliver(self.purges.orders, self.endpoints, self.upstream, timeout))
             await self.purges.ready()
         self.port = await self.front.listen(*self.config.listen)
         return self.port
--- a/gladelane/lab/standins.py
+++ b/gladelane/lab/standins.py
@@ -12,7 +12,7 @@
 import struct
 import tempfile
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from enum import Enum
 from pathlib import Path
@@ -58,7 +58,8 @@
     at: float  # seconds of the loop
 
 
-Answer = Callable[[Seen], tuple[str, bytes] | None]
+Said = tuple[str, bytes] | None
+Answer = Callable[[Seen], Said | Awaitable[Said]]
 
 
 def hit(seen: Seen) -> tuple[str, bytes] | None:
@@ -88,6 +89,8 @@
         self.counts: Counter[tuple[str, str]] = Counter()
         self.aborted: list[str] = []
         self.probed = 0
+        self.drop: Callable[[str], None] | None = None  # takes orders to drop copies, a line each
+        self._tasks: set[asyncio.Task[None]] = set()
         self._places: dict[str, _Place] = {}
         self._folder: tempfile.TemporaryDirectory[str] | None = None
 
@@ -233,6 +236,13 @@
             if place.fault is not Fault.STALL:
                 writer.write(f"{words[1]} green - 0\r\n\r\n".encode())
             return
+        if words[0] == "drop":
+            orders = (await reader.readexactly(int(words[2]) + 2))[:-2].decode()
+            if self.drop is not None and place.fault is not Fault.STALL:
+                for line in orders.splitlines():
+                    self.drop(line)
+                writer.write(f"{words[1]} dropped - 0\r\n\r\n".encode())
+            return
         body = (await reader.readexactly(int(words[3]) + 2))[:-2]
         fields = dict(pair.split("=", 1) for pair in words[2].split(","))
         seen = Seen(words[1], fields, body, place.address.text, asyncio.get_running_loop().time())
@@ -245,12 +255,28 @@
             writer.write(b"\xff what is this\r\n")
         elif fault is Fault.FULL:
             writer.write(f"{seen.id} overload - 0\r\n\r\n".encode())
-        elif fault is not Fault.STALL and (answer := self.answer(seen)) is not None:
-            head, content = answer
-            whole = f"{seen.id} {head} {len(content)}\r\n".encode() + content + b"\r\n"
-            writer.write(whole[: len(whole) // 2] if fault in (Fault.CUT, Fault.CUT_SILENT) else whole)
-            if fault is Fault.CUT:
-                writer.close()
+        elif fault is not Fault.STALL:
+            said = self.answer(seen)
+            if said is None or isinstance(said, tuple):
+                self._say(seen, said, fault, writer)
+            else:  # others on the connection do not wait for it
+                task = asyncio.ensure_future(self._say_later(seen, said, fault, writer))
+                self._tasks.add(task)
+                task.add_done_callback(self._tasks.discard)
+
+    async def _say_later(
+        self, seen: Seen, said: Awaitable[Said], fault: Fault, writer: asyncio.StreamWriter
+    ) -> None:
+        self._say(seen, await said, fault, writer)
+
+    def _say(self, seen: Seen, said: Said, fault: Fault, writer: asyncio.StreamWriter) -> None:
+        if said is None or writer.is_closing():
+            return
+        head, content = said
+        whole = f"{seen.id} {head} {len(content)}\r\n".encode() + content + b"\r\n"
+        writer.write(whole[: len(whole) // 2] if fault in (Fault.CUT, Fault.CUT_SILENT) else whole)
+        if fault is Fault.CUT:
+            writer.close()
 
 
 def _reset(writer: asyncio.StreamWriter) -> None:
--- a/gladelane/net/director.py
+++ b/gladelane/net/director.py
@@ -4,7 +4,7 @@
 
 import logging
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import replace
 from functools import partial
 from typing import Protocol
@@ -50,6 +50,8 @@
 
     def admits(self, cls: str) -> bool: ...
 
+    def listed(self, runs: Mapping[str, tuple[str, float]]) -> None: ...
+
 
 class Director:
     def __init__(
@@ -158,6 +160,8 @@
                 member.state is State.READY, member.came_up_ms, tuple(instance.addresses),
             )
         self._apply(self.endpoints.tell(listings.values(), gone, complete))
+        if self.guard is not None:
+            self.guard.listed({s: (m.kind, m.came_up_ms) for s, m in self._listed.items()})
 
     def configure(self, options: Options, rules: Rules) -> None:
         """A new operator's file, as one change."""
--- a/gladelane/purges/holder.py
+++ b/gladelane/purges/holder.py
@@ -5,7 +5,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import msgspec
 
@@ -13,8 +13,10 @@
 from ..durable.log import Broken, Log, recover
 from .cutoff import CutOff
 from .follow import Follower
+from .deliver import Deliver
 from .index import Index
 from .order import BadPurge, Purge, Vector
+from .orders import Orders
 from .scope import BadScope
 from .standing import Standing
 from .tokens import Tokens
@@ -24,6 +26,7 @@
 LOOK_S = 0.2  # how often the link to the feeds is judged
 FORGET_EVERY = 300  # looks
 SNAPSHOT_AFTER = 20_000
+ORDERS_AT_ONCE = 8
 
 
 class Options(msgspec.Struct, frozen=True):
@@ -38,6 +41,8 @@
     strict: frozenset[str]
     cut_off_per_s: float
     start_wait_ms: float
+    order_kinds: frozenset[str] = frozenset()
+    orders_per_s: float = 50.0
 
 
 class _Stored(msgspec.Struct, array_like=True):
@@ -53,8 +58,10 @@
     ) -> None:
         """Recovers from the disk, if there is one. Raises Damaged, BadTokens and OSError."""
         self.options, self.clock = options, clock
-        self.standing = Standing(index, disk is not None, options.retention_ms, options.skew_ms)
         now = clock()
+        keep = disk is not None or bool(options.order_kinds)
+        self.standing = Standing(index, keep, options.retention_ms, options.skew_ms)
+        self.orders = Orders(options.orders_per_s, ORDERS_AT_ONCE, now)
         self.cut_off = CutOff(options.delay_ms, options.strict, options.cut_off_per_s, now, log.warning)
         self._tokens = Tokens(options.token_file)
         self._log: Log | None = None
@@ -68,6 +75,8 @@
             ) for host, port in options.feeds
         ]
         self._tasks: list[asyncio.Task[None]] = []
+        if options.order_kinds:
+            self.orders.add(self.standing.beyond({}))
 
     def _recover(self, disk: Disk, now: float) -> None:
         self._log, found = recover(disk)
@@ -82,8 +91,10 @@
         standing, records = len(self.standing), self._records
         log.info("purges recovered standing=%d records=%d cut=%d", standing, records, found.cut)
 
-    def start(self) -> None:
+    def start(self, deliver: Deliver | None = None) -> None:
         self._tasks = [asyncio.create_task(one.run()) for one in self.followers]
+        if deliver is not None and self.options.order_kinds:
+            self._tasks.append(asyncio.create_task(deliver.run()))
         self._tasks.append(asyncio.create_task(self._look()))
 
     async def ready(self) -> None:
@@ -119,6 +130,8 @@
                 continue
             if new and self._log is not None:
                 self._fresh.purges.append(purge)
+            if new and self.options.order_kinds:
+                self.orders.add((purge,))
 
     def _reached(self, vector: Vector) -> None:
         positions = self.standing.positions
@@ -126,6 +139,11 @@
             positions.adopt(vector)
             self._fresh.reached += [(issuer, epoch, last) for (issuer, epoch), last in vector.items()]
 
+    def listed(self, runs: Mapping[str, tuple[str, float]]) -> None:
+        """The servers of the list: each one's kind and the start of its process."""
+        kinds = self.options.order_kinds
+        self.orders.servers({name: run for name, (kind, run) in runs.items() if kind in kinds})
+
     # --- what is asked
 
     def oldest_ms(self, cls: str) -> float:
@@ -151,6 +169,7 @@
             looks += 1
             if looks % FORGET_EVERY == 0:
                 self.standing.forget(self.clock())
+                self.orders.compact(self.standing.beyond({}), len(self.standing))
             try:
                 await self._store()
             except (OSError, Broken) as error:  # what binds goes on binding; a restart asks the feeds again
--- a/gladelane/settings/operator.py
+++ b/gladelane/settings/operator.py
@@ -87,6 +87,8 @@
     strict: list[str] = []
     cut_off_per_s: float = 20.0
     start_wait_ms: float = 5_000.0
+    order_kinds: list[str] = []
+    orders_per_s: float = 50.0
 
 
 class OperatorText(msgspec.Struct, forbid_unknown_fields=True):
@@ -194,10 +196,12 @@
     # a feed says every second that it is there
     _bounded("purges.delay_ms", text.delay_ms, 2_000, 600_000)
     _bounded("purges.cut_off_per_s", text.cut_off_per_s, 0, 1_000_000)
+    _bounded("purges.orders_per_s", text.orders_per_s, 1, 1_000_000)
     _bounded("purges.start_wait_ms", text.start_wait_ms, 0, 30_000)
     return HolderOptions(
         tuple(feeds), text.token_file, text.dir, text.retention_s * 1000.0, text.skew_ms, text.delay_ms,
-        frozenset(text.strict), text.cut_off_per_s, text.start_wait_ms,
+        frozenset(text.strict), text.cut_off_per_s, text.start_wait_ms, frozenset(text.order_kinds),
+        text.orders_per_s,
     )
 
 
