Finish a connection in the turn in which its end is read

Cause: since the race, a connection ended in a callback of its task, a turn of the loop after its end was read; a request sent in between was written into the end and counted as one that may have run. Change: the task's finally finishes it as before; the callback stays for a task cancelled before its first step. A test holds that nothing is taken from that turn on.

--- a/gladelane/net/upstream.py
+++ b/gladelane/net/upstream.py
@@ -62,6 +62,7 @@
         self.spent: dict[str, None] = {}  # the latest, oldest first
         self.decoder = ReplyDecoder()
         self.writer: asyncio.StreamWriter | None = None
+        self.finished = False
         self.retired = False  # carries on with what is open, takes nothing new
         self.heard_ms = 0.0
         self.used_ms = pool.clock()
@@ -69,7 +70,7 @@
         self.answered_ms = 0.0  # when the latest attempt that was answered here had been written
         self.end = End.IDLE  # what it ends of, unless told otherwise
         self.task = asyncio.ensure_future(self._run())
-        # not a `finally` of the task: one that is cancelled before its first step never gets there
+        # beside the `finally` of the task: one that is cancelled before its first step never gets there
         self.task.add_done_callback(lambda _: self._finish(self.end))
 
     @property
@@ -192,6 +193,8 @@
         except Exception:
             log.exception("connection failed peer=%s", self.peer)
             self.end = End.RESET
+        finally:
+            self._finish(self.end)  # at once: in a turn of the loop a request could be written into the end
 
     async def _dial(self) -> End | None:
         pool = self.pool
@@ -254,7 +257,9 @@
         self.pool.owner.ended(attempt, reply.end, reply)
 
     def _finish(self, end: End) -> None:
-        self.retired = True
+        if self.finished:
+            return
+        self.finished = self.retired = True
         self.pool.remove(self)
         if self.writer is not None:
             self.writer.close()
--- a/tests/test_net_rules.py
+++ b/tests/test_net_rules.py
@@ -141,6 +141,27 @@
             assert outcomes(events)[0] == (0, "r0", status, False)
 
 
+@trial
+async def test_a_connection_that_ended_takes_nothing_from_the_turn_on_in_which_its_end_is_read() -> None:
+    # a turn later a request would have been written into the end, and may have run for all the module knows
+    cache = Cache(hit)
+    async with running(config({"c0": await cache.start(), "r0": REFUSED})) as (node, client):
+        client.ask(1)
+        await client.next()
+        ((conn,),) = node.upstream._pool.values()
+        told_: list[tuple[bool, bool]] = []
+        remove = node.upstream.remove
+
+        def seen(one: Any) -> None:
+            told_.append((conn.task.done(), one.takes("id")))
+            remove(one)
+
+        node.upstream.remove = seen  # type: ignore[method-assign]
+        cache.conns[0].close()
+        await until(lambda: conn.task.done() and told_)
+        assert told_ == [(False, False)] and not node.upstream._held()
+
+
 @trial
 async def test_a_garbled_answer_is_passed_to_nobody() -> None:
     cache = Cache(lambda c: ("still_good digest=aa", b""))
