Let a log's append, commit and close wait for a commit that runs in a thread

Result: a test with a commit held in its sync fails without the lock and passes with it; 104 tests of durable and purges pass.

--- a/gladelane/durable/log.py
+++ b/gladelane/durable/log.py
@@ -20,6 +20,7 @@
 from __future__ import annotations
 
 import struct
+import threading
 from collections.abc import Iterator
 from contextlib import suppress
 from typing import Literal, NamedTuple
@@ -146,6 +147,9 @@
         self._most = most
         self._waiting: list[bytes] = []
         self._broken = ""
+        # a commit runs in a thread, and goes on there when its task is cancelled: an append, a second commit
+        # or a close beside it would store one number twice, or write to a descriptor that is another's
+        self._lock = threading.RLock()
 
     @property
     def next_index(self) -> int:
@@ -156,12 +160,17 @@
         """The record's index; it is stored with the next commit."""
         if len(payload) > MOST_RECORD:
             raise ValueError(f"a record of {len(payload)} bytes; expected {MOST_RECORD} at most")
-        self._waiting.append(payload)
-        return self.next_index - 1
+        with self._lock:
+            self._waiting.append(payload)
+            return self.next_index - 1
 
     def commit(self) -> None:
         """All that was appended is stored when this returns. OSError: nothing of it is, and it may be tried
         again (a full disk); Broken: unknown."""
+        with self._lock:
+            self._commit()
+
+    def _commit(self) -> None:
         if self._broken:
             raise Broken(self._broken)
         if not self._waiting:
@@ -184,11 +193,16 @@
 
     def drop(self) -> None:
         """Forgets what was appended and could not be committed."""
-        self._waiting = []
+        with self._lock:
+            self._waiting = []
 
     def snapshot(self, payload: bytes) -> None:
         """The state after all that is committed. Older segments and snapshots go once it is stored."""
-        self.commit()
+        with self._lock:
+            self._snapshot(payload)
+
+    def _snapshot(self, payload: bytes) -> None:
+        self._commit()
         name, half = f"{self._next:016x}.snap", f"{self._next:016x}.snap.half"
         with suppress(FileNotFoundError):
             self._disk.remove(half)  # of an earlier try
@@ -208,7 +222,9 @@
         self._disk.sync_folder()
 
     def close(self) -> None:
-        self._disk.close()
+        """Once what is being written is."""
+        with self._lock:
+            self._disk.close()
 
     def _start_segment(self) -> None:
         if self._segment:
--- a/tests/durable/test_log.py
+++ b/tests/durable/test_log.py
@@ -5,6 +5,7 @@
 import os
 import subprocess
 import sys
+import threading
 from pathlib import Path
 
 import pytest
@@ -213,6 +214,44 @@
         log.commit()
 
 
+def test_an_append_a_commit_and_a_close_beside_a_commit_in_a_thread_wait_for_it() -> None:
+    # a task that is cancelled leaves its commit running: its number was stored twice, and recovery refused it
+    class Slow(SimDisk):
+        syncing, go, closed_in_sync = threading.Event(), threading.Event(), False
+
+        def sync(self, name: str) -> None:
+            self.syncing.set()
+            assert self.go.wait(5.0)
+            super().sync(name)
+            self.syncing.clear()
+
+        def close(self) -> None:
+            self.closed_in_sync = self.syncing.is_set()
+
+    disk = Slow()
+    log, _ = recover(disk)
+    log.append(b"first")
+    first = threading.Thread(target=log.commit)
+    first.start()
+    assert disk.syncing.wait(5.0)
+    done: list[int] = []
+
+    def second() -> None:
+        done.append(log.append(b"second"))
+        log.commit()
+        log.close()
+
+    beside = threading.Thread(target=second)
+    beside.start()
+    beside.join(0.05)
+    assert not done
+    disk.go.set()
+    first.join(5.0)
+    beside.join(5.0)
+    assert done == [1] and not disk.closed_in_sync
+    assert recover(disk)[1].records == [b"first", b"second"]
+
+
 def test_a_folder_keeps_what_a_simulated_disk_keeps(tmp_path: Path) -> None:
     folder, disk, work = Folder(tmp_path / "a" / "b"), SimDisk(), Work()
     work.run(folder, "always")
