Count a request at the gate for all directors that share its branch

Cause: λ is two requests of an object, counted by each director for itself. With 7 or 8 directors in a branch each sees one request in eight. At fault: `Router.count` in choice.py, where `gate` rose by one, and by two only for later parts.

The refusals name a full limit at the origin or for fills, which is what each miss ends in.

Change: where a pass is scattered over many directors, a request seen counts for as many as share the branch. Elsewhere nothing changes. The design's λ = 2 stays; it is counted over the branch.

--- a/gladelane/choice.py
+++ b/gladelane/choice.py
@@ -423,9 +423,9 @@
 
     def count(self, request: Request) -> None:
         """Gate and aged count. Where a pass over the parts comes through this proxy, parts asked for in turn
-        are one request; where it is scattered over many proxies, each part seen counts, and a later part
-        tells of the one before, asked for elsewhere: else no gate opens in time. An admitted object keeps
-        all its parts, also where a cache lost them."""
+        are one request. Where it is scattered over many proxies, each request seen here stands for as many
+        as share the location: λ counts those of the location, else no gate opens in time anywhere. An
+        admitted object keeps all its parts, also where a cache lost them."""
         entry = self.objects.get(request.object)
         if entry is None:
             entry = self.objects[request.object] = Object()
@@ -436,7 +436,7 @@
         bit = 1 << (request.part & 63)
         if not entry.admitted:
             if self.scattered or not entry.parts or entry.parts & bit:
-                entry.gate += 1 + (self.scattered and request.part > 0)
+                entry.gate += self.seats if self.scattered else 1
             entry.parts |= bit
             if entry.gate >= LAMBDA:
                 entry.admitted, entry.gate, entry.parts = True, 0, 0
