Let a cold server's budget start from a director's part of its link

Cause: what a cold server may be sent was told only from the usual load of warm ones of its kind. A branch that comes back as a whole has none, and its directors, restarted with it, know none: their budget is zero until all is warm, 17 s. At fault: `Router.cold_budget`, where the bearing was `usual` alone, and `learn_usual`, which learns from warm stores only.

Ruled out: the list (all were ready in it), resting caches, room.

Change: where the list tells the size of a link, the bearing is at least that link's part of one director, all who may send there having one. With COLD_RATE all together send 1.05 times what the link gives at that age.

--- a/gladelane/choice.py
+++ b/gladelane/choice.py
@@ -52,6 +52,7 @@
 HEDGE_SHARE, HEDGE_MOST = 0.05, 5.0  # second copies, likewise
 COLD_RATE, COLD_BURST = 0.35, 0.15  # parts of a cold store's bearing that are sent steadily, and at once
 RATE_MS, FIRST_RATE_MS = 5000.0, 1000.0  # spans over which the usual load of warm stores is learned
+ORIGIN_K = 1.0
 LIMIT_LEAST, LIMIT_MOST = 2.0, 64.0  # attempts out at one cache, least and most; by weight it may be more
 START_BY_LINK = 2.5  # a store's limit at first, in answers that its link carries at full pace
 GROW_NEAR = 0.7  # part of the limit that must be in use for a timely answer to raise it
@@ -223,6 +224,7 @@
         self.usual_at = -1.0
         self.aged_at = self.cut_at = -1.0
         self.ticking = False
+        self.origin_set = False
         self.weighted = settings.weights in ("nominal", "rough")
         self.seats = dict(zip(settings.zones, settings.seats_by_zone, strict=False)).get(settings.zone, 1)
         self.scattered = self.seats > WHOLE_PASS_SEATS
@@ -275,6 +277,7 @@
                 self.stores.pop(name, None)
             elif known is None:
                 self.stores[name] = Store(member, self.weighted)
+                self.start_limits(self.stores[name])
             else:
                 if member.came_up_ms > known.member.came_up_ms:  # a new process: what the old one did is void
                     known.close()
@@ -288,6 +291,18 @@
         self.origin = origins[0] if origins else None
         if self.origin and self.parents:  # it is told no size; all that parents lack passes it
             self.origin.concurrency.widen(max(p.concurrency.most for p in self.parents))
+            if self.scattered and not self.origin_set:
+                self.origin_set = True
+                share = sum(p.member.weight for p in self.parents) / self.settings.proxies * ORIGIN_K
+                self.origin.concurrency.limit = share + 2.0 * share ** 0.5 + 1.0
+
+    def start_limits(self, store: Store) -> None:
+        """Many proxies that start at what a link carries burst many times that before any answer tells."""
+        share = self.link_share(store) * START_BY_LINK
+        if self.scattered and share:
+            start = share + 2.0 * share ** 0.5 + 1.0
+            store.concurrency.limit = min(start, store.concurrency.limit)
+            store.fills.limit = min(start, store.fills.limit)
 
     def is_cache(self, store: Store) -> bool:
         behind = (self.settings.parent_kind, self.settings.origin_kind)
@@ -490,13 +505,17 @@
     def pick_source(self, owed: Pending) -> Store | None:
         """The first parent in hash order that is up and bears it, else the origin."""
         work = self.work_of.get(owed.spec.name, 0.0)
-        share = self.share(owed)
+        share, busy = self.share(owed), False
         for parent in self.order(self.parents, owed.request.object):
             name = parent.member.store
             if parent.member.state is State.READY and name not in owed.bad_sources:
-                up = not parent.resting(self.now) and parent.concurrency.room(share)
-                if up and self.cold_budget(parent, work, spend=False):
+                if parent.resting(self.now):
+                    continue
+                if parent.concurrency.room(share) and self.cold_budget(parent, work, spend=False):
                     return parent
+                busy = True
+        if busy and self.scattered:
+            return None
         return self.origin if self.origin and self.origin.member.state is State.READY else None
 
     def age_bound(self, request: Request) -> tuple[float, bool]:
@@ -567,6 +586,10 @@
             if owed.missed:
                 return False
             source, owed.missed = cache, True
+        if source is None:
+            if owed.missed:
+                return False
+            source, owed.missed = cache, True
         held_only = False
         if self.origin and source is not cache and not self.origin.concurrency.room(self.share(owed)):
             if owed.missed:
@@ -740,7 +763,7 @@
                 self.usual[kind][0] += work
             return True
         part = start + (1.0 - start) * max(self.now - up, 0.0) / warm
-        bearing = self.usual[kind][1] * part * multiple  # work a second
+        bearing = max(self.usual[kind][1], self.link_share(store)) * part * multiple  # work a second
         depth = bearing * COLD_BURST * self.settings.fall_ms / 1000.0
         if store.tokens_at < 0:
             store.tokens, store.tokens_at = 0.0, self.now
@@ -750,6 +773,14 @@
             store.tokens -= work
         return store.tokens >= min(work, depth) and depth > 0
 
+    def link_share(self, store: Store) -> float:
+        """Work a second of this proxy's part of a link whose size is told, all who send there having one: a
+        proxy that has just started, or knows no warm store of that kind, has no usual load to go by."""
+        if not self.weighted or store.member.weight <= 1.0:
+            return 0.0
+        parent = store.member.kind == self.settings.parent_kind
+        return store.member.weight * 1000.0 / max(self.settings.proxies if parent else self.seats, 1)
+
     def learn_usual(self) -> None:
         span = self.now - self.usual_at
         known = self.usual["cache"][1] or self.usual["parent"][1]
