Leave a connection as silent only past the aims of what waits on it

Cause: a connection with three attempts waiting 400 ms without a byte was ended as SILENT once its store had answered a later attempt elsewhere.

Change: an attempt knows its aim, and a connection is silent only past the longest aim on it. Where one really fell silent the answer would have been late by then anyhow, and second copies are sent at half the aim.

--- a/gladelane/interface.py
+++ b/gladelane/interface.py
@@ -278,6 +278,13 @@
             raise ValueError(f"unknown class {name!r}")
         return self.classes[name]
 
+    def aim_ms(self, request: Request) -> float:
+        """Within which an answer earns its full worth, ms. A size made up lengthens it to the deadline at
+        most; one that is not told counts as nothing."""
+        spec = self.classes[request.cls]
+        work = request.size_kb / self.flow_kb_per_s * 1000.0 if self.flow_kb_per_s else 0.0
+        return min(spec.aim_ms + spec.aim_stretch * work, spec.deadline_ms)
+
     def known_zone(self, name: str) -> str:
         if name not in self.zones:
             raise ValueError(f"unknown zone {name!r}")
--- a/gladelane/net/director.py
+++ b/gladelane/net/director.py
@@ -291,7 +291,8 @@
         now = self.clock()
         deadline = exchange.request.deadline_ms
         due = min(now + action.timeout_ms, deadline) if action.timeout_ms else deadline
-        attempt = Attempt(exchange, exchange.sends, action.store, now, due, source, rank, age, hints)
+        aim = self.settings.aim_ms(exchange.request)
+        attempt = Attempt(exchange, exchange.sends, action.store, now, due, source, rank, age, hints, aim)
         exchange.sends += 1
         exchange.open[attempt.number] = attempt
         if exchange.done or exchange.sends > self.settings.max_attempts:
--- a/gladelane/net/exchange.py
+++ b/gladelane/net/exchange.py
@@ -69,6 +69,7 @@
     rank: int = 0
     max_age_ms: float = 0.0
     hints: tuple[str, ...] = ()
+    aim_ms: float = 0.0  # within which an answer earns its full worth
     timer: Entry | None = None
     bound_ms: float = 0.0  # the purge that held when it was written: no older copy may answer it
     written_ms: float = 0.0  # 0 until a byte of it may have left
--- a/gladelane/net/upstream.py
+++ b/gladelane/net/upstream.py
@@ -34,7 +34,7 @@
 QUIET_MOST = 4  # quiet connections to a store, beyond which no further one is dialled
 SPREAD, SPREAD_MOST = 6, 4  # attempts on each connection from which a store gets a further one, and how many
 SPREAD_ROOM = 0.75  # part of the cap up to which that is done
-DEAD_MS, DEAD_OPEN = 400.0, 3  # likewise, while later attempts are answered on another: it never will be
+DEAD_MS, DEAD_OPEN = 400.0, 3  # likewise, past their aims, while later ones are answered elsewhere
 MUTE_AFTER = 2  # attempts that time out in a row without a byte from the peer: one may just be slow
 SPENT = 256  # ids aborted or answered on a connection that are kept off it
 #: a connection that ends so under requests, and answered none before, has an address better passed over
@@ -162,12 +162,17 @@
         self.retired = True
         self.task.cancel()
 
-    def quiet(self, now: float, for_ms: float = QUIET_MS, under: int = QUIET_OPEN) -> bool:
+    def quiet(
+        self, now: float, for_ms: float = QUIET_MS, under: int = QUIET_OPEN, past_aim: bool = False
+    ) -> bool:
         """Whether so many attempts have waited so long while not a byte came: a connection may go silent and
-        stay open, and what is sent on it then is lost."""
+        stay open, and what is sent on it then is lost. `past_aim`: also for longer than any of them was to
+        take, since on a busy day all that wait on one connection may be fills."""
         last = next(islice(self.open.values(), under - 1, None), None)
         if self.writer is None or last is None or not last.written_ms:
             return False
+        if past_aim:
+            for_ms = max(for_ms, *(attempt.aim_ms for attempt in self.open.values()))
         return now - max(self.heard_ms, last.written_ms) > for_ms + self.pool.wheel.lag()
 
     def sweep(self, now: float, answered_ms: float) -> None:
@@ -181,7 +186,7 @@
             log.warning("cut short peer=%s open=%d", self.peer, len(self.open))
             self.end = End.CUT_SHORT
             self.close()
-        elif self.quiet(now, DEAD_MS, DEAD_OPEN) and answered_ms > now - DEAD_MS:
+        elif self.quiet(now, DEAD_MS, DEAD_OPEN, past_aim=True) and answered_ms > now - DEAD_MS:
             log.warning("silent peer=%s open=%d", self.peer, len(self.open))
             self.end = End.SILENT
             self._stalled(End.SILENT.name)
