Start limits at hubs and the origin from a director's part, and let the origin's grow

At fault: `Store.__init__` (START_BY_LINK) and `on_members` (the origin's 64), and `pace`, where the origin, charged with every fill, learned from the few direct ones alone, so that a limit once cut stayed.

Change: where many directors share a branch, hubs start at 1.2 times their link in all, the origin at 1.2 times all hubs' links, each director at its part and the root of it more; timely fills through hubs raise the origin's.

--- a/gladelane/choice.py
+++ b/gladelane/choice.py
@@ -24,6 +24,7 @@
 from .interface import Lookup, Member, Members, Note, Outcome, Purge, Refuse, Request, SetTimer, Settings
 from .interface import Started, State, Status, Subscribe, Timer
 from .purges.index import Index
+from .routes.cold import ColdBudgets, Tokens
 
 LAMBDA = 2  # counted requests until a fill is kept; the design's two
 WHOLE_PASS_SEATS = 2  # proxies in a location among which most of a pass over an object's parts is still seen
@@ -38,7 +39,7 @@
 SWEEP_MS = 250.0  # housekeeping period
 PURGE_SLACK_MS = 500.0  # a purge binds this much longer than the caches need to drop old copies
 FLOOR_MS, LAST_TRY_MS = 60.0, 15.0  # least time left for a second copy, and for any further attempt
-WORK_STEP, USUAL_STEP = 0.02, 0.3  # learning rates of a class's mean work and of the usual load
+WORK_STEP = 0.02  # learning rate of a class's mean work
 LIST_AGAIN_MS = 1000.0  # wait until a list that failed is asked for again
 WRITE_AGAIN_MS, WRITE_LEFT_MS, WRITE_TRIES = 100.0, 300.0, 5  # waits for a refusing origin, a try longer each
 HEDGE_AT = 0.5  # part of the aim after which a second copy is sent
@@ -50,11 +51,10 @@
 DOUBT_KEPT = 0.75  # part of a source's doubt left by one good answer where fills are not told apart
 RETRY_SHARE, RETRY_MOST = 0.3, 30.0  # further attempts earned a request, and how many can be saved up
 HEDGE_SHARE, HEDGE_MOST = 0.05, 5.0  # second copies, likewise
-COLD_RATE, COLD_BURST = 0.35, 0.15  # parts of a cold store's bearing that are sent steadily, and at once
-RATE_MS, FIRST_RATE_MS = 5000.0, 1000.0  # spans over which the usual load of warm stores is learned
-ORIGIN_K = 1.0
+RECENT_MS = 1000.0  # a source that filled so lately is in use
 LIMIT_LEAST, LIMIT_MOST = 2.0, 64.0  # attempts out at one cache, least and most; by weight it may be more
 START_BY_LINK = 2.5  # a store's limit at first, in answers that its link carries at full pace
+START_SHARED = 1.2  # a hub's, for all proxies together where they are many; the origin's, by all hubs' links
 GROW_NEAR = 0.7  # part of the limit that must be in use for a timely answer to raise it
 GROW_MOST = 0.25  # most by which one timely answer raises it, as a part of it
 SPILL_SHARE = 0.8  # part of its room that a cache gives to what the one before it had no room for
@@ -134,8 +134,7 @@
         if weighted and member.weight > 1.0:
             self.concurrency.limit = min(most, START_BY_LINK * member.weight)
         self.timely_ms = 0.0  # when the latest attempt that was answered in time was sent
-        self.tokens = 0.0
-        self.tokens_at = -1.0
+        self.tokens = Tokens()
         self.sent: OrderedDict[int, None] = OrderedDict()
         self.cuts = (0.0, 0.0)
 
@@ -220,21 +219,19 @@
         self.work_of: dict[str, float] = {}
         self.earn: dict[str, float] = {}  # worth for work, a class
         self.earn_most = 0.0
-        self.usual = {"cache": [0.0, 0.0], "parent": [0.0, 0.0]}
-        self.usual_at = -1.0
         self.aged_at = self.cut_at = -1.0
         self.ticking = False
-        self.origin_set = False
         self.weighted = settings.weights in ("nominal", "rough")
         self.seats = dict(zip(settings.zones, settings.seats_by_zone, strict=False)).get(settings.zone, 1)
         self.scattered = self.seats > WHOLE_PASS_SEATS
+        self.cold = ColdBudgets(settings, self.seats)
 
     def handle(self, now_ms: float, event: Event) -> list[Action]:
         self.now = now_ms
         self.actions = []
         if not self.ticking:
             self.ticking = True
-            self.aged_at = self.cut_at = self.usual_at = now_ms
+            self.aged_at = self.cut_at = self.cold.learned_ms = now_ms
             self.emit(SetTimer("sweep", now_ms + SWEEP_MS))
             if self.settings.subscribe:
                 self.emit(Subscribe(True))
@@ -277,32 +274,34 @@
                 self.stores.pop(name, None)
             elif known is None:
                 self.stores[name] = Store(member, self.weighted)
-                self.start_limits(self.stores[name])
+                if member.kind == self.settings.parent_kind:
+                    self.start_shared(self.stores[name], self.cold.link_share(member))
             else:
                 if member.came_up_ms > known.member.came_up_ms:  # a new process: what the old one did is void
                     known.close()
-                    known.tokens_at = -1.0
+                    known.tokens.renew()
                 known.member = member
         of = sorted(self.stores)
         self.caches = [s for n in of if self.is_cache(s := self.stores[n])]
         self.inlet.least = min(LIMIT_LEAST, INLET_LEAST * max(len(self.caches), 1) / max(self.seats, 1))
         self.parents = [s for n in of if (s := self.stores[n]).member.kind == self.settings.parent_kind]
+        origin = self.origin
         origins = [s for n in of if (s := self.stores[n]).member.kind == self.settings.origin_kind]
         self.origin = origins[0] if origins else None
         if self.origin and self.parents:  # it is told no size; all that parents lack passes it
             self.origin.concurrency.widen(max(p.concurrency.most for p in self.parents))
-            if self.scattered and not self.origin_set:
-                self.origin_set = True
-                share = sum(p.member.weight for p in self.parents) / self.settings.proxies * ORIGIN_K
-                self.origin.concurrency.limit = share + 2.0 * share ** 0.5 + 1.0
-
-    def start_limits(self, store: Store) -> None:
-        """Many proxies that start at what a link carries burst many times that before any answer tells."""
-        share = self.link_share(store) * START_BY_LINK
-        if self.scattered and share:
-            start = share + 2.0 * share ** 0.5 + 1.0
-            store.concurrency.limit = min(start, store.concurrency.limit)
-            store.fills.limit = min(start, store.fills.limit)
+            if self.scattered and origin is not self.origin:
+                # fills and limits of many proxies meet here: they start at what the hubs' links carry
+                self.start_shared(self.origin, sum(self.cold.link_share(p.member) for p in self.parents))
+
+    def start_shared(self, store: Store, link: float) -> None:
+        """Many proxies that each start at what a link carries burst to many times that before one learns."""
+        if self.scattered and link:
+            share = START_SHARED * link / 1000.0
+            store.concurrency.limit = min(share + share**0.5 + 1.0, store.concurrency.limit)
+
+    def bears(self, store: Store, work: float) -> bool:
+        return self.cold.allows(store.member, store.tokens, self.now, work)
 
     def is_cache(self, store: Store) -> bool:
         behind = (self.settings.parent_kind, self.settings.origin_kind)
@@ -399,6 +398,8 @@
                 told.append(self.inlet)
             if source and (waited or not late):
                 told.append(source.concurrency)
+            if self.scattered and self.origin and source is not self.origin and not late:
+                told.append(self.origin.concurrency)  # few fills go there straight: too few to learn from
         for concurrency in told:
             concurrency.learn(self.now, attempt.sent_ms, late)
 
@@ -409,7 +410,7 @@
         source.filled_ms = self.now
         others = [
             s.lateness for s in (*self.parents, self.origin)
-            if s and s is not source and self.now - s.filled_ms < FIRST_RATE_MS
+            if s and s is not source and self.now - s.filled_ms < RECENT_MS
         ]
         return late and bool(others) and source.lateness > ALONE_OVER * max(others) + ALONE_BY
 
@@ -488,7 +489,7 @@
         for cache in self.order(self.caches, self.key(owed.request)):
             name = cache.member.store
             if cache.member.state is State.READY and name not in owed.tried and not cache.resting(self.now):
-                if self.cold_budget(cache, work, spend=False):
+                if self.bears(cache, work):
                     if cache.concurrency.room(share):
                         return cache
                     share *= SPILL_SHARE
@@ -505,17 +506,13 @@
     def pick_source(self, owed: Pending) -> Store | None:
         """The first parent in hash order that is up and bears it, else the origin."""
         work = self.work_of.get(owed.spec.name, 0.0)
-        share, busy = self.share(owed), False
+        share = self.share(owed)
         for parent in self.order(self.parents, owed.request.object):
             name = parent.member.store
             if parent.member.state is State.READY and name not in owed.bad_sources:
-                if parent.resting(self.now):
-                    continue
-                if parent.concurrency.room(share) and self.cold_budget(parent, work, spend=False):
+                up = not parent.resting(self.now) and parent.concurrency.room(share)
+                if up and self.bears(parent, work):
                     return parent
-                busy = True
-        if busy and self.scattered:
-            return None
         return self.origin if self.origin and self.origin.member.state is State.READY else None
 
     def age_bound(self, request: Request) -> tuple[float, bool]:
@@ -582,11 +579,7 @@
             return self.fetch(owed, source, source, left, 0, age, False, False)
         if cache is None or not self.in_group(owed, cache):
             return False
-        if not all(concurrency.room(self.share(owed)) for concurrency in self.filling(cache)):
-            if owed.missed:
-                return False
-            source, owed.missed = cache, True
-        if source is None:
+        if source is None or not all(limit.room(self.share(owed)) for limit in self.filling(cache)):
             if owed.missed:
                 return False
             source, owed.missed = cache, True
@@ -611,7 +604,8 @@
     ) -> bool:
         work = self.work_of.get(owed.spec.name, 0.0)
         for target in {store.member.store: store, source.member.store: source}.values():
-            self.cold_budget(target, work, spend=True)
+            if target is not self.origin:
+                self.cold.spend(target.member, target.tokens, self.now, work)
             if target.rest_ms > DOWN_MS:
                 target.trial_at = self.now + timeout
         self.emit(Fetch(
@@ -745,62 +739,11 @@
             elif owed and status is Status.RESET and owed.tried and owed.tried[-1] == attempt.store:
                 owed.tried.pop()  # it runs but loses answers: ask again where the copy is
 
-    # --- the cold budget
-
-    def cold_budget(self, store: Store, work: float, spend: bool) -> bool:
-        """Whether a store that started lately can take this much more. What it can do is told from what
-        warm ones of its kind are sent: its part of that by its age, times the multiple at which it falls."""
-        parent = store.member.kind == self.settings.parent_kind
-        kind = "parent" if parent else "cache"
-        up = store.member.came_up_ms
-        start = self.settings.parent_cold_from if parent else self.settings.cold_from
-        warm = self.settings.parent_cold_ms if parent else self.settings.warm_after_ms
-        multiple = self.settings.parent_fall_multiple if parent else self.settings.fall_multiple
-        if store is self.origin:
-            return True
-        if not up or self.now - up >= warm or not warm:
-            if spend:
-                self.usual[kind][0] += work
-            return True
-        part = start + (1.0 - start) * max(self.now - up, 0.0) / warm
-        bearing = max(self.usual[kind][1], self.link_share(store)) * part * multiple  # work a second
-        depth = bearing * COLD_BURST * self.settings.fall_ms / 1000.0
-        if store.tokens_at < 0:
-            store.tokens, store.tokens_at = 0.0, self.now
-        gained = bearing * COLD_RATE * (self.now - store.tokens_at) / 1000.0
-        store.tokens, store.tokens_at = min(store.tokens + gained, depth), self.now
-        if spend:
-            store.tokens -= work
-        return store.tokens >= min(work, depth) and depth > 0
-
-    def link_share(self, store: Store) -> float:
-        """Work a second of this proxy's part of a link whose size is told, all who send there having one: a
-        proxy that has just started, or knows no warm store of that kind, has no usual load to go by."""
-        if not self.weighted or store.member.weight <= 1.0:
-            return 0.0
-        parent = store.member.kind == self.settings.parent_kind
-        return store.member.weight * 1000.0 / max(self.settings.proxies if parent else self.seats, 1)
-
-    def learn_usual(self) -> None:
-        span = self.now - self.usual_at
-        known = self.usual["cache"][1] or self.usual["parent"][1]
-        if span < (RATE_MS if known else FIRST_RATE_MS):  # until the first, cold stores get nothing
-            return
-        for kind, stores in (("cache", self.caches), ("parent", self.parents)):
-            warm = self.settings.parent_cold_ms if kind == "parent" else self.settings.warm_after_ms
-            up = [s for s in stores if not s.member.came_up_ms or self.now - s.member.came_up_ms >= warm]
-            if up:
-                rate = self.usual[kind][0] / len(up) / span * 1000.0
-                last = self.usual[kind][1]
-                self.usual[kind][1] = rate if not last else last + USUAL_STEP * (rate - last)
-            self.usual[kind][0] = 0.0
-        self.usual_at = self.now
-
     # --- housekeeping
 
     def sweep(self) -> None:
         self.emit(SetTimer("sweep", self.now + SWEEP_MS))
-        self.learn_usual()
+        self.cold.learn(self.now, (s.member for s in self.caches), (s.member for s in self.parents))
         if self.now - self.aged_at >= AGEING_MS:
             self.aged_at = self.now
             for entry in self.objects.values():
--- a/tests/fleet/test_many_directors.py
+++ b/tests/fleet/test_many_directors.py
@@ -1,8 +1,8 @@
 """What is harmless in one director and hurts when forty do it: real routers in virtual time, counted over all."""
 
-from conftest import Driver, members, some
+from conftest import Driver, members, only, some
 
-from gladelane.interface import Fetch, Member, Note, Timer
+from gladelane.interface import Fetch, Member, Note, State, Timer
 
 WEIGHT, SEATS = 8.0, 8
 COLD_FROM, WARM_MS, MULTIPLE, WINDOW_MS = 0.2, 15_000.0, 3.0, 2_000.0
@@ -39,3 +39,39 @@
             inside = sum(work for t, work in at if since <= t < since + WINDOW_MS)
             part = min(COLD_FROM + (1.0 - COLD_FROM) * (since - began) / WARM_MS, 1.0)
             assert inside <= MULTIPLE * part * WEIGHT * WINDOW_MS
+
+
+def test_when_all_copies_are_void_at_once_the_directors_together_ask_hubs_for_what_their_links_carry() -> None:
+    # 40 directors that each started at 2.5 links had 575 fills at two hubs, and 95 more went past them
+    hubs = (Member("p0", "hub", "mid", weight=40.0), Member("p1", "hub", "mid", weight=40.0))
+    stores = (*(Member(f"c{n}", "edge", "box", weight=8.0) for n in range(4)), *hubs, Member("root", "hub", "root"))
+    fills: dict[str, int] = {}
+    looks = 0
+    for me in range(40):
+        d = Driver(stores, weights="nominal", notes="hit", seats_by_zone=[0, SEATS], proxies=40, me=me)
+        for n in range(24):  # a second's requests, each for another object, and not an answer yet
+            for fetch in some(d.ask(object=1000 * me + n, cls="page"), Fetch):
+                fills[fetch.source] = fills.get(fetch.source, 0) + (fetch.source != fetch.store)
+                looks += fetch.source == fetch.store
+    assert 40 <= sum(fills.values()) <= 4 * 80 and looks > 0
+
+
+def test_the_room_at_the_origin_grows_with_timely_fills_through_hubs() -> None:
+    # it learned from direct fills alone: one start or cut held for the day, and refused a tenth of a calm one
+    hub = Member("p0", "hub", "mid", weight=40.0)
+    d = Driver((Member("c0", "edge", "box", weight=8.0), hub, Member("root", "hub", "root")), weights="nominal",
+               notes="hit", seats_by_zone=[0, SEATS], proxies=40)  # fmt: skip
+    assert d.router.origin is not None
+    limit = d.router.origin.concurrency
+    began = limit.limit
+    for n in range(20):
+        waiting = [f for i in range(3) for f in some(d.ask(object=10 * n + i, cls="page"), Fetch)]
+        for fetch in waiting:
+            d.answer(fetch, note=Note.PARENT_HELD, after=20.0)
+    assert began < 4.0 and limit.limit > 1.2 * began
+
+
+def test_hubs_that_are_down_are_passed_by_to_the_origin() -> None:
+    d = Driver((Member("c0", "edge", "box", weight=8.0), Member("p0", "hub", "mid", weight=40.0, state=State.DRAINING),
+                Member("root", "hub", "root")), weights="nominal", seats_by_zone=[0, SEATS], proxies=40)  # fmt: skip
+    assert only(d.ask(object=1, cls="page"), Fetch).source == "root"
