Spread the calls of the board after a break by each director's seed

At fault: `Board.run` in net/board.py.

Change: a wait is shortened by up to half, by chance from the director's name and seed; never lengthened, so that the times by which it counts as told hold as before. At most 15 of 40 calls fall into 20 ms, and a director without a board calls 300 times a minute at most.

--- a/gladelane/__main__.py
+++ b/gladelane/__main__.py
@@ -90,7 +90,8 @@
         """From the revision reached, and at once: no stream nor backoff of a board left before counts."""
         if self._board is not None:
             self._board.cancel()
-        board = Board(*self.config.board, lambda: self.director.rev, self.director.notice)
+        rng = random.Random(f"{self.config.name} {self.config.seed}")
+        board = Board(*self.config.board, lambda: self.director.rev, self.director.notice, rng)
         self._board = asyncio.create_task(board.run())
 
     def configure(self, operator: Operator | None) -> None:
--- a/gladelane/net/board.py
+++ b/gladelane/net/board.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import random
 from collections.abc import Callable
 
 import h11
@@ -19,17 +20,32 @@
 DIAL_S = 1.0
 # what it has to tell counts as told 2 s after a break and 4 s after it fell silent: these add up to less
 BACKOFF_S, BACKOFF_MOST_S = 0.1, 0.4
+SPREAD = 0.5  # part of a wait that chance may take off: a board that falls silent does so for all directors
+
+
+class Backoff:
+    """Waits between calls: doubling while nothing new is heard, each shortened by chance."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+        self._wait_s = BACKOFF_S
+
+    def after(self, heard: bool) -> float:
+        """Seconds to wait after a call that brought something new, or nothing."""
+        self._wait_s = BACKOFF_S if heard else min(self._wait_s * 2, BACKOFF_MOST_S)
+        return self._wait_s * (1.0 - SPREAD * self._rng.random())
 
 
 class Board:
     def __init__(
-        self, host: str, port: int, last: Callable[[], int], tell: Callable[[Notice], None]
+        self, host: str, port: int, last: Callable[[], int], tell: Callable[[Notice], None],
+        rng: random.Random,
     ) -> None:
         self._host, self._port = host, port
+        self._backoff = Backoff(rng)
         self._last, self._tell = last, tell
 
     async def run(self) -> None:
-        backoff = BACKOFF_S
         while True:
             before = self._last()
             try:
@@ -39,8 +55,7 @@
                 log.warning("board lost: %s %s", type(error).__name__, error)
             except Exception:  # a director that no longer listens would go on by an old list
                 log.exception("board failed")
-            backoff = BACKOFF_S if self._last() > before else min(backoff * 2, BACKOFF_MOST_S)
-            await asyncio.sleep(backoff)
+            await asyncio.sleep(self._backoff.after(self._last() > before))
 
     async def _follow(self) -> None:
         async with asyncio.timeout(DIAL_S):
--- a/tests/fleet/test_many_directors.py
+++ b/tests/fleet/test_many_directors.py
@@ -1,8 +1,11 @@
 """What is harmless in one director and hurts when forty do it: real routers in virtual time, counted over all."""
 
+import random
+
 from conftest import Driver, members, only, some
 
 from gladelane.interface import Fetch, Member, Note, State, Timer
+from gladelane.net.board import BACKOFF_MOST_S, BACKOFF_S, Backoff
 
 WEIGHT, SEATS = 8.0, 8
 COLD_FROM, WARM_MS, MULTIPLE, WINDOW_MS = 0.2, 15_000.0, 3.0, 2_000.0
@@ -75,3 +78,18 @@
     d = Driver((Member("c0", "edge", "box", weight=8.0), Member("p0", "hub", "mid", weight=40.0, state=State.DRAINING),
                 Member("root", "hub", "root")), weights="nominal", seats_by_zone=[0, SEATS], proxies=40)  # fmt: skip
     assert only(d.ask(object=1, cls="page"), Fetch).source == "root"
+
+
+def test_directors_whose_board_ends_at_one_moment_do_not_call_again_as_one() -> None:
+    # 40 feeds fell silent at once, and 40 calls came back in one tick
+    backoffs = [Backoff(random.Random(seed)) for seed in range(40)]
+    due = [0.0] * 40
+    calls: list[float] = []
+    for n, backoff in enumerate(backoffs):
+        while due[n] < 60.0:
+            due[n] += (wait := backoff.after(heard=False))
+            assert wait * 2 > BACKOFF_S and wait <= BACKOFF_MOST_S
+            calls.append(due[n])
+    in_tick = [sum(int(t / 0.02) == tick for t in calls) for tick in range(3000)]
+    assert max(in_tick) < 15  # of 40
+    assert len(calls) / 40 <= 60.0 / (BACKOFF_MOST_S * 0.5) + 2  # a minute, each
--- a/tests/test_net_rules.py
+++ b/tests/test_net_rules.py
@@ -7,6 +7,7 @@
 import json
 import logging
 import os
+import random
 import signal
 import subprocess
 import sys
@@ -586,7 +587,7 @@
         patch.setattr(board_module, "BACKOFF_S", 0.01)
         async with running(config({"r0": REFUSED})) as (node, _):
             events = told(node.director)
-            board = Board(*await feed.start(), lambda: node.director.rev, node.director.notice)
+            board = Board(*await feed.start(), lambda: node.director.rev, node.director.notice, random.Random(1))
             task = asyncio.create_task(board.run())
             await until(lambda: len(feed.asked) >= 5)
             task.cancel()
