Keep the last good list when the board's whole list names no usable store

Cause: a whole list that is empty, or of which no entry can be read, emptied a director's list; the board tells all directors the same, so one such event would stop the fleet. At fault: `Director.notice`, which handed any whole list on. Ruled out: a list in which all drain or are gone is obeyed, since the rule on drains has no exception.

--- a/gladelane/net/director.py
+++ b/gladelane/net/director.py
@@ -123,9 +123,13 @@
         self.rev = notice.rev
         if notice.pool is not None:
             told = [(i, m) for i in notice.pool.instances if (m := self._member(i)) is not None]
-            self._list(told, notice.pool.reset)
-            kind = ListKind.COMPLETE if notice.pool.reset else ListKind.CHANGES
-            self.post(Members(kind, tuple(member for _, member in told)))
+            if notice.pool.reset and not told:
+                # one bad whole list, sent to all directors, would stop the fleet: the last good one stays
+                log.error("bad event: rev=%d is a whole list without a usable store", notice.rev)
+            else:
+                self._list(told, notice.pool.reset)
+                kind = ListKind.COMPLETE if notice.pool.reset else ListKind.CHANGES
+                self.post(Members(kind, tuple(member for _, member in told)))
         if notice.flush is not None:
             asset, group = notice.flush.asset, notice.flush.collection
             if (asset is None) == (group is None) or (asset is not None and not HEX16.fullmatch(asset)):
--- a/tests/fleet/test_many_directors.py
+++ b/tests/fleet/test_many_directors.py
@@ -4,7 +4,7 @@
 
 from conftest import Driver, members, only, some
 
-from gladelane.interface import Fetch, Member, Note, State, Timer
+from gladelane.interface import Fetch, Member, Note, State, Status, Timer
 from gladelane.net.board import BACKOFF_MOST_S, BACKOFF_S, Backoff
 
 WEIGHT, SEATS = 8.0, 8
@@ -93,3 +93,19 @@
     in_tick = [sum(int(t / 0.02) == tick for t in calls) for tick in range(3000)]
     assert max(in_tick) < 15  # of 40
     assert len(calls) / 40 <= 60.0 / (BACKOFF_MOST_S * 0.5) + 2  # a minute, each
+
+
+def test_repeats_of_all_directors_stay_a_part_of_first_attempts_while_everything_is_refused() -> None:
+    firsts = repeats = 0
+    for me in range(40):
+        d = Driver(members(caches=4), seats_by_zone=[0, SEATS], proxies=40, me=me, retry_after=False)
+        for n in range(240):  # 20 s of 12 a second
+            d.now += 83.0
+            waiting = some(d.ask(object=n, cls="page"), Fetch)
+            firsts += len(waiting)
+            while waiting:
+                again = some(d.answer(waiting.pop(), Status.FULL, after=1.0), Fetch)
+                repeats += len(again)
+                waiting += again
+    assert firsts > 1000
+    assert repeats <= 0.4 * firsts
--- a/tests/test_net_rules.py
+++ b/tests/test_net_rules.py
@@ -784,3 +784,22 @@
         assert [(e.object, e.group) for e in events if isinstance(e, Purge)] == [(0x7F3A9C21E0B4D656, 0), (0, 0)]
         client.ask(1)
         assert await client.next() == SERVED
+
+
+@trial
+async def test_a_whole_list_without_a_usable_store_leaves_the_last_good_one() -> None:
+    # told to all directors at once, such a list would stop the fleet
+    cache = Cache(hit)
+    address = await cache.start()
+    async with running(config({"c0": address, "r0": REFUSED})) as (node, client):
+        odd = {"instanceId": "c0", "hostPort": address, "zone": "moon", "machineType": "box", "lifecycle": "in_service"}
+        draining = {**odd, "zone": "edge", "lifecycle": "terminating"}
+        for rev, instances in ((2, []), (3, [odd]), (4, [odd, {**odd, "lifecycle": "asleep"}])):
+            pool = {"reset": True, "instances": instances}
+            node.director.notice(notice_decoder.decode(json.dumps({"rev": rev, "pool": pool})))
+        assert set(node.director.router.stores) == {"c0", "r0"} and node.director.rev == 4
+        client.ask(1)
+        assert await client.next() == SERVED
+        pool = {"reset": True, "instances": [draining]}
+        node.director.notice(notice_decoder.decode(json.dumps({"rev": 5, "pool": pool})))
+        assert not node.director._ready("c0") and not node.director._ready("r0")  # that all drain is news
