Test that the connections to one store are bounded also when all are quiet

Need: forty directors meet at a hub's or the origin's table of connections, and no test bounded what one director opens there when every connection is quiet, which is when further ones are dialled. Change: a test on real sockets; no code changed.

--- a/tests/test_net_rules.py
+++ b/tests/test_net_rules.py
@@ -803,3 +803,16 @@
         pool = {"reset": True, "instances": [draining]}
         node.director.notice(notice_decoder.decode(json.dumps({"rev": 5, "pool": pool})))
         assert not node.director._ready("c0") and not node.director._ready("r0")  # that all drain is news
+
+
+@trial
+async def test_the_connections_to_one_store_are_bounded_also_when_all_of_them_are_quiet() -> None:
+    # forty directors each open so many at most to a hub or the origin, whose table holds few
+    cache = Cache(mute)
+    async with running(config({"c0": await cache.start(), "r0": REFUSED})) as (node, client):
+        for stream in range(1, 33):
+            client.ask(stream, d="5000")
+            await until(lambda: len(cache.seen) >= stream)  # noqa: B023
+            if stream % 3 == 0:
+                await asyncio.sleep(upstream_module.QUIET_MS / 1000 / 4)
+        assert upstream_module.SPREAD_MOST <= len(cache.conns) <= upstream_module.QUIET_MOST + 1
