Let a director save up for a request to a cold hub instead of sending it on credit

Cause, found on reading the change again: a director's part of a cold hub's budget is less than one request, and each was let go into debt for one. Forty do so at once: in a test of 40 real routers a hub of 40 transfers was sent 46,400 ms of work in 2 s, where the rule allows 28,480. Further, the usual load of warm hubs was taken where it exceeded the link's part: with it alone 29,200 against 19,840. At fault: the budget's `min(work, depth)` and `max(usual, link)`, routes/cold.py.

Change: the budget must hold a whole request before it goes, what is saved is bounded by the largest, and where in that a director begins is chance from its seed; where the list tells a link its part is the budget, alone.

--- a/gladelane/choice.py
+++ b/gladelane/choice.py
@@ -224,7 +224,7 @@
         self.weighted = settings.weights in ("nominal", "rough")
         self.seats = dict(zip(settings.zones, settings.seats_by_zone, strict=False)).get(settings.zone, 1)
         self.scattered = self.seats > WHOLE_PASS_SEATS
-        self.cold = ColdBudgets(settings, self.seats)
+        self.cold = ColdBudgets(settings, self.seats, self.random)
 
     def handle(self, now_ms: float, event: Event) -> list[Action]:
         self.now = now_ms
--- a/gladelane/routes/cold.py
+++ b/gladelane/routes/cold.py
@@ -1,11 +1,13 @@
 """The budget of servers that started lately: how much this director may send while they are cold. Pure.
 
-What a server can do is told from what warm ones of its kind are sent, or from its link where the list tells
-its size: its part of that by its age, times the multiple at which it falls over. Work is sending time in ms.
+What a server can do is told from its link where the list tells its size (warm ones may be sent more than they
+can do), else from what warm ones of its kind are sent: its part of that by its age, times the multiple at which
+it falls over. Work is sending time in ms.
 """
 
 from __future__ import annotations
 
+import random
 from collections.abc import Iterable
 
 from ..interface import Member, Settings
@@ -16,12 +18,13 @@
 
 
 class Tokens:
-    """A cold server's budget at this director: work that may be sent now, and when it was counted."""
+    """A cold server's budget at this director: work that may be sent now, when it was counted, and the most
+    that one request took."""
 
-    __slots__ = ("left", "at_ms")
+    __slots__ = ("left", "at_ms", "most")
 
     def __init__(self) -> None:
-        self.left, self.at_ms = 0.0, -1.0
+        self.left, self.at_ms, self.most = 0.0, -1.0, 0.0
 
     def renew(self) -> None:
         """A new process: what was sent to the old one is void."""
@@ -44,8 +47,9 @@
 class ColdBudgets:
     """For the caches of the location, which its directors share, and the parents, which all share."""
 
-    def __init__(self, settings: Settings, seats: int) -> None:
+    def __init__(self, settings: Settings, seats: int, rng: random.Random) -> None:
         s = settings
+        self.rng = rng
         self.parent_kind = s.parent_kind
         self.weighted = s.weights in ("nominal", "rough")
         self.fall_ms = s.fall_ms
@@ -69,26 +73,28 @@
         kind = self._of(member)
         if kind.warm(member, now):
             return True
-        depth = self._refill(kind, member, tokens, now)
-        return tokens.left >= min(work, depth) and depth > 0
+        self._refill(kind, member, tokens, now, work)
+        return tokens.left >= work
 
     def spend(self, member: Member, tokens: Tokens, now: float, work: float) -> None:
         kind = self._of(member)
         if kind.warm(member, now):
             kind.sent += work
         else:
-            self._refill(kind, member, tokens, now)
+            self._refill(kind, member, tokens, now, work)
             tokens.left -= work
 
-    def _refill(self, kind: _Kind, member: Member, tokens: Tokens, now: float) -> float:
+    def _refill(self, kind: _Kind, member: Member, tokens: Tokens, now: float, work: float) -> None:
+        """One that carries less than a request of its own saves up for it: forty that each sent one on credit
+        would be a crowd. Where in that they begin is chance, or all would have saved enough at one moment."""
         part = kind.start + (1.0 - kind.start) * max(now - member.came_up_ms, 0.0) / kind.warm_ms
-        bearing = max(kind.usual, self.link_share(member)) * part * kind.multiple  # work a second
+        bearing = (self.link_share(member) or kind.usual) * part * kind.multiple  # work a second
         depth = bearing * COLD_BURST * self.fall_ms / 1000.0
         if tokens.at_ms < 0:
-            tokens.left, tokens.at_ms = 0.0, now
+            tokens.left, tokens.at_ms = self.rng.random() * work if 0.0 < depth < work else 0.0, now
+        tokens.most = max(tokens.most, work)
         gained = bearing * COLD_RATE * (now - tokens.at_ms) / 1000.0
-        tokens.left, tokens.at_ms = min(tokens.left + gained, depth), now
-        return depth
+        tokens.left, tokens.at_ms = min(tokens.left + gained, max(depth, tokens.most)), now
 
     def learn(self, now: float, caches: Iterable[Member], parents: Iterable[Member]) -> None:
         """The usual load of warm servers, from what was sent since it was learned last."""
--- a/tests/fleet/test_many_directors.py
+++ b/tests/fleet/test_many_directors.py
@@ -4,6 +4,7 @@
 
 from conftest import Driver, members, only, some
 
+from gladelane.choice import Router
 from gladelane.interface import Fetch, Member, Note, State, Status, Timer
 from gladelane.net.board import BACKOFF_MOST_S, BACKOFF_S, Backoff
 
@@ -109,3 +110,26 @@
                 waiting += again
     assert firsts > 1000
     assert repeats <= 0.4 * firsts
+
+
+def test_directors_that_each_see_little_do_not_push_a_cold_hub_over_with_one_request_each() -> None:
+    # a director's part of a cold hub's budget is less than one request: forty that each overdraw it are a crowd
+    hubs = (Member("p0", "hub", "mid", weight=40.0, came_up_ms=100_000.0), Member("p1", "hub", "mid", weight=40.0))
+    stores = (*(Member(f"c{n}", "edge", "box", weight=8.0) for n in range(4)), *hubs, Member("root", "hub", "root"))
+    fleet = [Driver(stores, weights="nominal", seats_by_zone=[0, SEATS], proxies=40, me=n) for n in range(40)]
+    for n, d in enumerate(fleet):
+        d.router = Router(d.settings, n)
+        d.members(stores)
+    sent: list[float] = []
+    for step in range(160):  # 16 s, 10 requests a second and director, of 400 ms
+        for n, d in enumerate(fleet):
+            d.now += 100.0
+            if step % 3 == 0:
+                d.tell(Timer("sweep"))
+            for fetch in some(d.ask(object=step * 40 + n, size_kb=1600.0), Fetch):
+                sent += [d.now] * (fetch.source == "p0")
+                d.answer(fetch, note=Note.PARENT_HELD, after=0.0)
+    for since in sorted(set(sent)):
+        part = 0.1 + 0.9 * (since - 100_000.0) / 15_000.0
+        assert 400.0 * sum(since <= t < since + WINDOW_MS for t in sent) <= 2.0 * min(part, 1.0) * 40.0 * WINDOW_MS
+    assert min(sent) < 105_000.0
