--- a/gladelane/routes/cold.py
+++ b/gladelane/routes/cold.py
@@ -1,8 +1,8 @@
 """The budget of servers that started lately: how much this director may send while they are cold. Pure.
 
 What a server can do is told from its link where the list tells its size (warm ones may be sent more than they
-can do), else from what warm ones of its kind are sent: its part of that by its age, times the multiple at which
-it falls over. Work is sending time in ms.
+can do), else from what warm ones of its kind are sent: its part of that by its age, times the multiple at
+which it falls over. Work is sending time in ms.
 """
 
 from __future__ import annotations
