Wait for feeds as for the board, and open the origin's room once, however the list comes

Cause, found on reading the change again: the wait between calls was decided in net/board.py, beside its I/O, and purges/follow.py had the same without any spread, so directors cut off from a feed came back as one. And the origin's start was missed where it is listed before the hubs, and undone by `widen` where a hub with a wider link joined later: its room then went to that link for each of forty directors.

Change: structures/backoff.py, pure, for both; a store remembers that it was opened, and a wider hub raises only what the limit may reach.

--- a/gladelane/choice.py
+++ b/gladelane/choice.py
@@ -135,6 +135,7 @@
             self.concurrency.limit = min(most, START_BY_LINK * member.weight)
         self.timely_ms = 0.0  # when the latest attempt that was answered in time was sent
         self.tokens = Tokens()
+        self.opened = False  # the origin, once parents tell how wide it may start
         self.sent: OrderedDict[int, None] = OrderedDict()
         self.cuts = (0.0, 0.0)
 
@@ -285,13 +286,15 @@
         self.caches = [s for n in of if self.is_cache(s := self.stores[n])]
         self.inlet.least = min(LIMIT_LEAST, INLET_LEAST * max(len(self.caches), 1) / max(self.seats, 1))
         self.parents = [s for n in of if (s := self.stores[n]).member.kind == self.settings.parent_kind]
-        origin = self.origin
         origins = [s for n in of if (s := self.stores[n]).member.kind == self.settings.origin_kind]
         self.origin = origins[0] if origins else None
         if self.origin and self.parents:  # it is told no size; all that parents lack passes it
-            self.origin.concurrency.widen(max(p.concurrency.most for p in self.parents))
-            if self.scattered and origin is not self.origin:
-                # fills and limits of many proxies meet here: they start at what the hubs' links carry
+            widest = max(p.concurrency.most for p in self.parents)
+            if self.origin.opened:  # what was learnt is not widened away by a larger parent that comes
+                self.origin.concurrency.most = max(self.origin.concurrency.most, widest)
+            else:
+                self.origin.opened = True
+                self.origin.concurrency.widen(widest)
                 self.start_shared(self.origin, sum(self.cold.link_share(p.member) for p in self.parents))
 
     def start_shared(self, store: Store, link: float) -> None:
--- a/gladelane/net/board.py
+++ b/gladelane/net/board.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from ..sse import EventStream
+from ..structures.backoff import Backoff
 from .config import Notice, notice_decoder
 
 log = logging.getLogger(__name__)
@@ -20,20 +21,6 @@
 DIAL_S = 1.0
 # what it has to tell counts as told 2 s after a break and 4 s after it fell silent: these add up to less
 BACKOFF_S, BACKOFF_MOST_S = 0.1, 0.4
-SPREAD = 0.5  # part of a wait that chance may take off: a board that falls silent does so for all directors
-
-
-class Backoff:
-    """Waits between calls: doubling while nothing new is heard, each shortened by chance."""
-
-    def __init__(self, rng: random.Random) -> None:
-        self._rng = rng
-        self._wait_s = BACKOFF_S
-
-    def after(self, heard: bool) -> float:
-        """Seconds to wait after a call that brought something new, or nothing."""
-        self._wait_s = BACKOFF_S if heard else min(self._wait_s * 2, BACKOFF_MOST_S)
-        return self._wait_s * (1.0 - SPREAD * self._rng.random())
 
 
 class Board:
@@ -42,7 +29,7 @@
         rng: random.Random,
     ) -> None:
         self._host, self._port = host, port
-        self._backoff = Backoff(rng)
+        self._backoff = Backoff(rng, BACKOFF_S, BACKOFF_MOST_S)
         self._last, self._tell = last, tell
 
     async def run(self) -> None:
--- a/gladelane/purges/follow.py
+++ b/gladelane/purges/follow.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import logging
+import random
 import ssl
 from collections.abc import Callable
 from contextlib import aclosing
@@ -12,6 +13,7 @@
 import msgspec
 
 from ..sse import EventStream
+from ..structures.backoff import Backoff
 from .http import Refused, ask
 from .order import BadPurge, Purge, Vector, read_vector, vector_text
 from .wire import SILENT_S, event_decoder
@@ -41,7 +43,7 @@
         self.caught_up = asyncio.Event()
 
     async def run(self) -> None:
-        backoff = BACKOFF_S
+        backoff = Backoff(random.Random(), BACKOFF_S, BACKOFF_MOST_S)
         while True:
             before = self.heard_ms
             try:
@@ -52,8 +54,7 @@
                 log.warning("feed lost feed=%s:%d: %s %s", self.host, self.port, type(error).__name__, error)
             except Exception:  # a director that no longer listens would go on by old purges
                 log.exception("feed failed")
-            backoff = BACKOFF_S if self.heard_ms > before else min(backoff * 2, BACKOFF_MOST_S)
-            await asyncio.sleep(backoff)
+            await asyncio.sleep(backoff.after(self.heard_ms > before))
 
     async def _follow(self) -> None:
         events = EventStream()
--- a/tests/fleet/test_many_directors.py
+++ b/tests/fleet/test_many_directors.py
@@ -6,8 +6,9 @@
 from conftest import Driver, some
 
 from gladelane.choice import Router
-from gladelane.interface import Fetch, Member, Note, Status, Timer
-from gladelane.net.board import BACKOFF_MOST_S, BACKOFF_S, Backoff
+from gladelane.interface import Fetch, ListKind, Member, Note, Status, Timer
+from gladelane.net.board import BACKOFF_MOST_S, BACKOFF_S
+from gladelane.structures.backoff import Backoff
 
 WEIGHT, SEATS = 8.0, 8
 COLD_FROM, WARM_MS, MULTIPLE, WINDOW_MS = 0.2, 15_000.0, 3.0, 2_000.0
@@ -73,11 +74,16 @@
         for fetch in waiting:
             d.answer(fetch, note=Note.PARENT_HELD, after=20.0)
     assert began < 4.0 and limit.limit > 1.2 * began
+    # a list that comes in parts, and a wider hub that joins later: neither opens the origin to all at once
+    (d,) = fleet((FOUR[0], ROOT), 1)
+    for hub in (HUBS[0], replace(HUBS[1], weight=200.0)):
+        d.members((hub,), ListKind.CHANGES)
+        assert d.router.origin is not None and d.router.origin.concurrency.limit < 4.0
 
 
 def test_directors_whose_board_ends_at_one_moment_do_not_call_again_as_one() -> None:
     # 40 feeds fell silent at once, and 40 calls came back in one tick
-    backoffs = [Backoff(random.Random(seed)) for seed in range(40)]
+    backoffs = [Backoff(random.Random(seed), BACKOFF_S, BACKOFF_MOST_S) for seed in range(40)]
     due = [0.0] * 40
     calls: list[float] = []
     for n, backoff in enumerate(backoffs):
