Open the operators' door and hand the listening socket to a new version

Ruled out: descriptors (37 of 384) and memory (27 of 80 MB).

Change: operations/door.py, a thread with a loop of its own for h11 calls; upgrade/channel.py, a Unix socket in TMPDIR over which the listening socket passes, SO_REUSEPORT where it cannot; connections are accepted in a reader, since a cancelled accept task loses the connection it was given. On SIGTERM beside a new process the old one stops accepting at once.

--- a/gladelane/__main__.py
+++ b/gladelane/__main__.py
@@ -9,6 +9,7 @@
 import os
 import random
 import signal
+import socket
 import sys
 import time
 from typing import TYPE_CHECKING
@@ -16,6 +17,7 @@
 import uvloop
 
 if TYPE_CHECKING:
+    from .operations.door import Door
     from .purges.holder import Holder
     from .purges.holder import Options as HolderOptions
     from .settings.operator import Operator
@@ -23,11 +25,13 @@
 from . import logs
 from .endpoints.plan import Endpoints
 from .net.board import Board
-from .net.config import BadConfig, Config, read_config
+from .net.config import BadConfig, Config, host_port, read_config
 from .net.director import Director
 from .net.front import Front
 from .net.upstream import Upstream
 from .net.wheel import Clock, Wheel
+from .operations.desk import Desk
+from .upgrade.channel import Channel, Message
 
 log = logging.getLogger("gladelane")
 endpoints_log = logging.getLogger("gladelane.endpoints")
@@ -67,11 +71,17 @@
         if operator is not None and operator.purges is not None:
             self.purges = self.director.guard = open_purges(operator.purges, self.director, self.clock)
         self.port = 0
+        self.desk = Desk()
+        self.door: Door | None = None
+        self.channel: Channel | None = None
         self._tasks: list[asyncio.Task[None]] = []
         self._board: asyncio.Task[None] | None = None
 
     async def start(self) -> int:
         """Clients are let in only once all that is known has been applied: readiness promises that."""
+        if self.config.ops is not None:
+            self._open_door(*self.config.ops)
+        given = self._meet()
         for notice in self.config.known.notices:
             self.director.notice(notice)
         self.director.rev = max(self.director.rev, self.config.known.rev)
@@ -83,9 +93,35 @@
             timeout = self.config.conn.dial_timeout_ms
             self.purges.start(Deliver(self.purges.orders, self.endpoints, self.upstream, timeout))
             await self.purges.ready()
-        self.port = await self.front.listen(*self.config.listen)
+        host, port = self.config.listen
+        self.port = await self.front.listen(host, port, given, shared=self.config.ops is not None)
+        if self.channel is not None:
+            self.channel.listen()
+        self.desk.takes_clients = True
         return self.port
 
+    def _open_door(self, host: str, port: int) -> None:
+        from .operations.door import Door  # on older days there is neither a place nor a thread
+
+        self.door = Door(self.desk, asyncio.get_running_loop())
+        self.door.open(host, port)
+
+    def _meet(self) -> socket.socket | None:
+        """The listening socket of the process that this one comes beside, if there is one. Where operators
+        have no door nobody brings a new version beside the old one."""
+        folder = os.environ.get("TMPDIR", "")
+        if self.config.ops is None or not folder:
+            return None
+        name = f"{self.config.name} {self.config.listen[0]}:{self.config.listen[1]}"
+        self.channel = Channel(folder, name, self._told, self._together, lambda: self.front.listener)
+        return self.channel.meet()
+
+    def _told(self, message: Message) -> None:
+        """An order that operators gave to the other process."""
+
+    def _together(self) -> None:
+        """Another process has come or gone."""
+
     def _follow(self) -> None:
         """From the revision reached, and at once: no stream nor backoff of a board left before counts."""
         if self._board is not None:
@@ -119,9 +155,14 @@
         """Clients are told to go, yet go on arriving for a while; then what is owed is waited for, but no
         longer than a restart may take: what is still open then is failed, which its client can act on."""
         began = asyncio.get_running_loop().time()
+        self.desk.takes_clients = False
         self.front.drain()
-        await asyncio.sleep(LINGER_S)
-        self.front.stop_listening()
+        if self.channel is not None and self.channel.peers:
+            # the other process takes what waits in the queue, and all that comes
+            self.front.stop_listening(queued=False)
+        else:
+            await asyncio.sleep(LINGER_S)
+            self.front.stop_listening()
         longest = max(spec.deadline_ms for spec in self.config.settings.classes.values()) / 1000.0
         last = began + min(longest + LAST_S, LAST_MOST_S)
         with contextlib.suppress(TimeoutError):
@@ -135,6 +176,10 @@
                     await asyncio.sleep(0.02)
 
     async def close(self) -> None:
+        if self.door is not None:
+            self.door.close()
+        if self.channel is not None:
+            self.channel.close()
         await self.front.close()
         self.upstream.close()
         if self.purges is not None:
@@ -184,6 +229,14 @@
         raise BadConfig(f"{path}: {error}") from None
 
 
+def ops_place(text: str) -> tuple[str, int]:
+    """Raises BadConfig."""
+    try:
+        return host_port(text)
+    except ValueError as error:
+        raise BadConfig(f"GW_OPS: {error}") from None
+
+
 def load_operator(path: str) -> Operator | None:
     """None without a path. Raises BadConfig, which names the file, and OSError. The readers of JSON5 are
     imported for such a file alone."""
@@ -238,6 +291,8 @@
     signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
     try:
         config, operator = load(path), load_operator(operator_path)
+        if config.ops is None and os.environ.get("GW_OPS"):
+            config.ops = ops_place(os.environ["GW_OPS"])
         if operator is not None:
             logs.set_up(operator.logs.format, operator.logs.level)
         uvloop.run(serve(config, path, operator, operator_path))
--- a/gladelane/net/config.py
+++ b/gladelane/net/config.py
@@ -61,6 +61,7 @@
     board: str
     known: Known
     settings: dict[str, Any]
+    ops: str = ""
 
 
 class ConnLimits(msgspec.Struct):
@@ -80,6 +81,7 @@
     known: Known
     settings: Settings
     conn: ConnLimits
+    ops: tuple[str, int] | None = None  # where operators call; older deployments name no such place
 
 
 def host_port(text: str) -> tuple[str, int]:
@@ -101,6 +103,7 @@
             raw.known,
             settings_from_wire(raw.settings),
             msgspec.convert(raw.settings.get("limits"), ConnLimits),
+            host_port(raw.ops) if raw.ops else None,
         )
     except (msgspec.MsgspecError, ValueError) as error:
         raise BadConfig(" ".join(str(error).split())) from None
--- a/gladelane/net/front.py
+++ b/gladelane/net/front.py
@@ -8,6 +8,7 @@
 import os
 import socket
 import struct
+import sys
 import termios
 from collections.abc import Callable, Iterable
 from contextlib import suppress
@@ -27,6 +28,7 @@
 STALLED_MS = 10_000.0  # a client that takes no byte of its answers for so long is cut off
 IDLE_MS = 4_200.0  # clients close after 4 s without a request; one that does not is cut off
 SPARE_MS = 100.0  # at the cap, a client idle for less is not closed for another
+ACCEPT_AT_ONCE = 1100  # connections in one turn of the loop: more than the queue holds
 BACKLOG = 512  # connections that the system holds until there is room for them
 CLOSE_S = 0.2  # for the last connections to end
 ROOM_S = 0.005  # how often room is looked for then
@@ -225,6 +227,13 @@
         return not self.open and not self.partial_ms and not self.unsent() and not self.unread()
 
 
+def open_listener(host: str, port: int, shared: bool) -> socket.socket:
+    """`shared` only where a new version may come beside this one: elsewhere an address that is taken is a
+    mistake, and is to stop the start. Raises OSError."""
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    return socket.create_server((host, port), family=family, backlog=BACKLOG, reuse_port=shared)
+
+
 class Front:
     def __init__(
         self, director: Director, clock: Callable[[], float], wheel: Wheel, cap: int, held_bytes: float
@@ -238,37 +247,73 @@
         self.held = 0  # counted up as bytes come, counted anew each sweep
         self.connections: dict[ClientConnection, asyncio.Task[None]] = {}
         self._listener: socket.socket | None = None
-        self._accepting: asyncio.Task[None] | None = None
-
-    async def listen(self, host: str, port: int) -> int:
-        family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        self._listener = socket.create_server((host, port), family=family, backlog=BACKLOG)
+        self._arriving = 0  # accepted, without streams yet
+        self._welcomes: set[asyncio.Task[None]] = set()
+
+    async def listen(
+        self, host: str, port: int, given: socket.socket | None = None, shared: bool = False
+    ) -> int:
+        """On a socket that the process before this one listens on, or on one of our own; `shared` lets one
+        that comes after listen beside it."""
+        self._listener = given or open_listener(host, port, shared)
         self._listener.setblocking(False)
-        self._accepting = asyncio.create_task(self._accept_all(self._listener))
+        self._accept_more()
         self.wheel.at(self.clock() + SWEEP_MS, self._sweep)
         return int(self._listener.getsockname()[1])
 
-    async def _accept_all(self, listener: socket.socket) -> None:
-        """At the cap newcomers wait in the system's queue: a crowd that comes at once is served by and by."""
-        while True:
-            if len(self.connections) >= self.cap and not self._spare_one():
+    @property
+    def listener(self) -> socket.socket | None:
+        """None while nobody is let in: before the start and once this process has stopped listening."""
+        return self._listener
+
+    def _accept_more(self) -> None:
+        if self._listener is not None:
+            asyncio.get_running_loop().add_reader(self._listener.fileno(), self._acceptable)
+
+    def _accept_later(self) -> None:
+        assert self._listener is not None
+        loop = asyncio.get_running_loop()
+        loop.remove_reader(self._listener.fileno())
+        loop.call_later(ROOM_S, self._accept_more)
+
+    def _acceptable(self) -> None:
+        """At the cap newcomers wait in the system's queue: a crowd that comes at once is served by and by.
+        Accepted here and not in a task: one cancelled in between would lose the connection it was given."""
+        for _ in range(ACCEPT_AT_ONCE):
+            if self._listener is None:
+                return
+            if len(self.connections) + self._arriving >= self.cap and not self._spare_one():
                 log.warning("clients wait for room open=%d", len(self.connections))
-                await asyncio.sleep(ROOM_S)
-                continue
+                return self._accept_later()
             try:
-                accepted, _ = await asyncio.get_running_loop().sock_accept(listener)
-                reader, writer = await self._streams(accepted)
+                accepted, _ = self._listener.accept()
+            except BlockingIOError:
+                return
             except OSError as error:  # the client has gone already, or descriptors are out
                 log.warning("accept failed: %s", error)
-                await asyncio.sleep(ROOM_S)
-                continue
-            conn = ClientConnection(self, reader, writer)
-            self.connections[conn] = asyncio.create_task(self._serve(conn))
+                return self._accept_later()
+            self._arriving += 1
+            task = asyncio.get_running_loop().create_task(self._welcome(accepted))
+            self._welcomes.add(task)
+            task.add_done_callback(self._welcomes.discard)
+
+    async def _welcome(self, accepted: socket.socket) -> None:
+        try:
+            reader, writer = await self._streams(accepted)
+        except OSError as error:
+            log.warning("accept failed: %s", error)
+            accepted.close()
+            return
+        finally:
+            self._arriving -= 1
+        conn = ClientConnection(self, reader, writer)
+        self.connections[conn] = asyncio.create_task(self._serve(conn))
 
     @staticmethod
     async def _streams(accepted: socket.socket) -> tuple[Reader, asyncio.StreamWriter]:
         loop, reader = asyncio.get_running_loop(), Reader()
         protocol = asyncio.StreamReaderProtocol(reader)
+        accepted.setblocking(False)
         transport, _ = await loop.connect_accepted_socket(lambda: protocol, accepted)
         return reader, asyncio.StreamWriter(transport, protocol, reader, loop)
 
@@ -305,10 +350,17 @@
         for conn in self.connections:
             conn.no_more()
 
-    def stop_listening(self) -> None:
-        if self._accepting is not None and self._listener is not None:
-            self._accepting.cancel()
-            self._listener.close()
+    def stop_listening(self, queued: bool = True) -> None:
+        """`queued`: nobody else takes what waits in the system's queue, so it is let in first, past the cap:
+        whatever is still in there at the close is reset."""
+        listener = self._listener
+        if listener is not None:
+            if queued:
+                self.cap = sys.maxsize
+                self._acceptable()
+            self._listener = None
+            asyncio.get_running_loop().remove_reader(listener.fileno())
+            listener.close()
         for conn in self.connections:
             conn.no_more()
 
@@ -321,7 +373,7 @@
             await asyncio.wait(self.connections.values(), timeout=CLOSE_S)
 
     def quiet(self) -> bool:
-        return not any(c.open or c.unsent() for c in self.connections)
+        return not self._arriving and not any(c.open or c.unsent() for c in self.connections)
 
     def _sweep(self) -> None:
         now = self.clock()
