Take caches out by hand, empty the director on a call, and report figures

Change: operations/maintenance.py laid over the list where it comes in, and asked again before each first byte; operations/drain.py, asked by the front; operations/figures.py, counted where an exchange ends, where the front answers without one, and where an attempt's last byte has left. Orders reach the director's other process over the channel.

--- a/gladelane/__main__.py
+++ b/gladelane/__main__.py
@@ -30,6 +30,7 @@
 from .net.front import Front
 from .net.upstream import Upstream
 from .net.wheel import Clock, Wheel
+from .operations.calls import Call, Word
 from .operations.desk import Desk
 from .upgrade.channel import Channel, Message
 
@@ -71,7 +72,7 @@
         if operator is not None and operator.purges is not None:
             self.purges = self.director.guard = open_purges(operator.purges, self.director, self.clock)
         self.port = 0
-        self.desk = Desk()
+        self.desk = Desk(self.director, self.front.drain, self.clock.now, self.front.empty, self._held)
         self.door: Door | None = None
         self.channel: Channel | None = None
         self._tasks: list[asyncio.Task[None]] = []
@@ -116,8 +117,17 @@
         self.channel = Channel(folder, name, self._told, self._together, lambda: self.front.listener)
         return self.channel.meet()
 
+    def _held(self, call: Call) -> None:
+        """An order given here: the director's other process keeps it too."""
+        if self.channel is not None:
+            self.channel.tell(Message("order", word=call.word.value, store=call.store))
+
     def _told(self, message: Message) -> None:
         """An order that operators gave to the other process."""
+        try:
+            self.desk.heard(Call(Word(message.word), message.store))
+        except ValueError:
+            log.warning("upgrade: unknown order %r", message.word)
 
     def _together(self) -> None:
         """Another process has come or gone."""
@@ -156,7 +166,8 @@
         longer than a restart may take: what is still open then is failed, which its client can act on."""
         began = asyncio.get_running_loop().time()
         self.desk.takes_clients = False
-        self.front.drain()
+        self.front.drain.leave()
+        self.front.empty()
         if self.channel is not None and self.channel.peers:
             # the other process takes what waits in the queue, and all that comes
             self.front.stop_listening(queued=False)
--- a/gladelane/net/director.py
+++ b/gladelane/net/director.py
@@ -16,6 +16,8 @@
 from ..endpoints.rules import Listing, Rules
 from ..interface import Cancel, ClientGone, Event, Fail, Fetch, ListKind, Log, Lookup, Member, Members, Note
 from ..interface import Outcome, Purge, Refuse, Request, SetTimer, Settings, State, Status, Timer
+from ..operations.figures import Figures
+from ..operations.maintenance import Register
 from .config import Instance, Notice
 from .ends import STATUS, End
 from .exchange import Ask, Attempt, Code, Exchange, Final
@@ -67,7 +69,12 @@
         self._by_id: dict[str, Exchange] = {}  # the latest of the live ones under a client's id
         self.guard: Guard | None = None  # the fleet's purges, where feeds are followed
         self.rev = 0
-        self._listed: dict[str, Member] = {}
+        self.figures = Figures()
+        self.figures.know(settings.classes)
+        self.register = Register()
+        self._told: dict[str, tuple[Instance, Member]] = {}  # the list's own words
+        self._seen: set[str] = set()  # ids that were ever listed
+        self._listed: dict[str, Member] = {}  # with what operators took out laid over
         self._numbers = 0
         self._events: deque[Event] = deque()
         self._busy = False
@@ -83,7 +90,8 @@
             self._numbers, ask.cls, int(ask.object, 16) + 1, self.clock() + ask.wait_ms - self.wheel.margin(),
             ask.size_kb, ask.group, ask.part,
         )
-        exchange = Exchange(ask, request, deliver)
+        exchange = Exchange(ask, request, deliver, figures=self.figures)
+        self.figures.inflight += 1
         if self.guard is not None and not self.guard.admits(ask.cls):
             exchange.finish(Final(Code.REFUSED, come_back_ms=CUT_OFF_BACK_MS))
             return exchange
@@ -127,9 +135,7 @@
                 # one bad whole list, sent to all directors, would stop the fleet: the last good one stays
                 log.error("bad event: rev=%d is a whole list without a usable store", notice.rev)
             else:
-                self._list(told, notice.pool.reset)
-                kind = ListKind.COMPLETE if notice.pool.reset else ListKind.CHANGES
-                self.post(Members(kind, tuple(member for _, member in told)))
+                self._tell(told, notice.pool.reset)
         if notice.flush is not None:
             asset, group = notice.flush.asset, notice.flush.collection
             if (asset is None) == (group is None) or (asset is not None and not HEX16.fullmatch(asset)):
@@ -147,6 +153,38 @@
             told.instance_id, told.zone, told.machine_type, told.cell, state, told.weight, told.started_at_ms
         )
 
+    def _tell(self, told: list[tuple[Instance, Member]], complete: bool) -> None:
+        """What the list says, with what operators took out laid over it, to addresses and to the module."""
+        if complete:
+            self._told.clear()
+        for instance, member in told:
+            self._seen.add(member.store)
+            if member.state is State.GONE:
+                self._told.pop(member.store, None)
+            else:
+                self._told[member.store] = instance, member
+        laid = [(instance, self.register.lay(member)) for instance, member in told]
+        self._list(laid, complete)
+        kind = ListKind.COMPLETE if complete else ListKind.CHANGES
+        self.post(Members(kind, tuple(member for _, member in laid)))
+
+    def has(self, store: str) -> bool:
+        """Whether operators may name it: it is listed, was, or is out. Read in the door's thread too."""
+        return store in self._seen or store in self.register.out
+
+    def relay(self, store: str) -> None:
+        """Operators have taken it out or put it back."""
+        if (told := self._told.get(store)) is not None:
+            self._tell([told], False)
+
+    def report(self) -> str:
+        now, stores = self.clock(), self.router.stores
+        down = sum(
+            member.state is not State.READY or (name in stores and stores[name].resting(now))
+            for name, member in self._listed.items()
+        )
+        return self.figures.lines(len(self._listed), down)
+
     def _list(self, told: list[tuple[Instance, Member]], complete: bool) -> None:
         if complete:
             self._listed.clear()
@@ -206,8 +244,14 @@
         return None
 
     def _ready(self, store: str) -> bool:
+        # the register itself: what operators took out holds before this loop has come to lay it over the list
+        if store in self.register.out:
+            return False
         return store in self._listed and self._listed[store].state is State.READY
 
+    def written(self) -> None:
+        self.figures.backend_calls += 1
+
     def ended(self, attempt: Attempt, end: End, reply: Reply | None = None) -> None:
         """The one place where an attempt ends; the first end counts."""
         exchange = attempt.exchange
--- a/gladelane/net/exchange.py
+++ b/gladelane/net/exchange.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from ..interface import Request
+from ..operations.figures import Figures
 from .wheel import Entry
 
 
@@ -48,12 +49,19 @@
     sends: int = 0  # as the module counts them, moot ones too
     open: dict[int, Attempt] = field(default_factory=dict)
     done: bool = False
+    figures: Figures | None = None
 
     def finish(self, final: Final | None) -> None:
         """The first call ends the request; None when its client has gone and is owed nothing."""
         if self.done:
             return
         self.done = True
+        if self.figures is not None:
+            self.figures.inflight -= 1
+            if final is None:
+                self.figures.withdrawn += 1
+            else:
+                self.figures.answered(self.ask.cls, final.code)
         if final is not None:
             self.deliver(final)
 
--- a/gladelane/net/frames.py
+++ b/gladelane/net/frames.py
@@ -96,6 +96,15 @@
     return b"".join(parts)
 
 
+def peek_class(payload: bytes, settings: Settings) -> str | None:
+    """The class of a request that is answered unread, if the settings have it."""
+    try:
+        name = decode_fields(payload)[0].get("c")
+    except BadRequest:
+        return None
+    return name if name in settings.classes else None
+
+
 def _whole(fields: Mapping[str, str], name: str, most: int) -> int:
     text = fields[name]
     if not (text.isascii() and text.isdecimal() and len(text) <= 10 and int(text) <= most):
--- a/gladelane/net/front.py
+++ b/gladelane/net/front.py
@@ -14,10 +14,11 @@
 from contextlib import suppress
 from typing import SupportsIndex
 
+from ..operations.drain import Drain
 from .director import Director
 from .exchange import Code, Exchange, Final
 from .frames import BadRequest, Frame, FrameDecoder, FramingLost, Type, decode_request, encode_answer
-from .frames import encode_frame, encode_ready
+from .frames import encode_frame, encode_ready, peek_class
 from .wheel import Wheel
 
 log = logging.getLogger(__name__)
@@ -82,7 +83,7 @@
         self.reader = reader
         self.writer = writer
         self.open: dict[int, Exchange] = {}
-        self.told_no_more = False
+        self.told_ms = 0.0  # when it was told to send no more requests
         self.active_ms = self.born_ms = front.clock()
         self.proven = False  # has sent a frame that could be used
         self.partial_ms = 0.0  # since when a frame has been under way, 0: none is
@@ -144,7 +145,7 @@
                 self.front.director.gone(exchange)
         elif frame.type == Type.ASK_READY:
             self.proven = True
-            self._send(encode_ready(frame.stream, not self.front.draining))
+            self._send(encode_ready(frame.stream, self.front.drain.ready))
         else:
             log.warning("unexpected frame type=%d stream=%d", frame.type, frame.stream)
             self._send(encode_answer(0, FAILED))
@@ -157,21 +158,21 @@
             return
         if len(self.open) >= MOST_OPEN:
             log.warning("more than %d requests open", MOST_OPEN)
-            self._send(encode_answer(stream, FAILED))
+            self._answer_unread(frame, FAILED)
             return
-        if self.front.overloaded():
-            self._send(encode_answer(stream, Final(Code.REFUSED)))
+        if self.front.overloaded() or self.front.drain.turns_away(self.told_ms, self.active_ms):
+            self._answer_unread(frame, Final(Code.REFUSED))
             return
         try:
             ask = decode_request(frame.payload, self.front.director.settings)
         except BadRequest as error:
             log.warning("bad request stream=%d: %s", stream, error)
-            self._send(encode_answer(stream, FAILED))
+            self._answer_unread(frame, FAILED)
             return
         front = self.front
         if front.director.disputes(ask):
             log.warning("open id asks for something else stream=%d id=%s", stream, ask.id)
-            self._send(encode_answer(stream, FAILED))
+            self._answer_unread(frame, FAILED)
             return
         self.proven = True
         front.held += len(ask.body)
@@ -192,6 +193,14 @@
         answered.append(final)
         self.open.pop(stream, None)
         self._send(encode_answer(stream, final))
+        if self.front.drain.on:
+            self.no_more()  # a newcomer, let in while the director empties
+
+    def _answer_unread(self, frame: Frame, final: Final) -> None:
+        """Without the module: it has not heard of this request."""
+        director = self.front.director
+        director.figures.answered(peek_class(frame.payload, director.settings), final.code)
+        self._send(encode_answer(frame.stream, final))
 
     def _send(self, data: bytes) -> None:
         if not self.writer.is_closing():
@@ -199,8 +208,8 @@
             self.front.held += len(data)
 
     def no_more(self) -> None:
-        if not self.told_no_more:
-            self.told_no_more = True
+        if not self.told_ms:
+            self.told_ms = self.front.clock()
             self._send(encode_frame(Type.NO_MORE, 0))
 
     def sweep(self, now: float) -> None:
@@ -219,7 +228,12 @@
             log.warning("frame never ended")
             self._send(encode_answer(0, FAILED))
             self.writer.close()
-        elif self.spare() and (idle > IDLE_MS or (not self.proven and now - self.born_ms > FIRST_MS)):
+        elif not self.told_ms and self.front.drain.tells(self.born_ms, now):
+            self.no_more()
+        elif self.spare() and (
+            idle > IDLE_MS or (not self.proven and now - self.born_ms > FIRST_MS)
+            or self.front.drain.closes(self.told_ms, now)
+        ):
             self.close_spare()
 
     def spare(self) -> bool:
@@ -243,7 +257,7 @@
         self.wheel = wheel
         self.cap = cap
         self.held_bytes = held_bytes
-        self.draining = False
+        self.drain = Drain()
         self.held = 0  # counted up as bytes come, counted anew each sweep
         self.connections: dict[ClientConnection, asyncio.Task[None]] = {}
         self._listener: socket.socket | None = None
@@ -344,9 +358,8 @@
         """Past these bounds a request is turned away at sight, before it costs memory or much of the core."""
         return self.held > self.held_bytes or self.wheel.lag() > SHED_MS
 
-    def drain(self) -> None:
+    def empty(self) -> None:
         """Tells clients to go elsewhere; what still arrives is served all the same."""
-        self.draining = True
         for conn in self.connections:
             conn.no_more()
 
--- a/gladelane/net/upstream.py
+++ b/gladelane/net/upstream.py
@@ -47,6 +47,9 @@
 
     def recheck(self, attempt: Attempt) -> End | None: ...
 
+    def written(self) -> None:
+        """The last byte of an attempt has left."""
+
     def ended(self, attempt: Attempt, end: End, reply: Reply | None = None) -> None: ...
 
 
@@ -60,6 +63,7 @@
         self.dialling: Dialling | None = None
         self.open: dict[str, Attempt] = {}  # by the request's id, which is all that answers carry
         self.spent: dict[str, None] = {}  # the latest, oldest first
+        self.leaving = 0  # attempts handed to the transport, some of whose bytes may still be there
         self.decoder = ReplyDecoder()
         self.writer: asyncio.StreamWriter | None = None
         self.finished = False
@@ -103,12 +107,21 @@
         now = self.pool.clock()
         attempt.written_ms = self.used_ms = now
         self.writer.write(encode_fetch(ask.id, attempt.fields(now), ask.body))
+        self.leaving += 1
+
+    def count_written(self) -> None:
+        """The transport writes in the order it was given, so an empty buffer means that all has left."""
+        if self.leaving and self.writer is not None and not self.writer.transport.get_write_buffer_size():
+            while self.leaving:
+                self.leaving -= 1
+                self.pool.owner.written()
 
     def drop(self, attempt: Attempt, end: End) -> None:
         id_ = attempt.exchange.ask.id
         if self.open.get(id_) is not attempt:
             return
         del self.open[id_]
+        self.count_written()
         if attempt.written_ms and self.writer is not None:
             self._spend(id_)
             if not self.writer.is_closing():  # the peer's end may not have been read yet
@@ -179,6 +192,7 @@
         """Closes what has been idle for long, before the peer does, and what a cut-short answer blocks."""
         if self.writer is None:
             return
+        self.count_written()
         quiet = now - max(self.heard_ms, self.used_ms)
         if not self.open and quiet > self.pool.limits.conn_idle_ms * IDLE_SHARE:
             self.close()
@@ -240,6 +254,7 @@
                     self.pool.endpoints.health.answered(self.store, self.address)
                 self.heard_ms = self.pool.clock()
                 self.mute = 0
+                self.count_written()
                 for reply in self.decoder.feed(data):
                     self._answered(reply)
                 self._close_if_done()
@@ -265,6 +280,7 @@
         if self.finished:
             return
         self.finished = self.retired = True
+        self.count_written()
         self.pool.remove(self)
         if self.writer is not None:
             self.writer.close()
--- /dev/null
+++ b/tests/operations/test_pure.py
@@ -0,0 +1,71 @@
+"""The register of what is out, the drain's state, and the figures: tables and properties, no clock."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from gladelane.interface import Member, State
+from gladelane.operations.drain import FIRST_MS, LATE_MS, TOLD_MS, Drain
+from gladelane.operations.figures import Figures
+from gladelane.operations.maintenance import Register
+
+STEPS = st.lists(st.tuples(st.sampled_from(["out", "back", "list"]), st.sampled_from("ab"), st.sampled_from(list(State))))
+
+
+@given(STEPS)
+def test_what_is_out_reads_as_draining_whatever_the_list_says(steps: list[tuple[str, str, State]]) -> None:
+    register, out, back = Register(), set[str](), dict[str, int]()
+    for now, (word, store, state) in enumerate(steps, 1):
+        if word == "out":
+            assert register.take_out(store, now) == (store not in out)
+            out.add(store)
+        elif word == "back":
+            if register.put_back(store, now):
+                back[store] = now
+            out.discard(store)
+        laid = register.lay(Member(store, "edge", "box", state=state, came_up_ms=3.0))
+        if state is State.GONE:
+            assert laid.state is State.GONE
+        elif store in out:
+            assert laid.state is State.DRAINING
+        else:
+            assert laid.state is state and laid.came_up_ms == max(3.0, back.get(store, 0))
+
+
+def test_two_calls_out_need_one_back_and_one_back_is_not_cold_without_having_been_out() -> None:
+    register = Register()
+    assert not register.put_back("a", 1.0) and register.lay(Member("a", "edge", "box")).came_up_ms == 0.0
+    assert register.take_out("a", 2.0) and not register.take_out("a", 3.0) and register.out == {"a": 2.0}
+    assert register.put_back("a", 4.0) and not register.out
+    register.forget(5.0)
+    assert not register.back
+
+
+def test_a_drain_is_told_closed_and_undone() -> None:
+    drain = Drain()
+    assert drain.ready and not drain.ok() and not drain.tells(0.0, 9e9) and not drain.closes(0.0, 9e9)
+    assert drain.fail(1000.0) and not drain.fail(2000.0) and not drain.ready and drain.failed_ms == 1000.0
+    assert not drain.tells(1000.0, 999.0 + FIRST_MS) and drain.tells(1000.0, 1000.0 + FIRST_MS)
+    assert not drain.closes(1000.0, 999.0 + TOLD_MS) and drain.closes(1000.0, 1000.0 + TOLD_MS)
+    assert not drain.turns_away(0.0, 9e9) and not drain.turns_away(1000.0, 999.0 + LATE_MS)
+    assert drain.turns_away(1000.0, 1000.0 + LATE_MS) and LATE_MS < 2000.0
+    assert drain.ok() and drain.ready and drain.closes(1000.0, 5000.0)  # what it told holds
+    drain.leave()
+    assert not drain.ready and not drain.turns_away(1000.0, 9000.0)
+    drain.fail(1.0)
+    drain.ok()
+    assert not drain.ready  # an operator's call does not bring back a process that leaves
+
+
+def test_figures_name_all_classes_and_count_what_has_none() -> None:
+    figures = Figures()
+    figures.know(["b", "a"])
+    figures.answered("a", 0)
+    figures.answered("a", 2)
+    figures.answered(None, 2)
+    figures.know(["c"])
+    lines = figures.lines(7, 2).splitlines()
+    assert lines[:4] == ["director.calls.a.success=1", "director.calls.a.busy=0", "director.calls.a.failure=1", "director.calls.b.success=0"]
+    assert {"director.hosts_listed=7", "director.hosts_down=2", "director.unusable=1", "director.calls.c.busy=0"} <= set(lines)
+    assert all(line.partition("=")[2].isdecimal() for line in lines)
