Take new classes and attempts under SIGHUP, and lose no newcomer when a process leaves

Change: one reader for start and SIGHUP, which has the file in use to see what is missing; operations/retune.py; open requests keep their class and attempts. Beside another process the old one waits until clients have gone; newcomers are told after their first request; cBPF steers the queue to the new listener before the close.

--- a/gladelane/__main__.py
+++ b/gladelane/__main__.py
@@ -24,6 +24,7 @@
 
 from . import logs
 from .endpoints.plan import Endpoints
+from .interface import Settings
 from .net.board import Board
 from .net.config import BadConfig, Config, host_port, read_config
 from .net.director import Director
@@ -32,6 +33,7 @@
 from .net.wheel import Clock, Wheel
 from .operations.calls import Call, Word
 from .operations.desk import Desk
+from .operations.retune import BOTH_MS, applied, between
 from .upgrade.channel import Channel, Message
 
 log = logging.getLogger("gladelane")
@@ -46,6 +48,7 @@
 LINGER_S = 0.8  # after SIGTERM clients go on arriving for up to 0.6 s
 SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 LAST_S, LAST_MOST_S = 0.5, 3.5  # from SIGTERM, beyond the longest deadline and at most: then all is answered
+STEER_S = 0.02  # for what the system had under way to this process's queue
 FLUSH_S = 0.15  # and after so long more, a client that takes nothing is left behind
 
 
@@ -146,9 +149,12 @@
             self.director.configure(operator.options, operator.rules)
 
     def reload(self, config: Config, operator: Operator | None = None) -> None:
-        """What may change under load is the board and the operator's file; all else is bound to sockets and
-        figures in use."""
+        """What may change under load is the board, classes and attempts, and the operator's file; all else is
+        bound to sockets and figures in use."""
         self.configure(operator)
+        settings, later = applied(self.config.settings, config.settings)
+        if settings != self.config.settings:
+            self._retune(settings)
         moved = config.board != self.config.board
         self.config.board = config.board
         for notice in config.known.notices:
@@ -156,11 +162,23 @@
         if moved:
             self._follow()
         config.known, config.seed = self.config.known, self.config.seed  # these are for a start
-        later = [n for n in config.__struct_fields__ if getattr(config, n) != getattr(self.config, n)]
+        config.ops, config.settings = self.config.ops, self.config.settings
+        later += [n for n in config.__struct_fields__ if getattr(config, n) != getattr(self.config, n)]
         log.info("reloaded board=%s:%d moved=%d rev=%d", *config.board, moved, self.director.rev)
         if later:
             log.warning("reloaded: a change of %s takes a restart", ", ".join(later))
 
+    def _retune(self, settings: Settings) -> None:
+        """Clients go by the new file a little later: until then both hold."""
+        self.config.settings = settings
+        self.director.retune(between(self.director.settings, settings))
+
+        def settled() -> None:
+            if self.config.settings is settings:  # no later file has come
+                self.director.retune(settings)
+
+        self.wheel.at(self.clock.now() + BOTH_MS, settled)
+
     async def drain(self) -> None:
         """Clients are told to go, yet go on arriving for a while; then what is owed is waited for, but no
         longer than a restart may take: what is still open then is failed, which its client can act on."""
@@ -168,17 +186,21 @@
         self.desk.takes_clients = False
         self.front.drain.leave()
         self.front.empty()
-        if self.channel is not None and self.channel.peers:
+        beside = self.channel is not None and self.channel.peers > 0
+        if beside:
             # the other process takes what waits in the queue, and all that comes
             self.front.stop_listening(queued=False)
         else:
             await asyncio.sleep(LINGER_S)
+            self.front.steer_away()
+            await asyncio.sleep(STEER_S)
             self.front.stop_listening()
-        longest = max(spec.deadline_ms for spec in self.config.settings.classes.values()) / 1000.0
+        longest = max(spec.deadline_ms for spec in self.director.settings.classes.values()) / 1000.0
         last = began + min(longest + LAST_S, LAST_MOST_S)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout_at(last):
-                while self.director.owed() or not self.front.quiet():
+                # beside another process there is no hurry: clients go, or are closed when they hold nothing
+                while self.director.owed() or not self.front.quiet() or (beside and self.front.connections):
                     await asyncio.sleep(0.02)
         self.director.end_all()
         with contextlib.suppress(TimeoutError):
@@ -232,10 +254,15 @@
 
 def load(path: str) -> Config:
     """Raises BadConfig, which names the file, and OSError."""
+    return load_after(path, None)[0]
+
+
+def load_after(path: str, used: bytes | None) -> tuple[Config, bytes]:
+    """Read against the text of the file in use, with its own. Raises as `load` does."""
     with open(path, "rb") as file:
         data = file.read()
     try:
-        return read_config(data)
+        return read_config(data, used), data
     except BadConfig as error:
         raise BadConfig(f"{path}: {error}") from None
 
@@ -263,16 +290,23 @@
         raise BadConfig(f"{path}: {error}") from None
 
 
-async def serve(config: Config, path: str, operator: Operator | None, operator_path: str) -> None:
+async def serve(
+    config: Config, used: bytes, path: str, operator: Operator | None, operator_path: str
+) -> None:
     node = Node(config, operator)
     stop = asyncio.Event()
 
     def reload() -> None:
+        nonlocal used
         try:
-            new, operator = load(path), load_operator(operator_path)  # both, before either is applied
+            new, text = load_after(path, used)
+            operator = load_operator(operator_path)  # both, before either is applied
         except (BadConfig, OSError) as error:
             log.error("reload failed, the old configuration stays: %s", error)
+            node.director.figures.reconfig_failed += 1
             return
+        used = text
+        node.director.figures.reconfig_ok += 1
         if operator is not None:
             logs.set_up(operator.logs.format, operator.logs.level)
         node.reload(new, operator)
@@ -301,12 +335,12 @@
     # one that comes while the file is read waits for its handler: by default it would end the process
     signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
     try:
-        config, operator = load(path), load_operator(operator_path)
+        (config, used), operator = load_after(path, None), load_operator(operator_path)
         if config.ops is None and os.environ.get("GW_OPS"):
             config.ops = ops_place(os.environ["GW_OPS"])
         if operator is not None:
             logs.set_up(operator.logs.format, operator.logs.level)
-        uvloop.run(serve(config, path, operator, operator_path))
+        uvloop.run(serve(config, used, path, operator, operator_path))
     except (BadConfig, OSError) as error:
         print(f"gladelane: {error if path else 'GW_CONFIG names no file'}", file=sys.stderr)
         return 1
--- a/gladelane/choice.py
+++ b/gladelane/choice.py
@@ -186,6 +186,7 @@
     spec: ClassSpec
     came_ms: float
     aim_ms: float
+    most: int
     attempts: int = 0
     out: dict[int, Try] = field(default_factory=dict)
     tried: list[str] = field(default_factory=list)
@@ -256,6 +257,12 @@
                 pass
         return self.actions
 
+    def retune(self, settings: Settings) -> None:
+        """Classes and attempts change under load; who is owed an answer keeps those that it came with."""
+        self.settings = settings
+        self.earn = {name: earned for name, earned in self.earn.items() if name in settings.classes}
+        self.earn_most = max(self.earn.values(), default=0.0)
+
     def emit(self, action: Action) -> None:
         self.actions.append(action)
 
@@ -320,7 +327,7 @@
         work = self.learn_work(request, spec)
         self.learn_earning(spec.name)
         aim = min(spec.aim_ms + spec.aim_stretch * work, spec.deadline_ms)
-        owed = Pending(request, spec, self.now, aim)
+        owed = Pending(request, spec, self.now, aim, self.settings.max_attempts)
         self.pending[request.id] = owed
         self.emit(SetTimer(f"d:{request.id}", request.deadline_ms))
         self.retries = min(self.retries + RETRY_SHARE, RETRY_MOST)
@@ -500,7 +507,8 @@
 
     def share(self, owed: Pending) -> float:
         """The part of a crowd's room open to a class: all of it to the one that earns most for its work."""
-        return DEAR_SHARE + (1.0 - DEAR_SHARE) * self.earn[owed.spec.name] / self.earn_most
+        earned = self.earn.get(owed.spec.name, self.earn_most)  # its class may have gone
+        return DEAR_SHARE + (1.0 - DEAR_SHARE) * (earned / self.earn_most if self.earn_most else 1.0)
 
     def no_cache_runs(self) -> bool:
         """Passing the caches by is for when none runs: doing it when they are busy only moves the jam."""
@@ -518,25 +526,24 @@
                     return parent
         return self.origin if self.origin and self.origin.member.state is State.READY else None
 
-    def age_bound(self, request: Request) -> tuple[float, bool]:
+    def age_bound(self, request: Request, fresh: float) -> tuple[float, bool]:
         """Oldest copy that will do (0: the class's fresh time) and whether a purge set it."""
-        fresh = self.settings.classes[request.cls].fresh_ms
         at = self.purges.newest(request.cls, request.group, request.object - 1, request.part, self.now)
         if not at:
             return 0.0, False
         bound = max(self.now - at - self.settings.tick_ms, 1.0)
         return (min(bound, fresh) if fresh else bound), True
 
-    def age_now(self, now_ms: float, request: Request) -> float:
+    def age_now(self, now_ms: float, request: Request, fresh: float) -> float:
         """For a send that leaves later than it was decided: a purge may have been told in between."""
         self.now = now_ms
-        return self.age_bound(request)[0]
+        return self.age_bound(request, fresh)[0]
 
     # --- attempts
 
     def advance(self, owed: Pending, after: Outcome | None = None) -> None:
         left = owed.request.deadline_ms - self.now
-        spent = owed.attempts >= self.settings.max_attempts or owed.errors >= ERRORS_MOST
+        spent = owed.attempts >= owed.most or owed.errors >= ERRORS_MOST
         if spent or left <= LAST_TRY_MS or not self.may_repeat(owed):
             self.give_up(owed)
             return
@@ -577,7 +584,7 @@
     def send_read(self, owed: Pending, left: float) -> bool:
         cache = self.pick_cache(owed)
         source = self.pick_source(owed)
-        age, purged = self.age_bound(owed.request)
+        age, purged = self.age_bound(owed.request, owed.spec.fresh_ms)
         if cache is None and self.settings.straight and source is not None and self.no_cache_runs():
             return self.fetch(owed, source, source, left, 0, age, False, False)
         if cache is None or not self.in_group(owed, cache):
@@ -637,7 +644,7 @@
 
     def hedge(self, owed: Pending) -> None:
         """A second copy elsewhere when the first is late enough to miss the aim."""
-        if len(owed.out) != 1 or owed.attempts >= self.settings.max_attempts or self.hedges < 1.0:
+        if len(owed.out) != 1 or owed.attempts >= owed.most or self.hedges < 1.0:
             return
         self.hedges -= 1.0
         left = owed.request.deadline_ms - self.now
--- a/gladelane/interface.py
+++ b/gladelane/interface.py
@@ -81,9 +81,17 @@
     grace_ms: float
     parts: bool
     cacheable: bool
+    keyless: bool = False  # keyed, but a request may lack its key: while settings change, by either file
+
+    def aim_for(self, size_kb: float, flow_kb_per_s: float) -> float:
+        """Within which an answer earns its full worth, ms. A size made up lengthens it to the deadline at
+        most; one that is not told counts as nothing."""
+        work = size_kb / flow_kb_per_s * 1000.0 if flow_kb_per_s else 0.0
+        return min(self.aim_ms + self.aim_stretch * work, self.deadline_ms)
 
 
 _BOOL, _INT, _NUM, _STR = "true or false", "a whole number", "a number", "a text"
+_POS = "a number above 0"
 #: key -> (form, least value, value where the key may be left out)
 _NEEDED = object()
 _PLAIN: dict[str, tuple[str, float | None, Any]] = {
@@ -107,7 +115,7 @@
     "messages": (_BOOL, None, False),
     "retry_after": (_BOOL, None, False),
     "max_retry_after_ms": (_NUM, 0, 0.0),
-    "max_attempts": (_INT, 1, _NEEDED),
+    "max_attempts": (_INT, 1, _NEEDED),  # the least of whole numbers above 0
     "max_open": (_INT, 1, _NEEDED),
     "connect_timeout_ms": (_NUM, 0, _NEEDED),
     "drain_grace_ms": (_NUM, 0, _NEEDED),
@@ -138,7 +146,7 @@
     "window_ms": (_NUM, 0, 0.0),
     "aim_ms": (_NUM, 0, _NEEDED),
     "aim_stretch": (_NUM, 0, 0.0),
-    "deadline_ms": (_NUM, 0, _NEEDED),
+    "deadline_ms": (_POS, 0, _NEEDED),
     "worth": (_NUM, 0, _NEEDED),
     "late_worth": (_NUM, 0, 0.0),
     "stream": (_BOOL, None, False),
@@ -159,11 +167,12 @@
     value = raw[key]
     number = isinstance(value, (int, float)) and not isinstance(value, bool)
     whole = number and float(value).is_integer()
-    good = {_BOOL: isinstance(value, bool), _INT: whole, _NUM: number, _STR: isinstance(value, str)}[form]
+    good = {_BOOL: isinstance(value, bool), _INT: whole, _NUM: number, _STR: isinstance(value, str),
+            _POS: number and value > 0}[form]  # fmt: skip
     if not good or (least is not None and not least <= value < float("inf")):
-        bound = "" if least is None else f" of {least} or more"
+        bound = "" if least is None or form == _POS else f" of {least} or more"
         raise ValueError(f"settings: {where}{key} is {value!r}; expected {form}{bound}")
-    return int(value) if form == _INT else float(value) if form == _NUM else value
+    return int(value) if form == _INT else float(value) if form in (_NUM, _POS) else value
 
 
 def _fields(
@@ -259,6 +268,8 @@
         for place, row in enumerate(rows):
             spec = _fields(row, f"classes[{place}].", _CLASS, _CLASS_CHOICES)
             spec["effect"] = Effect(spec["effect"])
+            if spec["name"] in classes:
+                raise ValueError(f"settings: classes[{place}].name is {spec['name']!r}; expected a new name")
             classes[spec["name"]] = ClassSpec(**spec)
         hubs = _row(raw, "hub_of", int, len(zones))
         if any(hub >= len(zones) for hub in hubs):
@@ -278,13 +289,6 @@
             raise ValueError(f"unknown class {name!r}")
         return self.classes[name]
 
-    def aim_ms(self, request: Request) -> float:
-        """Within which an answer earns its full worth, ms. A size made up lengthens it to the deadline at
-        most; one that is not told counts as nothing."""
-        spec = self.classes[request.cls]
-        work = request.size_kb / self.flow_kb_per_s * 1000.0 if self.flow_kb_per_s else 0.0
-        return min(spec.aim_ms + spec.aim_stretch * work, spec.deadline_ms)
-
     def known_zone(self, name: str) -> str:
         if name not in self.zones:
             raise ValueError(f"unknown zone {name!r}")
--- a/gladelane/net/config.py
+++ b/gladelane/net/config.py
@@ -10,6 +10,9 @@
 from ..settings_wire import settings_from_wire
 
 
+MAY_GO = frozenset({"ops"})  # GW_OPS names it too
+
+
 class BadConfig(Exception):
     """What is wrong, in one line."""
 
@@ -91,8 +94,13 @@
     return host, int(port)
 
 
-def read_config(data: bytes) -> Config:
+def read_config(data: bytes, used: bytes | None = None) -> Config:
+    """`used` is the file in use: one that lacks a key which that has is not whole. Raises BadConfig."""
+    if not data.strip():
+        raise BadConfig("the whole file is empty; expected a JSON object")
     try:
+        if used is not None:
+            _check_whole(msgspec.json.decode(data), msgspec.json.decode(used))
         raw: _Raw = msgspec.json.decode(data, type=_Raw)
         return Config(
             raw.name,
@@ -105,8 +113,23 @@
             msgspec.convert(raw.settings.get("limits"), ConnLimits),
             host_port(raw.ops) if raw.ops else None,
         )
+    except RecursionError:
+        raise BadConfig("the whole file is nested too deep") from None
     except (msgspec.MsgspecError, ValueError) as error:
         raise BadConfig(" ".join(str(error).split())) from None
 
 
+def _check_whole(told: Any, used: Any, where: str = "") -> None:
+    """Objects only: lists are of classes, zones, notices, of which there may be fewer."""
+    if not isinstance(used, dict):
+        return
+    if not isinstance(told, dict):
+        raise ValueError(f"{where or 'the whole file'} is {told!r:.40}; expected an object")
+    for key, value in used.items():
+        if key not in told and key not in MAY_GO:
+            raise ValueError(f"{where}{key} is missing; expected it as in the file in use")
+        if key in told:
+            _check_whole(told[key], value, f"{where}{key}.")
+
+
 notice_decoder: msgspec.json.Decoder[Notice] = msgspec.json.Decoder(Notice)
--- a/gladelane/net/director.py
+++ b/gladelane/net/director.py
@@ -90,7 +90,8 @@
             self._numbers, ask.cls, int(ask.object, 16) + 1, self.clock() + ask.wait_ms - self.wheel.margin(),
             ask.size_kb, ask.group, ask.part,
         )
-        exchange = Exchange(ask, request, deliver, figures=self.figures)
+        spec, most = self.settings.classes[ask.cls], self.settings.max_attempts
+        exchange = Exchange(ask, request, deliver, spec, most, figures=self.figures)
         self.figures.inflight += 1
         if self.guard is not None and not self.guard.admits(ask.cls):
             exchange.finish(Final(Code.REFUSED, come_back_ms=CUT_OFF_BACK_MS))
@@ -205,6 +206,12 @@
         if self.guard is not None:
             self.guard.listed({s: (m.kind, m.came_up_ms) for s, m in self._listed.items()})
 
+    def retune(self, settings: Settings) -> None:
+        """For requests that come from now on; those that are open keep what they came with."""
+        self.settings = settings
+        self.figures.know(settings.classes)
+        self.router.retune(settings)
+
     def configure(self, options: Options, rules: Rules) -> None:
         """A new operator's file, as one change."""
         self._apply(self.endpoints.configure(options, rules))
@@ -225,11 +232,10 @@
             return End.EXPIRED
         if not self._ready(attempt.store) or (attempt.source and not self._ready(attempt.source)):
             return End.WITHDRAWN
-        bound = self.router.age_now(now, attempt.exchange.request)
+        request, spec = attempt.exchange.request, attempt.exchange.spec
+        bound = self.router.age_now(now, request, spec.fresh_ms)
         if bound:
             attempt.max_age_ms = min(attempt.max_age_ms or bound, bound)
-        request = attempt.exchange.request
-        spec = self.settings.classes[request.cls]
         if not spec.cacheable:  # a write has no copy, and its answer must not be taken from it
             return None
         purged = self.router.purges.newest(request.cls, request.group, request.object - 1, request.part, now)
@@ -339,11 +345,11 @@
         now = self.clock()
         deadline = exchange.request.deadline_ms
         due = min(now + action.timeout_ms, deadline) if action.timeout_ms else deadline
-        aim = self.settings.aim_ms(exchange.request)
+        aim = exchange.spec.aim_for(exchange.request.size_kb, self.settings.flow_kb_per_s)
         attempt = Attempt(exchange, exchange.sends, action.store, now, due, source, rank, age, hints, aim)
         exchange.sends += 1
         exchange.open[attempt.number] = attempt
-        if exchange.done or exchange.sends > self.settings.max_attempts:
+        if exchange.done or exchange.sends > exchange.most:
             self.ended(attempt, End.SURPLUS)
         elif not self._ready(action.store):
             self.ended(attempt, End.WITHDRAWN)
--- a/gladelane/net/exchange.py
+++ b/gladelane/net/exchange.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from ..interface import Request
+from ..interface import ClassSpec, Request
 from ..operations.figures import Figures
 from .wheel import Entry
 
@@ -46,6 +46,8 @@
     ask: Ask
     request: Request  # the same in the module's words
     deliver: Callable[[Final], None]
+    spec: ClassSpec  # as it came: settings may change while it is open
+    most: int  # attempts, likewise
     sends: int = 0  # as the module counts them, moot ones too
     open: dict[int, Attempt] = field(default_factory=dict)
     done: bool = False
--- a/gladelane/net/frames.py
+++ b/gladelane/net/frames.py
@@ -8,7 +8,7 @@
 from enum import IntEnum
 from typing import NamedTuple
 
-from ..interface import Settings
+from ..interface import Effect, Settings
 from .exchange import Ask, Final
 
 MAX_FRAME = 262_144
@@ -133,6 +133,7 @@
         spec = settings.classes.get(fields["c"])
         if spec is None:
             raise BadRequest(f"unknown class {fields['c']!r}")
+        needs_key = spec.effect is Effect.KEYED and not spec.keyless
         return Ask(
             id=_token(fields, "i", HEX16),
             cls=spec.name,
@@ -141,7 +142,7 @@
             part=_whole(fields, "chunk", 2**31),
             group=_whole(fields, "tag", 255),
             size_kb=_amount(fields, "m", 1e9) if "m" in fields else 0.0,
-            key=_token(fields, "k", TOKEN) if "k" in fields or spec.effect.value == "keyed" else "",
+            key=_token(fields, "k", TOKEN) if "k" in fields or needs_key else "",
             known=_token(fields, "known", TOKEN) if "known" in fields else "",
             body=body,
         )
--- a/gladelane/net/front.py
+++ b/gladelane/net/front.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import ctypes
 import fcntl
 import logging
 import os
@@ -29,6 +30,7 @@
 STALLED_MS = 10_000.0  # a client that takes no byte of its answers for so long is cut off
 IDLE_MS = 4_200.0  # clients close after 4 s without a request; one that does not is cut off
 SPARE_MS = 100.0  # at the cap, a client idle for less is not closed for another
+SO_ATTACH_REUSEPORT_CBPF = 51  # asm-generic/socket.h; the socket module has no name for it
 ACCEPT_AT_ONCE = 1100  # connections in one turn of the loop: more than the queue holds
 BACKLOG = 512  # connections that the system holds until there is room for them
 CLOSE_S = 0.2  # for the last connections to end
@@ -248,6 +250,16 @@
     return socket.create_server((host, port), family=family, backlog=BACKLOG, reuse_port=shared)
 
 
+def steer_away(listener: socket.socket) -> None:
+    """Has the system give newcomers to whoever listens here second, the new version (SO_REUSEPORT orders by
+    age): what it puts into the queue of this one between the last accept and the close would be reset.
+    Without a second one nothing changes."""
+    return_second = ctypes.create_string_buffer(struct.pack("=HBBI", 0x06, 0, 0, 1))  # BPF_RET | BPF_K, 1
+    program = struct.pack("@HP", 1, ctypes.addressof(return_second))
+    with suppress(OSError):
+        listener.setsockopt(socket.SOL_SOCKET, SO_ATTACH_REUSEPORT_CBPF, program)
+
+
 class Front:
     def __init__(
         self, director: Director, clock: Callable[[], float], wheel: Wheel, cap: int, held_bytes: float
@@ -261,6 +273,7 @@
         self.held = 0  # counted up as bytes come, counted anew each sweep
         self.connections: dict[ClientConnection, asyncio.Task[None]] = {}
         self._listener: socket.socket | None = None
+        self._shared = False
         self._arriving = 0  # accepted, without streams yet
         self._welcomes: set[asyncio.Task[None]] = set()
 
@@ -269,6 +282,7 @@
     ) -> int:
         """On a socket that the process before this one listens on, or on one of our own; `shared` lets one
         that comes after listen beside it."""
+        self._shared = shared
         self._listener = given or open_listener(host, port, shared)
         self._listener.setblocking(False)
         self._accept_more()
@@ -359,9 +373,16 @@
         return self.held > self.held_bytes or self.wheel.lag() > SHED_MS
 
     def empty(self) -> None:
-        """Tells clients to go elsewhere; what still arrives is served all the same."""
+        """Tells clients to go elsewhere; what still arrives is served all the same. Who has not come to its
+        first request yet is told after it, or in a while."""
         for conn in self.connections:
-            conn.no_more()
+            if conn.proven or self.drain.tells(conn.born_ms, self.clock()):
+                conn.no_more()
+
+    def steer_away(self) -> None:
+        """Newcomers go to the process beside this one, where each has a queue of its own."""
+        if self._shared and self._listener is not None:
+            steer_away(self._listener)
 
     def stop_listening(self, queued: bool = True) -> None:
         """`queued`: nobody else takes what waits in the system's queue, so it is let in first, past the cap:
@@ -374,8 +395,6 @@
             self._listener = None
             asyncio.get_running_loop().remove_reader(listener.fileno())
             listener.close()
-        for conn in self.connections:
-            conn.no_more()
 
     async def close(self) -> None:
         """Ends what is still connected, and waits for it: a task cancelled half-way leaves a trace."""
--- a/gladelane/operations/drain.py
+++ b/gladelane/operations/drain.py
@@ -5,8 +5,8 @@
 
 from __future__ import annotations
 
-TOLD_MS = 100.0  # from telling a client to closing its connection: it may have written just before it read
-FIRST_MS = 400.0  # for a newcomer's first request, before it is told
+TOLD_MS = 300.0  # from telling a client to closing its connection: it may have written just before it read
+FIRST_MS = 600.0  # for a newcomer's first request, before it is told
 LATE_MS = 1500.0  # a request on a connection told so long ago is refused: 4 s after the call none is young
 
 
