--- a/gladelane/net/director.py
+++ b/gladelane/net/director.py
@@ -18,7 +18,7 @@
 from ..interface import Outcome, Purge, Refuse, Request, SetTimer, Settings, State, Status, Timer
 from ..operations.figures import Figures
 from ..operations.maintenance import Register
-from .config import Instance, Notice
+from .config import Instance, Notice, Pool
 from .ends import STATUS, End
 from .exchange import Ask, Attempt, Code, Exchange, Final
 from .frames import HEX16
@@ -30,6 +30,7 @@
 CUT_OFF_BACK_MS = 1000.0  # advice to who is refused while no feed is heard of
 STATES = {"in_service": State.READY, "terminating": State.DRAINING, "terminated": State.GONE}
 DATED_SLACK_MS = 5.0  # dates and ages are rounded to ms on their way
+FLUSH_KEPT_MS = 2000.0  # a purge is kept longer than it binds, for a process that starts late
 OVERDUE_MS = 20.0  # past its deadline, when an exchange is ended without the module
 
 
@@ -74,6 +75,7 @@
         self.register = Register()
         self._told: dict[str, tuple[Instance, Member]] = {}  # the list's own words
         self._seen: set[str] = set()  # ids that were ever listed
+        self._flushes: deque[Notice] = deque()  # purges that still bind, for a process that comes after
         self._listed: dict[str, Member] = {}  # with what operators took out laid over
         self._numbers = 0
         self._events: deque[Event] = deque()
@@ -143,8 +145,33 @@
                 log.error("bad event: rev=%d purges neither an object nor a group", notice.rev)
                 return
             object_ = 0 if asset is None else int(asset, 16) + 1
+            self._flushes.append(notice)
+            self._forget_flushes()
             self.post(Purge(object_, group or 0, max(self.clock() - notice.flush.ms, 0.0)))
 
+    def _forget_flushes(self) -> None:
+        binds = self.settings.purge_done_ms + FLUSH_KEPT_MS
+        while self._flushes and self._flushes[0].flush and self._flushes[0].flush.ms + binds < self.clock():
+            self._flushes.popleft()
+
+    def notices(self) -> list[Notice]:
+        """What a process that starts now has to know of the board: purges that bind, then the whole list."""
+        self._forget_flushes()
+        told = [instance for instance, _ in self._told.values()]
+        purges = [Notice(min(notice.rev, self.rev - 1), flush=notice.flush) for notice in self._flushes]
+        return [*purges, Notice(self.rev, Pool(told, reset=True))] if told else purges
+
+    def take_over(self, rev: int, notices: list[Notice]) -> None:
+        """From the process before this one, where it has heard more of the board than this one's file tells.
+        Purges may come again: a purge that is known changes nothing."""
+        if rev <= self.rev:
+            return
+        for notice in notices:
+            if notice.pool is None:
+                self.rev = notice.rev - 1
+            self.notice(notice)
+        self.rev = rev
+
     def _member(self, told: Instance) -> Member | None:
         state = STATES.get(told.lifecycle)
         if state is None or told.zone not in self.settings.zones:
--- a/gladelane/net/upstream.py
+++ b/gladelane/net/upstream.py
@@ -391,6 +391,12 @@
         for conn in [c for conns in self._pool.values() for c in conns]:
             conn.close()
 
+    def shrink(self, cap: int) -> None:
+        """Another process has a part of the sockets: idle connections above this one's part go."""
+        self.cap = cap
+        while self._held() > cap and self._spare_one():
+            pass
+
     def remove(self, conn: Connection) -> None:
         conns = self._pool.get(conn.store, [])
         if conn in conns:
--- a/gladelane/routes/cold.py
+++ b/gladelane/routes/cold.py
@@ -56,6 +56,7 @@
         self.caches = _Kind(s.cold_from, s.warm_after_ms, s.fall_multiple, seats)
         self.parents = _Kind(s.parent_cold_from, s.parent_cold_ms, s.parent_fall_multiple, s.proxies)
         self.learned_ms = -1.0
+        self.parts = 1  # processes that are this director: while a new version runs beside the old one, two
 
     def _of(self, member: Member) -> _Kind:
         return self.parents if member.kind == self.parent_kind else self.caches
@@ -88,7 +89,8 @@
         """One that carries less than a request of its own saves up for it: forty that each sent one on credit
         would be a crowd. Where in that they begin is chance, or all would have saved enough at one moment."""
         part = kind.start + (1.0 - kind.start) * max(now - member.came_up_ms, 0.0) / kind.warm_ms
-        bearing = (self.link_share(member) or kind.usual) * part * kind.multiple  # work a second
+        # work a second
+        bearing = (self.link_share(member) or kind.usual) * part * kind.multiple / self.parts
         depth = bearing * COLD_BURST * self.fall_ms / 1000.0
         if tokens.at_ms < 0:
             tokens.left, tokens.at_ms = self.rng.random() * work if 0.0 < depth < work else 0.0, now
--- a/gladelane/upgrade/channel.py
+++ b/gladelane/upgrade/channel.py
@@ -75,6 +75,7 @@
         self._listener: socket.socket | None = None
         self._peers: dict[socket.socket, bytearray] = {}
         self._handed: set[socket.socket] = set()
+        self._heirs: set[socket.socket] = set()  # of these, who came after this process
 
     @property
     def peers(self) -> int:
@@ -137,15 +138,19 @@
                 self._drop(peer, f"it takes nothing: {error}")
 
     def close(self) -> None:
-        if self._listener is not None:
-            asyncio.get_running_loop().remove_reader(self._listener.fileno())
-            self._listener.close()
-            self._listener = None
+        self._stop_listening()
         for peer in list(self._peers):
             asyncio.get_running_loop().remove_reader(peer.fileno())
             peer.close()
         self._peers.clear()
         self._handed.clear()
+        self._heirs.clear()
+
+    def _stop_listening(self) -> None:
+        if self._listener is not None:
+            asyncio.get_running_loop().remove_reader(self._listener.fileno())
+            self._listener.close()
+            self._listener = None
 
     def _accept(self) -> None:
         assert self._listener is not None
@@ -193,6 +198,7 @@
                 raise Unusable("nothing to hand over: this process listens no more")
             socket.send_fds(peer, [_encoded(Message("here", name=self.name))], [given.fileno()])
             self._handed.add(peer)
+            self._heirs.add(peer)
             log.info("upgrade: a new process has the listening socket")
             self._changed()
         elif peer in self._handed:
@@ -203,6 +209,11 @@
         asyncio.get_running_loop().remove_reader(peer.fileno())
         peer.close()
         self._peers.pop(peer, None)
+        if peer in self._heirs:
+            self._heirs.discard(peer)
+            if not self._heirs and self._listener is not None:
+                self._stop_listening()
+                self.listen()  # it had taken the meeting place over, and failed: the next one is to find us
         if peer in self._handed:
             self._handed.discard(peer)
             self._changed()
--- a/tests/upgrade/test_two_processes.py
+++ b/tests/upgrade/test_two_processes.py
@@ -206,3 +206,75 @@
             read_message(b'{"kind":"order","version":0}', "n0")
         assert read_message(b'{"kind":"order","word":"maint","store":"x"}', "n0") == Message("order", word="maint", store="x")
         made[0].close()
+
+
+async def asked(cache: Cache, port: int, first: int) -> int:
+    """How many of twenty requests came to this cache."""
+    before = len(cache.seen)
+    client = await Client.to(port)
+    for number in range(first, first + 20):
+        client.ask(number - first + 1, i=f"{number:016x}", o=f"{number:016x}", m="1")
+        while (frame := await client.next())[0] != 17:
+            pass
+        assert frame[2] == 0
+    client.writer.close()
+    return len(cache.seen) - before
+
+
+@pytest.mark.parametrize("how", ["usual", "killed", "between", "to the new one"])
+def test_a_cache_that_is_out_stays_out_across_an_upgrade(tmp_path: Path, how: str) -> None:
+    @trial
+    async def test() -> None:
+        one, two = Cache(hit), Cache(hit)
+        raw = config({"c0": await one.start(), "c1": await two.start(), "p0": REFUSED, "r0": REFUSED})
+        with fleet(tmp_path, raw) as director:
+            old = await director.start()
+            await director.serving()
+            assert await asked(one, director.port, 1000)
+            if how in ("usual", "killed"):
+                assert (await director.call("POST", "/caches/c0/maint"))[0] == 200
+            if how == "killed":
+                old.kill()
+                await old.wait()
+            await director.start()
+            await director.serving()
+            if how == "between":
+                assert (await director.call("POST", "/caches/c0/maint", 0))[0] == 200
+            elif how == "to the new one":
+                assert (await director.call("POST", "/caches/c0/maint", 1))[0] == 200
+                director.processes[1].kill()  # and the old one goes on
+                await director.processes[1].wait()
+                assert await asked(one, director.port, 2000) == 0
+                await director.start()
+                await director.serving()
+            await asyncio.sleep(0.1)
+            if how != "killed":
+                old.send_signal(signal.SIGTERM)
+                assert await old.wait() == 0
+            assert await asked(one, director.port, 3000) == 0, director.log()
+            assert "hosts_down=1" in (await director.call("GET", "/stats"))[1]
+            assert (await director.call("POST", "/caches/c0/ready"))[0] == 200
+            assert "hosts_down=0" in (await director.call("GET", "/stats"))[1]
+
+    test()
+
+
+def test_a_drain_goes_over_and_ends_at_the_new_process(tmp_path: Path) -> None:
+    @trial
+    async def test() -> None:
+        with fleet(tmp_path, config({"c0": await Cache(hit).start(), "p0": REFUSED, "r0": REFUSED})) as director:
+            old = await director.start()
+            await director.serving()
+            assert (await director.call("POST", "/healthcheck/fail"))[0] == 200
+            await director.start()
+            await director.serving()
+            old.send_signal(signal.SIGTERM)
+            await old.wait()
+            for word, code in (("", 1), ("ok", 0), ("fail", 1), ("ok", 0)):
+                if word:
+                    assert (await director.call("POST", f"/healthcheck/{word}"))[0] == 200
+                client = await Client.to(director.port)
+                client.send(32, 0, b"\x00")
+                assert (await client.next())[:3] == (33, 0, code)
+
+    test()
