--- a/gladelane/lab/client.py
+++ b/gladelane/lab/client.py
@@ -22,6 +22,7 @@
 
     def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.answers: Counter[int] = Counter()
+        self.told = False  # to send no more requests here
         self._reader, self._writer = reader, writer
         self._stream = 0
         self._waiting: dict[int, tuple[asyncio.Future[Answer], float]] = {}
@@ -55,6 +56,7 @@
         try:
             while data := await self._reader.read(65_536):
                 for frame in decoder.feed(data):
+                    self.told = self.told or frame.type == Type.NO_MORE
                     if frame.type != Type.ANSWER:
                         continue
                     self.answers[frame.stream] += 1
--- /dev/null
+++ b/gladelane/lab/processes.py
@@ -0,0 +1,145 @@
+"""The real processes of one director, oldest first, as the platform starts them beside each other; clients
+that ask all the while and count what was not answered."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import socket
+import sys
+from collections.abc import Mapping
+from contextlib import suppress
+from pathlib import Path
+from typing import Any
+
+from .client import Client
+
+ROOT = Path(__file__).parent.parent.parent
+START_S = 20.0
+CALL_S = 5.0
+
+
+def free_port() -> int:
+    with socket.create_server(("127.0.0.1", 0)) as found:
+        return int(found.getsockname()[1])
+
+
+class Processes:
+    """Each gets a file, a log and an operators' address of its own; the folder is what they share."""
+
+    def __init__(self, folder: Path, raw: Mapping[str, Any]) -> None:
+        self.folder, self.port = folder, free_port()
+        self.raw = {**raw, "listen": f"127.0.0.1:{self.port}"}
+        self.ops: list[int] = []
+        self.all: list[asyncio.subprocess.Process] = []
+
+    async def start(self, **changes: Any) -> asyncio.subprocess.Process:
+        self.ops.append(free_port())
+        path = self.folder / f"config{len(self.ops)}.json"
+        path.write_text(json.dumps({**self.raw, **changes}))
+        ops = f"127.0.0.1:{self.ops[-1]}"
+        env = {**os.environ, "GW_CONFIG": str(path), "GW_OPS": ops, "TMPDIR": str(self.folder)}
+        env.pop("GW_OPERATOR", None)
+        with open(self.folder / f"log{len(self.ops)}", "wb") as log:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "gladelane", cwd=ROOT, env=env, stderr=log
+            )
+        self.all.append(process)
+        return process
+
+    def log(self, number: int = -1) -> str:
+        return (self.folder / f"log{range(1, len(self.ops) + 1)[number]}").read_text()
+
+    async def call(self, method: str, target: str, number: int = -1) -> tuple[int, str]:
+        """Status and text; 0 where nobody answers."""
+        try:
+            async with asyncio.timeout(CALL_S):
+                reader, writer = await asyncio.open_connection("127.0.0.1", self.ops[number])
+                try:
+                    writer.write(f"{method} {target} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+                    whole = (await reader.read()).decode()
+                finally:
+                    writer.close()
+            return int(whole.split()[1]), whole.partition("\r\n\r\n")[2]
+        except (OSError, IndexError, TimeoutError):
+            return 0, ""
+
+    async def serving(self, number: int = -1) -> None:
+        """Raises RuntimeError with the log where the process ends instead."""
+        async with asyncio.timeout(START_S):
+            while (await self.call("GET", "/healthcheck", number))[0] != 200:
+                if self.all[number].returncode is not None:
+                    raise RuntimeError(self.log(number))
+                await asyncio.sleep(0.02)
+
+    async def figures(self, number: int = -1) -> dict[str, int]:
+        lines = (await self.call("GET", "/stats", number))[1].splitlines()
+        pairs = (line.removeprefix("director.").partition("=") for line in lines)
+        return {name: int(value) for name, _, value in pairs}
+
+    def held(self) -> tuple[float, int]:
+        """Memory in MB (resident) and descriptors of all that run, together."""
+        memory, descriptors = 0.0, 0
+        for process in self.all:
+            with suppress(OSError):
+                folder = Path(f"/proc/{process.pid}")
+                pages = int((folder / "statm").read_text().split()[1])
+                memory += pages * os.sysconf("SC_PAGE_SIZE") / 1e6
+                descriptors += len(list((folder / "fd").iterdir()))
+        return memory, descriptors
+
+    async def end(self) -> None:
+        for process in self.all:
+            with suppress(ProcessLookupError):
+                process.kill()
+            await process.wait()
+
+
+class Load:
+    """Clients that keep their connections until they are told to go, others that take a new one each time.
+
+    `lost`: a request on a new connection that got no answer or not a served one. `crossed`: one that met the
+    close of a kept connection and was asked again, as the protocol lets clients do.
+    """
+
+    def __init__(self, port: int, clients: int = 8, classes: tuple[str, ...] = ("film",)) -> None:
+        self.port, self.classes = port, classes
+        self.served = self.crossed = 0
+        self.lost: list[str] = []
+        asking = (self._ask(kept=n % 2 == 0, first=1 + n * 1_000_000) for n in range(clients))
+        self._tasks = [asyncio.create_task(task) for task in asking]
+
+    async def _ask(self, kept: bool, first: int) -> None:
+        client: Client | None = None
+        fresh, number = True, first
+        while True:
+            try:
+                if client is None:
+                    client, fresh = await Client.to("127.0.0.1", self.port), True
+                answer = await client.ask({
+                    "c": self.classes[number % len(self.classes)], "i": f"{number:016x}", "d": "2000",
+                    "o": f"{number % 50:016x}", "chunk": "0", "tag": "1", "m": "1", "k": f"{number:032x}",
+                })
+            except OSError as error:
+                self.lost.append(repr(error))
+                client = None
+                continue
+            number += 1
+            if answer is not None and answer.code == 0:
+                self.served += 1
+                fresh = False
+                if kept and not client.told:
+                    continue
+            elif answer is None and not fresh:
+                self.crossed += 1
+                number -= 1
+            else:
+                self.lost.append(f"{number - 1}: {answer and answer.code}")
+            await client.close()
+            client = None
+
+    async def stop(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
--- a/tests/upgrade/test_two_processes.py
+++ b/tests/upgrade/test_two_processes.py
@@ -4,125 +4,28 @@
 
 import asyncio
 import json
-import os
 import signal
-import socket
-import sys
-from collections.abc import Iterator
-from contextlib import contextmanager, suppress
+import tempfile
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from pathlib import Path
-from typing import Any
 
 import pytest
 from harness import Cache, Client, config, hit, trial
 
+from gladelane.lab.processes import Load, Processes
 from gladelane.upgrade.channel import NAME, VERSION, Channel, Message, Unusable, read_message
 
-ROOT = Path(__file__).parent.parent.parent
 REFUSED = "127.0.0.1:1"
 
 
-def free_port() -> int:
-    with socket.create_server(("127.0.0.1", 0)) as found:
-        return int(found.getsockname()[1])
-
-
-class Fleet:
-    """One director's processes, oldest first."""
-
-    def __init__(self, folder: Path, raw: bytes) -> None:
-        self.folder, self.port = folder, free_port()
-        self.raw = {**json.loads(raw), "listen": f"127.0.0.1:{self.port}"}
-        self.ops: list[int] = []
-        self.processes: list[asyncio.subprocess.Process] = []
-
-    async def start(self, **changes: Any) -> asyncio.subprocess.Process:
-        self.ops.append(free_port())
-        path = self.folder / f"config{len(self.ops)}.json"
-        path.write_text(json.dumps({**self.raw, **changes}))
-        env = {**os.environ, "GW_CONFIG": str(path), "GW_OPS": f"127.0.0.1:{self.ops[-1]}", "TMPDIR": str(self.folder)}
-        env.pop("GW_OPERATOR", None)
-        with open(self.folder / f"log{len(self.ops)}", "wb") as log:
-            process = await asyncio.create_subprocess_exec(sys.executable, "-m", "gladelane", cwd=ROOT, env=env, stderr=log)
-        self.processes.append(process)
-        return process
-
-    def log(self, number: int = -1) -> str:
-        return (self.folder / f"log{range(1, len(self.ops) + 1)[number]}").read_text()
-
-    async def call(self, method: str, target: str, number: int = -1) -> tuple[int, str]:
-        """0 while nobody answers."""
-        try:
-            reader, writer = await asyncio.open_connection("127.0.0.1", self.ops[number])
-            writer.write(f"{method} {target} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
-            whole = (await asyncio.wait_for(reader.read(), 3.0)).decode()
-            writer.close()
-            return int(whole.split()[1]), whole.partition("\r\n\r\n")[2]
-        except (OSError, IndexError):
-            return 0, ""
-
-    async def serving(self, number: int = -1) -> None:
-        async with asyncio.timeout(20):
-            while (await self.call("GET", "/healthcheck", number))[0] != 200:
-                assert self.processes[number].returncode is None, self.log(number)
-                await asyncio.sleep(0.02)
-
-    def end(self) -> None:
-        for process in self.processes:
-            with suppress(ProcessLookupError):
-                process.kill()
-
-
-@contextmanager
-def fleet(folder: Path, raw: bytes) -> Iterator[Fleet]:
-    made = Fleet(folder, raw)
+@asynccontextmanager
+async def fleet(folder: Path, raw: bytes) -> AsyncIterator[Processes]:
+    made = Processes(folder, json.loads(raw))
     try:
         yield made
     finally:
-        made.end()
-
-
-class Load:
-    """Short connections and kept ones, each asking again and again; counts what was not answered."""
-
-    def __init__(self, port: int) -> None:
-        self.port, self.served, self.crossed = port, 0, 0
-        self.lost: list[str] = []
-        self.tasks = [asyncio.create_task(self._ask(kept=n % 2 == 0, first=1 + n * 100_000)) for n in range(8)]
-
-    async def _ask(self, kept: bool, first: int) -> None:
-        client: Client | None = None
-        stream, number = 0, first
-        while True:
-            try:
-                if client is None:
-                    client, stream = await Client.to(self.port), 0
-                stream, number = stream + 1, number + 1
-                client.ask(stream, i=f"{number:016x}", o=f"{number % 50:016x}", m="1")
-                told = False
-                try:
-                    while (frame := await client.next())[0] == 48:
-                        told = True
-                except (OSError, EOFError):
-                    if stream == 1:
-                        raise
-                    self.crossed += 1  # it met the close of a kept connection: once more, on a new one
-                    client, number = None, number - 1
-                    continue
-                assert frame[2] == 0, frame
-                self.served += 1
-                with suppress(TimeoutError):  # told after the answer
-                    told = told or bool(client.frames) or (await client.next(0.002))[0] == 48
-                if told or not kept:
-                    client.writer.close()
-                    client = None
-            except (OSError, EOFError, AssertionError) as error:
-                self.lost.append(f"stream {stream}: {error!r:.200}")
-                client = None
-
-    def stop(self) -> None:
-        for task in self.tasks:
-            task.cancel()
+        await made.end()
 
 
 def run_upgrades(tmp_path: Path, times: int, spoil: str = "") -> None:
@@ -130,7 +33,7 @@
     async def test() -> None:
         cache = Cache(hit)
         raw = config({"c0": await cache.start(), "p0": REFUSED, "r0": REFUSED})
-        with fleet(tmp_path, raw) as director:
+        async with fleet(tmp_path, raw) as director:
             await director.start()
             await director.serving()
             load = Load(director.port)
@@ -141,11 +44,11 @@
                 before = load.served
                 await director.start()
                 await director.serving()
-                director.processes[-2].send_signal(signal.SIGTERM)
-                assert await asyncio.wait_for(director.processes[-2].wait(), 6.0) == 0
+                director.all[-2].send_signal(signal.SIGTERM)
+                assert await asyncio.wait_for(director.all[-2].wait(), 6.0) == 0
                 assert load.served > before
             await asyncio.sleep(0.2)
-            load.stop()
+            await load.stop()
             assert not load.lost and load.crossed <= 2 * times and load.served > 50, (load.lost, load.crossed, load.served)
             assert ("has the listening socket" in director.log(0)) != bool(spoil)
 
@@ -164,7 +67,7 @@
     @trial
     async def test() -> None:
         cache = Cache(hit)
-        with fleet(tmp_path, config({"c0": await cache.start(), "p0": REFUSED, "r0": REFUSED})) as director:
+        async with fleet(tmp_path, config({"c0": await cache.start(), "p0": REFUSED, "r0": REFUSED})) as director:
             await director.start()
             await director.serving()
             load = Load(director.port)
@@ -172,12 +75,12 @@
             assert "board" in director.log() or "nowhere" in director.log()
             await director.start()
             await director.serving()
-            director.processes[-1].kill()  # right after its yes, with connections of its own
-            await director.processes[-1].wait()
+            director.all[-1].kill()  # right after its yes, with connections of its own
+            await director.all[-1].wait()
             load.lost = []
             before = load.served
             await asyncio.sleep(0.3)
-            load.stop()
+            await load.stop()
             assert load.served > before and not load.lost and (await director.call("GET", "/healthcheck", 0))[0] == 200
 
     test()
@@ -194,8 +97,6 @@
 
 @trial
 async def test_a_foreign_process_at_the_meeting_place_is_passed_over() -> None:
-    import tempfile
-
     with tempfile.TemporaryDirectory() as folder:
         made = [Channel(folder, name, lambda _: None, lambda: None, lambda: None) for name in ("n0", "n1")]
         assert made[0].meet() is None  # nobody
@@ -227,7 +128,7 @@
     async def test() -> None:
         one, two = Cache(hit), Cache(hit)
         raw = config({"c0": await one.start(), "c1": await two.start(), "p0": REFUSED, "r0": REFUSED})
-        with fleet(tmp_path, raw) as director:
+        async with fleet(tmp_path, raw) as director:
             old = await director.start()
             await director.serving()
             assert await asked(one, director.port, 1000)
@@ -242,8 +143,8 @@
                 assert (await director.call("POST", "/caches/c0/maint", 0))[0] == 200
             elif how == "to the new one":
                 assert (await director.call("POST", "/caches/c0/maint", 1))[0] == 200
-                director.processes[1].kill()  # and the old one goes on
-                await director.processes[1].wait()
+                director.all[1].kill()  # and the old one goes on
+                await director.all[1].wait()
                 assert await asked(one, director.port, 2000) == 0
                 await director.start()
                 await director.serving()
@@ -262,7 +163,7 @@
 def test_a_drain_goes_over_and_ends_at_the_new_process(tmp_path: Path) -> None:
     @trial
     async def test() -> None:
-        with fleet(tmp_path, config({"c0": await Cache(hit).start(), "p0": REFUSED, "r0": REFUSED})) as director:
+        async with fleet(tmp_path, config({"c0": await Cache(hit).start(), "p0": REFUSED, "r0": REFUSED})) as director:
             old = await director.start()
             await director.serving()
             assert (await director.call("POST", "/healthcheck/fail"))[0] == 200
