--- a/benchmarks/operations.py
+++ b/benchmarks/operations.py
@@ -2,8 +2,8 @@
 
 `python -m benchmarks.operations [--quick]`, real processes of this project on loopback. Exits with 1 if a
 call at the door went unanswered or was answered wrongly, a request or a newcomer was lost in an upgrade, a
-figure differs from what clients and stores counted, or the two processes held more than the limits. Times fail
-nothing.
+figure differs from what clients and stores counted, or the two processes held more than the limits. Times
+fail nothing.
 """
 
 from __future__ import annotations
@@ -154,8 +154,9 @@
         finally:
             await director.end()
             await world.close()
-    return {"upgrades": times, "served_meanwhile": load.served, "lost": load.lost, "crossed": load.crossed,
-            "last_took_over": handed, "ready_most_s": round(max(ready), 2), "both_memory_mb": round(memory, 1),
+    return {"upgrades": times, "served_meanwhile": load.served, "lost": load.lost,
+            "crossed": load.crossed, "last_took_over": handed, "ready_most_s": round(max(ready), 2),
+            "both_memory_mb": round(memory, 1),
             "both_descriptors": descriptors}
 
 
