Count a keyed request's window from the first try that may have run

Need: each try of a key had a window of its own: a client's repeat, or one sent again to a new process, could reach the question bank after the 2 s in which it drops repeats. test_keys shows it: without the table a try 2 s after the first is sent.

--- a/gladelane/__main__.py
+++ b/gladelane/__main__.py
@@ -140,6 +140,7 @@
         if handed is not None:
             self.director.register.out.update(handed.out)
             self.director.register.back.update(handed.back)
+            self.director.keys.take_over(handed.keys)
             if handed.failed_ms:
                 self.front.drain.fail(handed.failed_ms)
         return handed
@@ -163,7 +164,8 @@
         director = self.director
         file.write(self.folder, Handover(
             self.identity, self.clock.now(), director.register.out, director.register.back,
-            self.front.drain.failed_ms, director.rev, director.notices(), learnt=learnt,
+            self.front.drain.failed_ms, director.rev, director.notices(),
+            director.keys.known(self.clock.now()), learnt,
         ))
 
     def _held(self, call: Call) -> None:
--- a/gladelane/choice.py
+++ b/gladelane/choice.py
@@ -328,6 +328,8 @@
         self.learn_earning(spec.name)
         aim = min(spec.aim_ms + spec.aim_stretch * work, spec.deadline_ms)
         owed = Pending(request, spec, self.now, aim, self.settings.max_attempts)
+        if request.ran_ms:  # the window of a key is one for all tries
+            owed.may_have_run, owed.first_ran_ms, owed.ran_at = True, request.ran_ms, request.ran_at
         self.pending[request.id] = owed
         self.emit(SetTimer(f"d:{request.id}", request.deadline_ms))
         self.retries = min(self.retries + RETRY_SHARE, RETRY_MOST)
--- a/gladelane/interface.py
+++ b/gladelane/interface.py
@@ -311,6 +311,8 @@
     part: int = 0
     repeat: bool = False
     tenant: str = ""
+    ran_ms: float = 0.0  # when an earlier try of the same key first may have run, 0: none is known
+    ran_at: str = ""  # and at which store
 
 
 @dataclass(frozen=True, slots=True)
--- a/gladelane/net/director.py
+++ b/gladelane/net/director.py
@@ -14,10 +14,12 @@
 from ..endpoints.book import Change
 from ..endpoints.plan import Endpoints, Options
 from ..endpoints.rules import Listing, Rules
-from ..interface import Cancel, ClientGone, Event, Fail, Fetch, ListKind, Log, Lookup, Member, Members, Note
-from ..interface import Outcome, Purge, Refuse, Request, SetTimer, Settings, State, Status, Timer
+from ..interface import NEVER_RAN, Cancel, ClientGone, Effect, Event, Fail, Fetch, ListKind, Log, Lookup
+from ..interface import Member, Members, Note, Outcome, Purge, Refuse, Request, SetTimer, Settings, State
+from ..interface import Status, Timer
 from ..operations.figures import Figures
 from ..operations.maintenance import Register
+from ..routes.keys import KeyWindows
 from .config import Instance, Notice, Pool
 from .ends import STATUS, End
 from .exchange import Ask, Attempt, Code, Exchange, Final
@@ -73,6 +75,7 @@
         self.figures = Figures()
         self.figures.know(settings.classes)
         self.register = Register()
+        self.keys = KeyWindows()
         self._told: dict[str, tuple[Instance, Member]] = {}  # the list's own words
         self._seen: set[str] = set()  # ids that were ever listed
         self._flushes: deque[Notice] = deque()  # purges that still bind, for a process that comes after
@@ -88,9 +91,12 @@
         """Called when the last byte of the request has been read; it came earlier by up to the loop's lag."""
         self._numbers += 1
         # the module knows 0 as 'no object, a whole group', so objects count from 1
+        now = self.clock()
+        keyed = self.settings.classes[ask.cls].effect is Effect.KEYED
+        ran_ms, ran_at = self.keys.first(ask.key, now) if keyed and ask.key else (0.0, "")
         request = Request(
-            self._numbers, ask.cls, int(ask.object, 16) + 1, self.clock() + ask.wait_ms - self.wheel.margin(),
-            ask.size_kb, ask.group, ask.part,
+            self._numbers, ask.cls, int(ask.object, 16) + 1, now + ask.wait_ms - self.wheel.margin(),
+            ask.size_kb, ask.group, ask.part, ran_ms=ran_ms, ran_at=ran_at,
         )
         spec, most = self.settings.classes[ask.cls], self.settings.max_attempts
         exchange = Exchange(ask, request, deliver, spec, most, figures=self.figures)
@@ -260,6 +266,9 @@
         if not self._ready(attempt.store) or (attempt.source and not self._ready(attempt.source)):
             return End.WITHDRAWN
         request, spec = attempt.exchange.request, attempt.exchange.spec
+        if spec.effect is Effect.KEYED and attempt.exchange.ask.key:
+            attempt.ran_ms = now
+            self.keys.may_have_run(attempt.exchange.ask.key, now, attempt.store)
         bound = self.router.age_now(now, request, spec.fresh_ms)
         if bound:
             attempt.max_age_ms = min(attempt.max_age_ms or bound, bound)
@@ -298,6 +307,8 @@
                 log.warning("outdated answer store=%s by_ms=%.0f", attempt.store, by)
                 end = End.OUTDATED
         status = STATUS[end]
+        if attempt.ran_ms and status in NEVER_RAN:
+            self.keys.never_ran(exchange.ask.key, attempt.ran_ms)
         if status is Status.OK and reply is not None:
             exchange.finish(Final(Code.SERVED, reply.body, valid=end is End.STILL_GOOD))
         now = self.clock()
--- /dev/null
+++ b/tests/operations/test_keys.py
@@ -0,0 +1,67 @@
+"""Windows of keyed requests: one for all tries of a key, also of an earlier process."""
+
+from __future__ import annotations
+
+from conftest import Driver, some
+from harness import Cache, config, hit, mute, running, trial
+from hypothesis import given
+from hypothesis import strategies as st
+
+from gladelane.interface import Fail, Fetch, Refuse
+from gladelane.routes.keys import KEPT_MS, MOST, KeyWindows
+
+REFUSED = "127.0.0.1:1"
+STEPS = st.lists(st.tuples(st.sampled_from(["run", "never"]), st.sampled_from("ab"), st.integers(1, 4000)), max_size=30)
+
+
+@given(STEPS)
+def test_the_first_moment_that_is_not_disproved_counts_until_it_is_old(steps: list[tuple[str, str, int]]) -> None:
+    keys, first, now = KeyWindows(), dict[str, float](), 0.0
+    for word, key, after in steps:
+        now += after
+        first = {k: at for k, at in first.items() if at >= now - KEPT_MS}
+        if word == "run":
+            first.setdefault(key, now)
+            keys.may_have_run(key, now, "s")
+        else:
+            keys.never_ran(key, first.pop(key, -1.0))
+        assert {k: at for k, (at, _) in keys.known(now).items()} == first
+
+
+def test_it_is_bounded_and_goes_over_whole() -> None:
+    old, new = KeyWindows(), KeyWindows()
+    for number in range(MOST + 5):
+        old.may_have_run(str(number), 1.0 + number / 1000.0, "s")
+    assert len(old) == MOST and old.first("0", 2.0) == (0.0, "")
+    new.may_have_run("own", 0.5, "t")
+    new.take_over(old.known(6.0))
+    assert new.first("9", 6.0) == old.first("9", 6.0) and new.first("own", 6.0) == (0.5, "t")
+    assert new.first("own", 0.6 + KEPT_MS) == (0.0, "")
+
+
+def test_a_repeat_after_the_window_of_the_first_try_is_not_sent() -> None:
+    driver = Driver()  # sale: keyed, 6 s
+    early = driver.ask("sale", ran_ms=driver.now - 3000.0, ran_at="root")
+    assert some(early, Fetch) and not some(early, Refuse)
+    late = driver.ask("sale", ran_ms=driver.now - 6000.0, ran_at="root")
+    assert not some(late, Fetch) and some(late, Refuse) and not some(late, Fail)
+
+
+@trial
+async def test_the_window_of_a_key_is_one_for_all_its_tries_and_ends_with_proof() -> None:
+    scripts = {"0000000000000001": lambda _: ("overload -", b""), "0000000000000004": hit}
+    origin = Cache(lambda command: scripts.get(command[0], mute)(command))
+    async with running(config({"c0": REFUSED, "r0": await origin.start()})) as (node, client):
+        client.ask(1, c="sheet", k="aa", d="200")
+        assert (await client.next())[2] == 1 and node.director.keys.first("aa", node.clock.now()) == (0.0, "")  # never ran
+        client.ask(2, c="sheet", k="aa", d="150")
+        before = node.clock.now()
+        assert (await client.next())[2] == 1
+        client.ask(3, c="sheet", k="aa", d="150")
+        assert (await client.next())[2] == 1
+        at, store = node.director.keys.first("aa", node.clock.now())
+        assert store == "r0" and before <= at < node.clock.now() - 100.0  # of the second try, not of the third
+        sent = len(origin.seen)
+        node.director.keys.take_over({"aa": (node.clock.now() - 2000.0, "r0")})  # as the process before it tells
+        client.ask(4, c="sheet", k="aa")
+        assert (await client.next())[1:3] == (4, 1) and len(origin.seen) == sent
