Bound the door's callers by the reserve, and test the hard cases of upgrades and slow readers

The door could hold 24 callers where 57 descriptors are in reserve for two processes. Change: callers by the reserve (12 at 384); ctypes only at the moment it is needed.

--- a/gladelane/__main__.py
+++ b/gladelane/__main__.py
@@ -44,6 +44,8 @@
 
 # of the descriptors; the rest is the reserve. Usual clients hold a third at most, others find room beside
 CLIENT_SHARE, UPSTREAM_SHARE = 0.6, 0.25
+OWN_SOCKETS = 16  # of a process: its loops, listeners, the board's stream, the channel, files for a moment
+CALLERS_LEAST = 4  # at the door, however few descriptors there are
 HELD_SHARE = 0.25  # of the memory, for bodies and answers not yet taken
 GC_THRESHOLDS = (50_000, 10, 10)  # nearly all is freed by its last reference; cycles are few
 GC_LONG_MS = 10.0  # a collection this long is logged
@@ -117,7 +119,10 @@
     def _open_door(self, host: str, port: int) -> None:
         from .operations.door import Door  # on older days there is neither a place nor a thread
 
-        self.door = Door(self.desk, asyncio.get_running_loop())
+        # from the reserve, of which each of two processes needs a part for itself
+        reserve = int(self.config.limits.sockets * (1.0 - CLIENT_SHARE - UPSTREAM_SHARE))
+        callers = max((reserve - 2 * OWN_SOCKETS) // 2, CALLERS_LEAST)
+        self.door = Door(self.desk, asyncio.get_running_loop(), callers)
         self.door.open(host, port)
 
     def _meet(self) -> socket.socket | None:
--- a/gladelane/net/front.py
+++ b/gladelane/net/front.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import ctypes
 import fcntl
 import logging
 import os
@@ -254,6 +253,8 @@
     """Has the system give newcomers to whoever listens here second, the new version (SO_REUSEPORT orders by
     age): what it puts into the queue of this one between the last accept and the close would be reset.
     Without a second one nothing changes."""
+    import ctypes  # for this moment alone
+
     return_second = ctypes.create_string_buffer(struct.pack("=HBBI", 0x06, 0, 0, 1))  # BPF_RET | BPF_K, 1
     program = struct.pack("@HP", 1, ctypes.addressof(return_second))
     with suppress(OSError):
--- a/gladelane/operations/door.py
+++ b/gladelane/operations/door.py
@@ -21,7 +21,7 @@
 log = logging.getLogger(__name__)
 
 BACKLOG = 64
-MOST_CALLERS = 24  # connections held; the oldest without a whole call gives way to one more
+MOST_CALLERS = 24  # connections held, or fewer; the oldest without a whole call gives way to one more
 CALL_S = 1.5  # within which a call has to be whole
 BOUND_S = 0.6  # for the serving loop to carry it out
 LINGER_S = 0.3  # for a caller to take its answer and close
@@ -45,8 +45,11 @@
 class Door:
     """`close` may be called from the serving loop; it waits for the thread."""
 
-    def __init__(self, desk: Desk, serving: asyncio.AbstractEventLoop) -> None:
+    def __init__(
+        self, desk: Desk, serving: asyncio.AbstractEventLoop, most_callers: int = MOST_CALLERS
+    ) -> None:
         self._desk, self._serving = desk, serving
+        self._most_callers = min(most_callers, MOST_CALLERS)
         self._loop = asyncio.new_event_loop()
         self._listener: socket.socket
         self._callers: dict[asyncio.Task[None], bool] = {}  # oldest first; whether its call is whole
@@ -88,7 +91,7 @@
                 log.warning("door: accept failed: %s", error)
                 await asyncio.sleep(RETRY_S)
                 continue
-            while len(self._callers) >= MOST_CALLERS:
+            while len(self._callers) >= self._most_callers:
                 first = next(iter(self._callers))
                 oldest = next((t for t, whole in self._callers.items() if not whole), first)
                 oldest.cancel()
--- a/tests/operations/test_door_orders.py
+++ b/tests/operations/test_door_orders.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import socket
 from collections import Counter
 from typing import Any
 
@@ -182,3 +183,31 @@
         client.writer.close()
         await until(lambda: figures(node)["inflight"] == 0)
         assert figures(node)["withdrawn"] == 2
+
+
+@trial
+async def test_a_slow_reader_gets_all_it_asked_for_and_delays_no_other() -> None:
+    part, asked = b"x" * 240_000, 30
+    async with running(config({"c0": await Cache(lambda _: ("served digest=aa,dated=1,remark=h", part)).start(), "r0": REFUSED})) as (node, client):
+        node.director.router.stores["c0"].concurrency.limit = 64.0
+        plain = socket.create_connection(("127.0.0.1", node.port))
+        plain.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65_536)
+        slow = Client(*await asyncio.open_connection(sock=plain))
+        for stream in range(1, asked + 1):
+            slow.ask(stream, o=f"{stream:016x}", m="1")
+        await until(lambda: any(conn.unsent() > 500_000 for conn in node.front.connections))
+        taken = 0
+        for stream in range(1, 9):  # it takes little meanwhile
+            client.ask(stream, o=f"{stream:016x}", m="1")
+            assert (await client.next(1.0))[2] == 0
+            taken += len((await slow.next())[4])
+        assert node.front.held < node.front.held_bytes
+        order(node, Word.FAIL)
+        while taken < asked * len(part):  # nor is it cut off by the drain: what it is owed is written first
+            frame = await slow.next()
+            assert frame[0] == 48 or frame[2] == 0
+            taken += len(frame[4])
+            await asyncio.sleep(0.02)
+        with pytest.raises(EOFError):
+            while True:
+                assert (await slow.next(2.0))[0] == 48
--- a/tests/operations/test_retune.py
+++ b/tests/operations/test_retune.py
@@ -120,7 +120,10 @@
         await until(lambda: "sheet" not in node.director.settings.classes)
         client.ask(9, c="sheet", k="aa")
         assert (await client.next())[1:3] == (9, 2) and node.director.figures.unusable == 1
-        node.reload(retuned(places, [film]))
+        moved = retuned(places, [film])
+        moved.board = ("127.0.0.1", 2)  # both in one file
+        node.reload(moved)
+        assert node.config.board == ("127.0.0.1", 2)
         assert node.director.settings.classes["film"].effect is Effect.UNSAFE and "new" in node.director.settings.classes
         await until(lambda: node.director.settings.classes.keys() == {"film"})
         assert node.director.settings.classes["film"].effect is Effect.SAFE
--- a/tests/upgrade/test_two_processes.py
+++ b/tests/upgrade/test_two_processes.py
@@ -11,7 +11,7 @@
 from pathlib import Path
 
 import pytest
-from harness import Cache, Client, config, hit, trial
+from harness import Cache, Client, config, hit, trial, until
 
 from gladelane.lab.processes import Load, Processes
 from gladelane.upgrade.channel import NAME, VERSION, Channel, Message, Unusable, read_message
@@ -122,6 +122,55 @@
     return len(cache.seen) - before
 
 
+@trial
+async def test_an_upgrade_of_an_upgrade_while_the_first_still_leaves() -> None:
+    held = Cache(lambda command: None if command[1]["thing"].endswith("ff") else hit(command))
+    with tempfile.TemporaryDirectory() as folder:
+        async with fleet(Path(folder), config({"c0": await held.start(), "p0": REFUSED, "r0": REFUSED})) as director:
+            first = await director.start()
+            await director.serving()
+            busy = await Client.to(director.port)
+            busy.ask(1, i="00000000000000aa", o="00000000000000ff", d="2500", m="1")  # keeps the first process for a while
+            await until(lambda: len(held.seen) == 1)
+            load = Load(director.port)
+            second = await director.start()
+            await director.serving()
+            first.send_signal(signal.SIGTERM)
+            third = await director.start()
+            await director.serving()
+            assert first.returncode is None
+            second.send_signal(signal.SIGTERM)
+            assert await second.wait() == 0
+            frame = await busy.next()
+            while frame[0] != 17:
+                frame = await busy.next()
+            assert frame[1:3] == (1, 1)  # its time is up; its answer comes from the process that took it
+            assert await first.wait() == 0 and third.returncode is None
+            before = load.served
+            await asyncio.sleep(0.3)
+            await load.stop()
+            assert not load.lost and load.served > before and "took over" in director.log()
+
+
+def test_a_hand_over_that_is_torn_is_passed_over_with_one_line(tmp_path: Path) -> None:
+    @trial
+    async def test() -> None:
+        async with fleet(tmp_path, config({"c0": await Cache(hit).start(), "p0": REFUSED, "r0": REFUSED})) as director:
+            old = await director.start()
+            await director.serving()
+            assert (await director.call("POST", "/caches/c0/maint"))[0] == 200
+            old.kill()
+            await old.wait()
+            path = tmp_path / "gladelane.handover"
+            path.write_bytes(path.read_bytes()[:-3])
+            await director.start()
+            await director.serving()
+            assert director.log().count("hand-over is passed over: ends at byte") == 1
+            assert (await director.figures())["hosts_down"] == 0
+
+    test()
+
+
 @pytest.mark.parametrize("how", ["usual", "killed", "between", "to the new one"])
 def test_a_cache_that_is_out_stays_out_across_an_upgrade(tmp_path: Path, how: str) -> None:
     @trial
