--- a/gladelane/__main__.py
+++ b/gladelane/__main__.py
@@ -21,6 +21,7 @@
     from .purges.holder import Holder
     from .purges.holder import Options as HolderOptions
     from .settings.operator import Operator
+    from .upgrade.succession import Succession
 
 from . import logs
 from .endpoints.plan import Endpoints
@@ -31,13 +32,9 @@
 from .net.front import Front
 from .net.upstream import Upstream
 from .net.wheel import Clock, Wheel
-from .operations.calls import Call, Word
+from .operations.calls import Call
 from .operations.desk import Desk
 from .operations.retune import BOTH_MS, applied, between
-from .upgrade import file
-from .upgrade.channel import Channel, Message
-from .upgrade.handover import Handover
-from .upgrade.learnt import Learnt, give, take
 
 log = logging.getLogger("gladelane")
 endpoints_log = logging.getLogger("gladelane.endpoints")
@@ -75,7 +72,6 @@
             self.director, self.clock.now, self.wheel, int(limits.sockets * CLIENT_SHARE),
             limits.memory_mb * 1_000_000 * HELD_SHARE,
         )
-        self._whole = self.upstream.cap, self.front.cap, self.front.held_bytes
         self.configure(operator)
         self.purges: Holder | None = None
         if operator is not None and operator.purges is not None:
@@ -84,19 +80,18 @@
         self.folder = os.environ.get("TMPDIR", "")
         self.desk = Desk(self.director, self.front.drain, self.clock.now, self.front.empty, self._held)
         self.door: Door | None = None
-        self.channel: Channel | None = None
+        self.succession: Succession | None = None
         self._tasks: list[asyncio.Task[None]] = []
         self._board: asyncio.Task[None] | None = None
 
     async def start(self) -> int:
         """Clients are let in only once all that is known has been applied: readiness promises that."""
         given = self._meet()
-        handed = self._handed()
         for notice in self.config.known.notices:
             self.director.notice(notice)
         self.director.rev = max(self.director.rev, self.config.known.rev)
-        if handed is not None:
-            self._take_over(handed)
+        if self.succession is not None:
+            self.succession.take_over()
         if self.config.ops is not None:
             self._open_door(*self.config.ops)
         self._tasks = [asyncio.create_task(self.wheel.run())]
@@ -109,10 +104,8 @@
             await self.purges.ready()
         host, port = self.config.listen
         self.port = await self.front.listen(host, port, given, shared=self.config.ops is not None)
-        if self.channel is not None:
-            self.channel.listen()
-            if self.channel.peers:
-                self._together()
+        if self.succession is not None:
+            self.succession.listen()
         self.desk.takes_clients = True
         return self.port
 
@@ -130,70 +123,19 @@
         have no door nobody brings a new version beside the old one."""
         if self.config.ops is None or not self.folder:
             return None
-        self.channel = Channel(self.folder, self.identity, self._told, self._together, self._hand_over)
-        return self.channel.meet()
+        from .upgrade.succession import Succession
 
-    @property
-    def identity(self) -> str:
-        return f"{self.config.name} {self.config.listen[0]}:{self.config.listen[1]}"
-
-    def _handed(self) -> Handover | None:
-        """What the process before this one left; orders are there before anything is listed."""
-        if self.channel is None:
-            return None
-        handed = file.read(self.folder, self.identity, self.clock.now())
-        if handed is not None:
-            self.director.register.out.update(handed.out)
-            self.director.register.back.update(handed.back)
-            self.director.keys.take_over(handed.keys)
-            if handed.failed_ms:
-                self.front.drain.fail(handed.failed_ms)
-        return handed
-
-    def _take_over(self, handed: Handover) -> None:
-        self.director.take_over(handed.rev, handed.notices)
-        if handed.learnt is not None:
-            give(self.director.router, handed.learnt)
-        log.info(
-            "upgrade: took over rev=%d out=%d emptied=%d learnt=%d age_ms=%.0f", handed.rev, len(handed.out),
-            bool(handed.failed_ms), handed.learnt is not None, self.clock.now() - handed.written_ms,
+        host, port = self.config.listen
+        self.succession = Succession(
+            self.folder, f"{self.config.name} {host}:{port}", self.clock.now, self.director, self.upstream,
+            self.front, self.desk,
         )
-
-    def _hand_over(self) -> socket.socket | None:
-        """A new process is there: it finds all this one knows, and is given the listening socket."""
-        if self.front.listener is not None:
-            self._write_handover(take(self.director.router))
-        return self.front.listener
-
-    def _write_handover(self, learnt: Learnt | None) -> None:
-        director = self.director
-        file.write(self.folder, Handover(
-            self.identity, self.clock.now(), director.register.out, director.register.back,
-            self.front.drain.failed_ms, director.rev, director.notices(),
-            director.keys.known(self.clock.now()), learnt,
-        ))
+        return self.succession.meet()
 
     def _held(self, call: Call) -> None:
-        """An order given here: the director's other process keeps it too."""
-        if self.channel is not None:
-            self.channel.tell(Message("order", word=call.word.value, store=call.store))
-            self._write_handover(None)  # should this process be killed, the order holds all the same
-
-    def _told(self, message: Message) -> None:
-        """An order that operators gave to the other process."""
-        try:
-            self.desk.heard(Call(Word(message.word), message.store))
-        except ValueError:
-            log.warning("upgrade: unknown order %r", message.word)
-
-    def _together(self) -> None:
-        """Another process has come or gone: each has its part of what is bounded for the director."""
-        parts = 1 + (self.channel.peers if self.channel is not None else 0)
-        upstream, clients, held = self._whole
-        self.upstream.shrink(upstream // parts)
-        self.front.cap, self.front.held_bytes = clients // parts, held / parts
-        self.director.router.cold.parts = parts
-        log.info("upgrade: processes=%d", parts)
+        """An order given to this process."""
+        if self.succession is not None:
+            self.succession.held(call)
 
     def _follow(self) -> None:
         """From the revision reached, and at once: no stream nor backoff of a board left before counts."""
@@ -246,7 +188,7 @@
         self.desk.takes_clients = False
         self.front.drain.leave()
         self.front.empty()
-        beside = self.channel is not None and self.channel.peers > 0
+        beside = self.succession is not None and self.succession.beside
         if beside:
             # the other process takes what waits in the queue, and all that comes
             self.front.stop_listening(queued=False)
@@ -271,8 +213,8 @@
     async def close(self) -> None:
         if self.door is not None:
             self.door.close()
-        if self.channel is not None:
-            self.channel.close()
+        if self.succession is not None:
+            self.succession.close()
         await self.front.close()
         self.upstream.close()
         if self.purges is not None:
--- /dev/null
+++ b/gladelane/upgrade/succession.py
@@ -0,0 +1,108 @@
+"""One process's part in an upgrade: what it takes over when it starts, gives when another comes, and shares
+while both run. Imported only where the platform starts processes beside each other."""
+
+from __future__ import annotations
+
+import logging
+import socket
+from collections.abc import Callable
+
+from ..net.director import Director
+from ..net.front import Front
+from ..net.upstream import Upstream
+from ..operations.calls import Call, Word
+from ..operations.desk import Desk
+from . import file
+from .channel import Channel, Message
+from .handover import Handover
+from .learnt import Learnt, give, take
+
+log = logging.getLogger(__name__)
+
+
+class Succession:
+    """Made before the director has heard of any server; `folder` is what the processes share."""
+
+    def __init__(
+        self, folder: str, name: str, clock: Callable[[], float], director: Director, upstream: Upstream,
+        front: Front, desk: Desk,
+    ) -> None:
+        self._folder, self._name, self._clock = folder, name, clock
+        self._director, self._upstream, self._front, self._desk = director, upstream, front, desk
+        self._whole = upstream.cap, front.cap, front.held_bytes
+        self._channel = Channel(folder, name, self._told, self._changed, self._hand_over)
+        self._handed: Handover | None = None
+
+    @property
+    def beside(self) -> bool:
+        """Whether another process of this director runs, with the same listening socket."""
+        return self._channel.peers > 0
+
+    def meet(self) -> socket.socket | None:
+        """The listening socket of the process that this one comes beside, if there is one. Orders that the
+        former was given hold before anything is listed."""
+        given = self._channel.meet()
+        handed = self._handed = file.read(self._folder, self._name, self._clock())
+        if handed is not None:
+            self._director.register.out.update(handed.out)
+            self._director.register.back.update(handed.back)
+            self._director.keys.take_over(handed.keys)
+            if handed.failed_ms:
+                self._front.drain.fail(handed.failed_ms)
+        return given
+
+    def take_over(self) -> None:
+        """Once this process's own file has been heard: what the former knew beyond it."""
+        handed, self._handed = self._handed, None
+        if handed is None:
+            return
+        self._director.take_over(handed.rev, handed.notices)
+        if handed.learnt is not None:
+            give(self._director.router, handed.learnt)
+        log.info(
+            "upgrade: took over rev=%d out=%d emptied=%d learnt=%d age_ms=%.0f", handed.rev, len(handed.out),
+            bool(handed.failed_ms), handed.learnt is not None, self._clock() - handed.written_ms,
+        )
+
+    def listen(self) -> None:
+        """This process serves: the next one is to find it."""
+        self._channel.listen()
+        if self.beside:
+            self._changed()
+
+    def held(self, call: Call) -> None:
+        """An order given here: the other process keeps it too, and it holds should this one be killed."""
+        self._channel.tell(Message("order", word=call.word.value, store=call.store))
+        self._write(None)
+
+    def close(self) -> None:
+        self._channel.close()
+
+    def _told(self, message: Message) -> None:
+        """An order that operators gave to the other process."""
+        try:
+            self._desk.heard(Call(Word(message.word), message.store))
+        except ValueError:
+            log.warning("upgrade: unknown order %r", message.word)
+
+    def _changed(self) -> None:
+        """Another process has come or gone: each has its part of what is bounded for the director."""
+        parts = 1 + self._channel.peers
+        upstream, clients, held = self._whole
+        self._upstream.shrink(upstream // parts)
+        self._front.cap, self._front.held_bytes = clients // parts, held / parts
+        self._director.router.cold.parts = parts
+        log.info("upgrade: processes=%d", parts)
+
+    def _hand_over(self) -> socket.socket | None:
+        """A new process is there: it finds all that this one knows, and is given the listening socket."""
+        if self._front.listener is not None:
+            self._write(take(self._director.router))
+        return self._front.listener
+
+    def _write(self, learnt: Learnt | None) -> None:
+        director, now = self._director, self._clock()
+        file.write(self._folder, Handover(
+            self._name, now, director.register.out, director.register.back, self._front.drain.failed_ms,
+            director.rev, director.notices(), director.keys.known(now), learnt,
+        ))
