Test SIGHUP's counts and the door while descriptors are out; end all benchmarks alike

Three benchmarks ended in the same lines, and two tests opened the door by the same ones.

Change: one test of a real process held to 128 descriptors by the system, with 150 clients and 30 silent callers; conclude() in benchmarks; one opener for the door's and the upgrades' tests.

--- a/benchmarks/addresses.py
+++ b/benchmarks/addresses.py
@@ -24,6 +24,7 @@
 
 import uvloop
 
+from benchmarks import conclude
 from gladelane.__main__ import Node
 from gladelane.endpoints.address import Family, parse
 from gladelane.endpoints.dialling import Connect, Dialling, Timer
@@ -339,9 +340,7 @@
     ]
     if figures["family_paid"] > FAMILY_MOST:
         broken.append("family_paid")
-    figures["broken"] = broken
-    print(json.dumps(figures))
-    return 1 if broken else 0
+    return conclude(figures, broken)
 
 
 if __name__ == "__main__":
--- a/benchmarks/operations.py
+++ b/benchmarks/operations.py
@@ -25,6 +25,7 @@
 
 import uvloop
 
+from benchmarks import conclude
 from gladelane.endpoints.address import Family
 from gladelane.lab.client import Client
 from gladelane.lab.processes import Load, Processes
@@ -271,9 +272,7 @@
         broken.append("limits")
     if not told["last_took_over"]:
         broken.append("last_took_over")
-    told["broken"] = broken
-    print(json.dumps(told))
-    return 1 if broken else 0
+    return conclude(told, broken)
 
 
 if __name__ == "__main__":
--- a/benchmarks/purges.py
+++ b/benchmarks/purges.py
@@ -30,6 +30,7 @@
 
 import uvloop
 
+from benchmarks import conclude
 from gladelane.durable import without_gc
 from gladelane.durable.files import Folder
 from gladelane.durable.log import recover
@@ -479,9 +480,7 @@
         broken.append("stale_without_bound")
     if figures["lookup_us_scan"] < 100 * figures["lookup_us"]:
         broken.append("lookup_us")
-    figures["broken"] = broken
-    print(json.dumps(figures))
-    return 1 if broken else 0
+    return conclude(figures, broken)
 
 
 if __name__ == "__main__":
--- a/tests/operations/test_door.py
+++ b/tests/operations/test_door.py
@@ -5,6 +5,8 @@
 import asyncio
 import socket
 import time
+from collections.abc import Iterator
+from contextlib import contextmanager
 
 import pytest
 from harness import trial
@@ -32,6 +34,15 @@
         return Answer(202, "bound\n")
 
 
+@contextmanager
+def opened(desk: Desk) -> Iterator[tuple[Door, int]]:
+    door = Door(desk, asyncio.get_running_loop())
+    try:
+        yield door, door.open("127.0.0.1", 0)
+    finally:
+        door.close()
+
+
 def ask(port: int, text: bytes, wait: float = 3.0) -> bytes:
     with socket.create_connection(("127.0.0.1", port), timeout=wait) as caller:
         caller.sendall(text)
@@ -52,9 +63,7 @@
 @trial
 async def test_one_call_a_connection_is_applied_and_answered() -> None:
     desk = Desk()
-    door = Door(desk, asyncio.get_running_loop())
-    port = door.open("127.0.0.1", 0)
-    try:
+    with opened(desk) as (_, port):
         whole = await asyncio.to_thread(ask, port, http("POST", "/caches/a%20b/maint") + http("POST", "/caches/c/maint"))
         assert whole.startswith(b"HTTP/1.1 200") and whole.endswith(b"applied\n") and b"onnection: close" in whole
         assert desk.applied == desk.bound == [Call(Word.MAINT, "a b")]
@@ -63,16 +72,12 @@
         assert await status(port, b"GET /stats HTTP/1.1\r\nHost: x\r\nX: " + b"y" * 20_000) in (413, 431)
         assert await status(port, http("POST", "/caches/fault/maint")) == 500
         assert await status(port, http("GET", "/healthcheck")) == 200  # and it goes on
-    finally:
-        door.close()
 
 
 @trial
 async def test_while_the_serving_loop_stands_still_a_call_is_bound_and_answered() -> None:
     desk = Desk()
-    door = Door(desk, asyncio.get_running_loop())
-    port = door.open("127.0.0.1", 0)
-    try:
+    with opened(desk) as (_, port):
         caller = asyncio.get_running_loop().run_in_executor(None, lambda: (ask(port, http("POST", "/caches/a/maint")), time.monotonic()))
         stood = time.monotonic()
         time.sleep(1.5)  # the serving loop
@@ -81,16 +86,12 @@
         assert answer.startswith(b"HTTP/1.1 202") and stood < answered < until
         await asyncio.sleep(0)
         assert desk.applied == [Call(Word.MAINT, "a")]  # carried out once the loop goes on
-    finally:
-        door.close()
 
 
 @trial
 async def test_callers_without_a_whole_call_give_way_oldest_first() -> None:
-    door = Door(Desk(), asyncio.get_running_loop())
-    port = door.open("127.0.0.1", 0)
-    held = [socket.create_connection(("127.0.0.1", port)) for _ in range(MOST_CALLERS * 2)]
-    try:
+    with opened(Desk()) as (door, port):
+        held = [socket.create_connection(("127.0.0.1", port)) for _ in range(MOST_CALLERS * 2)]
         for caller in held:
             caller.sendall(b"GET /healthcheck HT")
         assert await status(port, http("GET", "/healthcheck")) == 200
@@ -98,7 +99,5 @@
         with pytest.raises((ConnectionResetError, IndexError)):  # cut off without an answer
             held[0].recv(10)[0]
         assert len(door._callers) <= MOST_CALLERS
-    finally:
         for caller in held:
             caller.close()
-        door.close()
--- a/tests/upgrade/test_two_processes.py
+++ b/tests/upgrade/test_two_processes.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import resource
 import signal
 import tempfile
 from collections.abc import AsyncIterator
@@ -21,8 +22,11 @@
 
 @asynccontextmanager
 async def fleet(folder: Path, raw: bytes) -> AsyncIterator[Processes]:
+    """With a first process that serves."""
     made = Processes(folder, json.loads(raw))
     try:
+        await made.start()
+        await made.serving()
         yield made
     finally:
         await made.end()
@@ -34,8 +38,6 @@
         cache = Cache(hit)
         raw = config({"c0": await cache.start(), "p0": REFUSED, "r0": REFUSED})
         async with fleet(tmp_path, raw) as director:
-            await director.start()
-            await director.serving()
             load = Load(director.port)
             for _ in range(times):
                 await asyncio.sleep(0.2)
@@ -68,8 +70,6 @@
     async def test() -> None:
         cache = Cache(hit)
         async with fleet(tmp_path, config({"c0": await cache.start(), "p0": REFUSED, "r0": REFUSED})) as director:
-            await director.start()
-            await director.serving()
             load = Load(director.port)
             assert await (await director.start(board="nowhere")).wait() == 1
             assert "board" in director.log() or "nowhere" in director.log()
@@ -132,8 +132,7 @@
     held = Cache(lambda command: None if command[1]["thing"].endswith("ff") else hit(command))
     with tempfile.TemporaryDirectory() as folder:
         async with fleet(Path(folder), config({"c0": await held.start(), "p0": REFUSED, "r0": REFUSED})) as director:
-            first = await director.start()
-            await director.serving()
+            first = director.all[0]
             busy = await Client.to(director.port)
             asked = 0
             while not held.seen:  # it keeps the first process for a while; on a slow machine it is refused first
@@ -166,8 +165,7 @@
     @trial
     async def test() -> None:
         async with fleet(tmp_path, config({"c0": await Cache(hit).start(), "p0": REFUSED, "r0": REFUSED})) as director:
-            old = await director.start()
-            await director.serving()
+            old = director.all[0]
             load = Load(director.port)
             await director.start()
             await until(lambda: "has the listening socket" in director.log(0), 20.0)
@@ -189,8 +187,7 @@
         one, two = Cache(hit), Cache(hit)
         raw = config({"c0": await one.start(), "c1": await two.start(), "p0": REFUSED, "r0": REFUSED})
         async with fleet(tmp_path, raw) as director:
-            old = await director.start()
-            await director.serving()
+            old = director.all[0]
             assert await asked(one, director.port, 1000)
             if how in ("usual", "killed", "torn"):
                 assert (await director.call("POST", "/caches/c0/maint"))[0] == 200
@@ -231,8 +228,7 @@
     @trial
     async def test() -> None:
         async with fleet(tmp_path, config({"c0": await Cache(hit).start(), "p0": REFUSED, "r0": REFUSED})) as director:
-            old = await director.start()
-            await director.serving()
+            old = director.all[0]
             assert (await director.call("POST", "/healthcheck/fail"))[0] == 200
             await director.start()
             await director.serving()
@@ -246,3 +242,31 @@
                 assert (await client.next())[:3] == (33, 0, code)
 
     test()
+
+
+def test_files_at_sighup_are_counted_and_the_door_answers_while_descriptors_are_out(tmp_path: Path) -> None:
+    @trial
+    async def test() -> None:
+        raw = json.loads(config({"c0": await Cache(hit).start(), "p0": REFUSED, "r0": REFUSED}))
+        raw["limits"]["sockets"] = 128
+        async with fleet(tmp_path, json.dumps(raw).encode()) as director:
+            path, whole = tmp_path / "config1.json", (tmp_path / "config1.json").read_text()
+            told = await director.figures()
+            assert (told["reconfig_ok"], told["reconfig_failed"]) == (0, 0)
+            for text in (whole[:-20], whole.replace('"max_attempts": ', '"max_attempts": 0'), whole):
+                path.write_text(text)
+                before = director.log().count("reload")
+                director.all[0].send_signal(signal.SIGHUP)
+                await until(lambda before=before: director.log().count("reload") > before)
+            told = await director.figures()
+            assert (told["reconfig_ok"], told["reconfig_failed"]) == (1, 2)
+            resource.prlimit(director.all[0].pid, resource.RLIMIT_NOFILE, (128, 128))
+            crowd = [await Client.to(director.port) for _ in range(150)]  # more than it may hold
+            callers = [await asyncio.open_connection("127.0.0.1", director.ops[0]) for _ in range(30)]
+            for _ in range(10):
+                assert (await director.call("GET", "/healthcheck"))[0] == 200
+            assert director.held()[1] <= 128
+            for _, writer in [*callers, *((client.reader, client.writer) for client in crowd)]:
+                writer.close()
+
+    test()
