--- a/gladelane/lab/model/link.py
+++ b/gladelane/lab/model/link.py
@@ -43,6 +43,13 @@
         self._go_on(now)
         return max(self._ends.pop(key, self._done) - self._done, 0.0)
 
+    def resize(self, now: float, capacity: float) -> None:
+        """It can do more or less from now on; asked after `ended`, as `start` is."""
+        if capacity <= 0.0:
+            raise ValueError(f"capacity {capacity}; expected more than 0")
+        self._go_on(now)
+        self.capacity = capacity
+
     def next_end(self) -> float | None:
         """When the next transfer ends if none starts or stops before."""
         self._drop_stopped()
--- /dev/null
+++ b/gladelane/lab/model/stores.py
@@ -0,0 +1,246 @@
+"""Caches, parents and the origin as models on a timeline: what an attempt there comes to, and when.
+
+A store that goes down ends all that is under way with RESET and comes up empty and cold. A fill whose client
+has left runs on, and is given up if nothing comes. Sizes in KB, times in ms; a thing is an object and a part.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from functools import partial
+
+from ...interface import Note, Status
+from .copies import Copies
+from .pipe import Pipe
+from .timeline import Timeline
+
+Thing = tuple[int, int]
+#: when the origin gave the copy out, or None: it refused; and whether it had to be asked
+Filled = Callable[[float | None, bool], None]
+GIVE_UP = 2500.0  # a fill of which nothing has come
+WARM_STEPS = 10  # in which a cold store's link widens
+
+
+@dataclass(slots=True, eq=False)
+class Work:
+    """One attempt at a store. `end` is called once: what came of it, how, and the copy's date."""
+
+    thing: Thing
+    size: float
+    end: Callable[[Status, Note, float], None]
+    over: bool = False
+    sending: int = 0  # the transfer to the client, once it runs
+
+    def finish(self, status: Status, note: Note = Note.UNTOLD, dated: float = 0.0) -> None:
+        if not self.over:
+            self.over = True
+            self.end(status, note, dated)
+
+
+class Origin:
+    """Holds everything. Few workers and a thin link; above `room` requests it refuses."""
+
+    def __init__(self, line: Timeline, workers: int, service: float, room: int, pipe: Pipe) -> None:
+        self.line, self.workers, self.service, self.room, self.pipe = line, workers, service, room, pipe
+        self.slow = 1.0  # times its usual service
+        self.busy = 0
+        self.queue: deque[tuple[float, Callable[[float], None]]] = deque()
+        self.asked = self.refused = 0
+
+    def fetch(self, size: float, done: Callable[[float | None], None]) -> None:
+        self.asked += 1
+        if self.busy + len(self.queue) >= self.room:
+            self.refused += 1
+            self.line.after(0.0, partial(done, None))
+            return
+        self.queue.append((size, done))
+        self._next()
+
+    def _next(self) -> None:
+        while self.queue and self.busy < self.workers:
+            size, done = self.queue.popleft()
+            self.busy += 1
+            self.line.after(self.service * self.slow, partial(self._served, size, done))
+
+    def _served(self, size: float, done: Callable[[float], None]) -> None:
+        self.busy -= 1
+        self.pipe.start(size, partial(done, self.line.now))
+        self._next()
+
+
+@dataclass(slots=True, eq=False)
+class _Fill:
+    waiting: list[Filled] = field(default_factory=list)
+    over: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Build:
+    """How a keeper is made: KB of copies, KB a ms of its link and of one transfer, and how it warms up."""
+
+    room: float
+    capacity: float
+    flow: float
+    cold_from: float
+    warm_ms: float
+
+
+class Keeper:
+    """What caches and parents have in common: copies, a link out that warms up, fills and who joined them."""
+
+    def __init__(self, line: Timeline, build: Build) -> None:
+        self.line, self.build = line, build
+        self.copies = Copies[Thing](build.room)
+        self.pipe = Pipe(line, build.capacity, build.flow)
+        self.up = True
+        self.life = 0  # counts its processes
+        self.filling: dict[Thing, _Fill] = {}
+        self.hits = self.fills = self.joins = 0
+
+    def crash(self) -> None:
+        self.up = False
+        self.life += 1
+        self.copies.clear()
+        self.filling.clear()
+
+    def start(self) -> None:
+        """Empty and cold: its link widens evenly until it is warm."""
+        self.up = True
+        for step in range(WARM_STEPS + 1):
+            part = self.build.cold_from + (1.0 - self.build.cold_from) * step / WARM_STEPS
+            self.line.after(self.build.warm_ms * step / WARM_STEPS, partial(self._widen, self.life, part))
+
+    def _widen(self, life: int, part: float) -> None:
+        if life == self.life:
+            self.pipe.resize(self.build.capacity * part)
+
+    def held(self, thing: Thing, oldest: float) -> float | None:
+        """The date of a copy given out at `oldest` or later."""
+        dated = self.copies.dated(thing)
+        return dated if dated is not None and dated >= oldest else None
+
+    def fill(
+        self, thing: Thing, size: float, rank: int, join: bool, source: Callable[[Filled], None], done: Filled
+    ) -> None:
+        """Asks `source`, keeps what comes at this rank, and tells all who joined. One that died in between
+        tells nobody: its attempts have ended by then."""
+        under_way = self.filling.get(thing)
+        if join and under_way is not None:
+            self.joins += 1
+            under_way.waiting.append(done)
+            return
+        self.fills += 1
+        mine = self.filling[thing] = _Fill([done])
+        life = self.life
+
+        def came(dated: float | None, asked: bool) -> None:
+            if life != self.life or mine.over:
+                return
+            mine.over = True
+            if self.filling.get(thing) is mine:
+                del self.filling[thing]
+            if dated is not None:
+                self.copies.keep(thing, rank, size, dated)
+            for waiting in mine.waiting:
+                waiting(dated, asked)
+
+        source(came)
+        self.line.after(GIVE_UP, partial(came, None, False))
+
+
+class Parent(Keeper):
+    """Keeps all that passes, and fetches what it lacks from the origin, each fill apart."""
+
+    def __init__(self, origin: Origin, line: Timeline, build: Build) -> None:
+        super().__init__(line, build)
+        self.origin = origin
+
+    def get(self, thing: Thing, size: float, oldest: float, done: Filled) -> None:
+        """For a cache's fill; a parent that is down says nothing, as a machine that vanished."""
+        if not self.up:
+            return
+        dated = self.held(thing, oldest)
+        if dated is not None:
+            self.hits += 1
+            self.copies.use(thing, 0)
+            self.pipe.start(size, partial(done, dated, False))
+            return
+
+        def asked(came: Filled) -> None:
+            self.origin.fetch(size, lambda dated: came(dated, True))
+
+        def passed(dated: float | None, _: bool) -> None:
+            if dated is None:
+                done(None, True)
+            else:
+                self.pipe.start(size, partial(done, dated, True))
+
+        self.fill(thing, size, 1, False, asked, passed)
+
+
+class Cache(Keeper):
+    """Answers directors. `inlet` is its location's link in, which all fills share."""
+
+    def __init__(self, inlet: Pipe, most_fills: int, line: Timeline, build: Build) -> None:
+        super().__init__(line, build)
+        self.inlet, self.most_fills = inlet, most_fills
+        self.open: dict[Work, None] = {}
+
+    def crash(self) -> None:
+        super().crash()
+        for work in list(self.open):
+            self.abort(work)
+            work.finish(Status.RESET)
+
+    def serve(
+        self, work: Work, rank: int, oldest: float, join: bool, source: Callable[[Filled], None] | None
+    ) -> None:
+        """`source` None: a miss is not filled."""
+        dated = self.held(work.thing, oldest)
+        if dated is not None:
+            self.hits += 1
+            self.copies.use(work.thing, rank)
+            self._send(work, Note.HIT, dated)
+        elif source is None:
+            work.finish(Status.MISS)
+        elif len(self.filling) >= self.most_fills and work.thing not in self.filling:
+            work.finish(Status.FULL, Note.NO_FILL_PLACE)
+        else:
+            self.open[work] = None
+
+            def through(came: Filled) -> None:
+                source(partial(self._inlet, work.size, came))
+
+            def filled(dated: float | None, asked: bool) -> None:
+                if work.over:
+                    self.open.pop(work, None)
+                elif dated is None:
+                    self.open.pop(work, None)
+                    work.finish(Status.ERROR, Note.ORIGIN_FAILED)
+                else:
+                    self._send(work, Note.FROM_ORIGIN if asked else Note.PARENT_HELD, dated)
+
+            self.fill(work.thing, work.size, rank, join, through, filled)
+
+    def abort(self, work: Work) -> None:
+        """Work stops when its request is given up; a fill runs on."""
+        self.open.pop(work, None)
+        if work.sending:
+            self.pipe.stop(work.sending)
+
+    def _inlet(self, size: float, came: Filled, dated: float | None, asked: bool) -> None:
+        if dated is None:
+            came(None, asked)
+        else:
+            self.inlet.start(size, partial(came, dated, asked))
+
+    def _send(self, work: Work, note: Note, dated: float) -> None:
+        self.open[work] = None
+
+        def sent() -> None:
+            self.open.pop(work, None)
+            work.finish(Status.OK, note, dated)
+
+        work.sending = self.pipe.start(work.size, sent)
