--- a/benchmarks/purges.py
+++ b/benchmarks/purges.py
@@ -135,7 +135,7 @@
     def _feed(self, n: int) -> subprocess.Popen[bytes]:
         others = [f"127.0.0.1:{port}" for k, port in enumerate(self.feed_ports) if k != n]
         peers = [word for other in others for word in ("--peer", other)]
-        command = [sys.executable, "-c", "from gladelane.cli import main; main()", "purge", "serve",
+        command = [sys.executable, "-c", "from gladelane.cli import main; main()", "purge", "serve", "--first",
                    "--dir", str(self.folder / f"feed-{n}"), "--tokens", str(self.folder / "tokens"),
                    "--listen", f"127.0.0.1:{self.feed_ports[n]}", "--name", f"feed-{n}", *peers]
         return subprocess.Popen(command, cwd=ROOT, stderr=subprocess.DEVNULL)
--- a/gladelane/__main__.py
+++ b/gladelane/__main__.py
@@ -20,6 +20,7 @@
     from .operations.door import Door
     from .purges.holder import Holder
     from .purges.holder import Options as HolderOptions
+    from .recovery.service import Recovery
     from .settings.operator import Operator
     from .upgrade.succession import Succession
 
@@ -76,6 +77,16 @@
         self.purges: Holder | None = None
         if operator is not None and operator.purges is not None:
             self.purges = self.director.guard = open_purges(operator.purges, self.director, self.clock)
+        self.recovery: Recovery | None = None
+        if operator is not None and operator.recovery is not None:
+            from .recovery.service import Recovery
+
+            host, port = config.listen
+            self.recovery = Recovery(
+                operator.recovery, f"{config.name} {host}:{port}", self.director, self.purges, self.clock.now,
+                lambda: self.desk.takes_clients,
+            )
+            self.director.more = self.recovery.lines
         self.port = 0
         self.folder = os.environ.get("TMPDIR", "")
         self.desk = Desk(self.director, self.front.drain, self.clock.now, self.front.empty, self._held)
@@ -92,6 +103,9 @@
         self.director.rev = max(self.director.rev, self.config.known.rev)
         if self.succession is not None:
             self.succession.take_over()
+        if self.recovery is not None:
+            self.recovery.take_over()
+            self.recovery.start()
         if self.config.ops is not None:
             self._open_door(*self.config.ops)
         self._tasks = [asyncio.create_task(self.wheel.run())]
@@ -217,6 +231,8 @@
             self.succession.close()
         await self.front.close()
         self.upstream.close()
+        if self.recovery is not None:
+            await self.recovery.close()
         if self.purges is not None:
             await self.purges.close()
         for task in [*self._tasks, self._board]:
@@ -226,7 +242,9 @@
 
 def open_purges(options: HolderOptions, director: Director, clock: Clock) -> Holder:
     """Follows the fleet's purges. Raises BadConfig for what the files say, and OSError."""
-    from .durable.files import Folder
+    from pathlib import Path
+
+    from .durable.files import Folder, set_aside
     from .durable.log import Damaged
     from .purges.holder import Holder
     from .purges.tokens import BadTokens
@@ -234,11 +252,27 @@
     unknown = sorted(options.strict - director.settings.classes.keys())
     if unknown:
         raise BadConfig(f"purges.strict: {unknown[0]!r}; expected classes of the settings")
-    try:
+
+    def opened() -> Holder:
         disk = Folder(options.folder) if options.folder else None
-        return Holder(options, director.router.purges, clock.now, disk)
-    except (BadTokens, Damaged) as error:
+        try:
+            return Holder(
+                options, director.router.purges, clock.now, disk, director.settings.proxies, random.Random()
+            )
+        except BaseException:
+            if disk is not None:
+                disk.close()
+            raise
+
+    try:
+        return opened()
+    except BadTokens as error:
         raise BadConfig(str(error)) from None
+    except Damaged as error:
+        # what it held is asked of the feeds again: a director that does not start would help nobody
+        aside = set_aside(Path(options.folder))
+        log.error("purges: folder set aside as %s: %s", aside, error)
+        return opened()
 
 
 def watch_gc() -> None:
--- a/gladelane/cli/purge.py
+++ b/gladelane/cli/purge.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import datetime
 import json
 import logging
 import signal
@@ -19,7 +20,9 @@
 from ..endpoints.address import BadAddress, Family, parse
 from ..logs import set_up
 from ..purges.feed import Feed
+from ..purges.horizon import Foreign
 from ..purges.http import Refused, fetch
+from ..purges.markfile import BadMark, MarkFile
 from ..purges.scope import BadScope
 from ..purges.scope import parse as parse_scope
 from ..purges.tokens import BadTokens, Tokens
@@ -32,7 +35,7 @@
 CaFile = Annotated[Path | None, typer.Option("--tls-ca", help="Speak TLS; whom to trust.")]
 
 
-def _place(text: str) -> tuple[str, int]:
+def place_of(text: str) -> tuple[str, int]:
     try:
         address = parse(text)
     except BadAddress as error:
@@ -67,6 +70,11 @@
     name: Annotated[str, typer.Option(help="The issuer's name; no two feeds have one.")] = "feed",
     peer: Annotated[list[str] | None, typer.Option(help="Another feed's IP:PORT.")] = None,
     catalog: Annotated[Path | None, typer.Option(help="JSON5: names of tags and their scopes.")] = None,
+    first: Annotated[bool, typer.Option(help="The folder is empty because this feed is new.")] = False,
+    mark: Annotated[
+        Path | None, typer.Option(help="A file on another disk than --dir; shows that the folder is older.")
+    ] = None,
+    copies: Annotated[int, typer.Option(help="Feeds that store a purge before it is answered.")] = 1,
     retention_s: Annotated[float, typer.Option(help="For which a purge stands.")] = 604_800.0,
     tls_cert: Annotated[Path | None, typer.Option(help="Serve TLS.")] = None,
     tls_key: Annotated[Path | None, typer.Option(help="Its key.")] = None,
@@ -75,8 +83,10 @@
     """Runs a feed until SIGTERM. It says `feed ready` once purges are taken."""
     set_up()
     logging.getLogger("asyncio").setLevel(logging.ERROR)
-    host, port = _place(listen)
-    peers = [_place(text) for text in peer or ()]
+    host, port = place_of(listen)
+    peers = [place_of(text) for text in peer or ()]
+    if not 1 <= copies <= len(peers) + 1:
+        fail(f"--copies {copies}; expected 1 to {len(peers) + 1}, this feed and its peers")
 
     async def run() -> None:
         known = _catalog(catalog)
@@ -84,26 +94,29 @@
         if tls_cert is not None:
             tls = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
             tls.load_cert_chain(tls_cert, tls_key)
-        feed = Feed(name, Folder(dir), Tokens(tokens), lambda: known, retention_ms=retention_s * 1000.0)
+        feed = Feed(
+            name, Folder(dir), Tokens(tokens), lambda: known, retention_ms=retention_s * 1000.0, first=first,
+            copies=copies, mark=MarkFile(mark) if mark is not None else None,
+        )
         stop = asyncio.Event()
         for number in (signal.SIGTERM, signal.SIGINT):
             asyncio.get_running_loop().add_signal_handler(number, stop.set)
-        await feed.start(host, port, tls)
         for place in peers:
             feed.follow(*place, tls=_trust(tls_ca))
+        await feed.start(host, port, tls)
         await stop.wait()
         await feed.close()
 
     try:
         asyncio.run(run())
-    except (BadTokens, BadScope, Damaged, OSError) as error:
+    except (BadTokens, BadScope, BadMark, Foreign, Damaged, OSError) as error:
         fail(error)
 
 
 def _ask(
     feed: str, tokens: Path, ca: Path | None, method: str, target: str, body: bytes = b"", key: str = ""
 ) -> Any:
-    host, port = _place(feed)
+    host, port = place_of(feed)
     try:
         token = Tokens(tokens).own()
         headers = {"Idempotency-Key": key} if key else {}
@@ -151,6 +164,35 @@
         out.print(f"{name}: {value}")
 
 
+@app.command()
+def vouch(
+    feed: FeedAt, tokens: TokenFile,
+    all_: Annotated[bool, typer.Option("--all", help="Nothing is missing.")] = False,
+    since: Annotated[
+        str, typer.Option(help="Nothing from this moment on is missing; Unix ms, or 2026-12-01T09:30:00Z.")
+    ] = "",
+    why: Annotated[str, typer.Option(help="Recorded with it.")] = "",
+    tls_ca: CaFile = None,
+) -> None:
+    """An operator's word that purges that seemed lost are known after all, or were sent again."""
+    if all_ == bool(since):
+        fail("expected --all or --since")
+    try:
+        moment = 0.0 if all_ else float(since) if since.isdigit() else _moment(since)
+    except ValueError:
+        fail(f"--since {since!r}; expected Unix ms or a moment such as 2026-12-01T09:30:00Z")
+    body = json.dumps({"since_ms": moment, "why": why}).encode()
+    for lost, epoch, *_ in _ask(feed, tokens, tls_ca, "POST", "/vouch", body):
+        out.print(f"{lost}:{epoch} is closed from {moment:.0f} on")
+
+
+def _moment(text: str) -> float:
+    at = datetime.datetime.fromisoformat(text)
+    if at.tzinfo is None:
+        raise ValueError("without a zone")
+    return at.timestamp() * 1000.0
+
+
 @app.command()
 def explain(
     object: Annotated[str, typer.Argument(help="16 hex digits.")],
--- a/gladelane/durable/files.py
+++ b/gladelane/durable/files.py
@@ -40,6 +40,30 @@
     def close(self) -> None: ...
 
 
+def replace_file(path: Path, data: bytes) -> None:
+    """As a whole and for good: a reader finds the old bytes or the new ones, also after a power cut."""
+    fresh = path.with_name(f"{path.name}.half")
+    with open(fresh, "wb", opener=lambda name, flags: os.open(name, flags, 0o600)) as file:
+        file.write(data)
+        file.flush()
+        os.fsync(file.fileno())
+    os.replace(fresh, path)
+    folder = os.open(path.parent, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
+    try:
+        os.fsync(folder)
+    finally:
+        os.close(folder)
+
+
+def set_aside(path: Path) -> Path:
+    """Gives a folder that cannot be read another name, for whoever looks into it; its place is free again."""
+    number = 1
+    while (aside := path.with_name(f"{path.name}.damaged-{number}")).exists():
+        number += 1
+    os.rename(path, aside)
+    return aside
+
+
 class Folder:
     """A folder of the file system, locked for this process as long as it is open."""
 
--- a/gladelane/lab/simdisk.py
+++ b/gladelane/lab/simdisk.py
@@ -58,6 +58,12 @@
         disk._stored = dict(disk._now)
         return disk
 
+    def copy(self) -> SimDisk:
+        """As it is now, for a start that finds an older disk than the one it left."""
+        disk = SimDisk()
+        disk._now, disk._stored, disk._synced = dict(self._now), dict(self._now), dict(self._synced)
+        return disk
+
     def _step(self) -> None:
         self.operations += 1
         if self.operations == self.crash_at:
--- a/gladelane/net/director.py
+++ b/gladelane/net/director.py
@@ -29,10 +29,10 @@
 
 log = logging.getLogger(__name__)
 
-CUT_OFF_BACK_MS = 1000.0  # advice to who is refused while no feed is heard of
 STATES = {"in_service": State.READY, "terminating": State.DRAINING, "terminated": State.GONE}
 DATED_SLACK_MS = 5.0  # dates and ages are rounded to ms on their way
 FLUSH_KEPT_MS = 2000.0  # a purge is kept longer than it binds, for a process that starts late
+UNTOLD = (Status.CANCELLED, Status.MOOT, Status.MISS)  # of how a fetch would have ended
 OVERDUE_MS = 20.0  # past its deadline, when an exchange is ended without the module
 
 
@@ -53,7 +53,9 @@
 
     def oldest_ms(self, cls: str) -> float: ...
 
-    def admits(self, cls: str) -> bool: ...
+    def admits(self, cls: str, thing: tuple[int, int], worth: float) -> float: ...
+
+    def answered(self, cls: str, thing: tuple[int, int], dated_ms: float, in_time: bool) -> None: ...
 
     def listed(self, runs: Mapping[str, tuple[str, float]]) -> None: ...
 
@@ -71,6 +73,7 @@
         self.live: dict[int, Exchange] = {}
         self._by_id: dict[str, Exchange] = {}  # the latest of the live ones under a client's id
         self.guard: Guard | None = None  # the fleet's purges, where feeds are followed
+        self.more: Callable[[], list[tuple[str, int]]] = list  # figures of parts that operators switched on
         self.rev = 0
         self.figures = Figures()
         self.figures.know(settings.classes)
@@ -101,9 +104,12 @@
         spec, most = self.settings.classes[ask.cls], self.settings.max_attempts
         exchange = Exchange(ask, request, deliver, spec, most, figures=self.figures)
         self.figures.inflight += 1
-        if self.guard is not None and not self.guard.admits(ask.cls):
-            exchange.finish(Final(Code.REFUSED, come_back_ms=CUT_OFF_BACK_MS))
-            return exchange
+        if self.guard is not None and spec.cacheable:
+            earns = spec.worth / max((one.worth for one in self.settings.classes.values()), default=1.0)
+            back = self.guard.admits(ask.cls, (request.object, request.part), earns)
+            if back:
+                exchange.finish(Final(Code.REFUSED, come_back_ms=min(back, self.settings.max_retry_after_ms)))
+                return exchange
         self.live[self._numbers] = self._by_id[ask.id] = exchange
         self.post(request)
         return exchange
@@ -217,7 +223,7 @@
             member.state is not State.READY or (name in stores and stores[name].resting(now))
             for name, member in self._listed.items()
         )
-        return self.figures.lines(len(self._listed), down)
+        return self.figures.lines(len(self._listed), down, self.more())
 
     def _list(self, told: list[tuple[Instance, Member]], complete: bool) -> None:
         if complete:
@@ -312,6 +318,12 @@
         if status is Status.OK and reply is not None:
             exchange.finish(Final(Code.SERVED, reply.body, valid=end is End.STILL_GOOD))
         now = self.clock()
+        if self.guard is not None and exchange.spec.cacheable and status not in UNTOLD:
+            request, held = exchange.request, status is Status.OK and reply is not None
+            self.guard.answered(
+                request.cls, (request.object, request.part), reply.dated_ms if held and reply else 0.0,
+                held and now - attempt.sent_ms <= attempt.aim_ms,
+            )
         self.post(Outcome(
             exchange.request.id, attempt.number, attempt.store, status, now - attempt.sent_ms,
             reply.note if reply else Note.UNTOLD,
--- a/gladelane/operations/figures.py
+++ b/gladelane/operations/figures.py
@@ -31,7 +31,7 @@
         else:
             row[code] += 1
 
-    def lines(self, hosts_listed: int, hosts_down: int) -> str:
+    def lines(self, hosts_listed: int, hosts_down: int, more: Iterable[tuple[str, int]] = ()) -> str:
         figures: list[tuple[str, int]] = [
             (f"calls.{name}.{word}", count)
             for name, row in sorted(self.classes.items())
@@ -41,6 +41,6 @@
             ("inflight", self.inflight), ("backend_calls", self.backend_calls),
             ("hosts_listed", hosts_listed), ("hosts_down", hosts_down),
             ("reconfig_ok", self.reconfig_ok), ("reconfig_failed", self.reconfig_failed),
-            ("withdrawn", self.withdrawn), ("unusable", self.unusable),
+            ("withdrawn", self.withdrawn), ("unusable", self.unusable), *more,
         ]
         return "".join(f"director.{name}={count}\n" for name, count in figures)
--- a/gladelane/purges/feed.py
+++ b/gladelane/purges/feed.py
@@ -5,6 +5,8 @@
     GET  /follow?from=VECTOR  server-sent events: all that lacks, then what comes
     GET  /purges, /status     what stands; how the feed is
     GET  /explain?object=&class=&group=&part=
+    POST /events              from a director that knows what this feed lacks: the events of the stream
+    POST /vouch               an operator's word on what was lost (`horizon`)
 
 Feeds that name one another follow one another: what one took reaches the followers of all, and one that comes
 back gets from its peers what it missed, also of its own earlier epochs. Only the committer changes the state,
@@ -18,7 +20,8 @@
 import logging
 import ssl
 import time
-from collections.abc import Callable, Iterable, Iterator
+from collections import deque
+from collections.abc import Callable, Iterable
 from contextlib import suppress
 from typing import NamedTuple
 from urllib.parse import parse_qs, unquote
@@ -31,14 +34,16 @@
 from ..durable.log import Broken, Log, Policy, recover
 from ..sse import encode_event
 from .follow import Follower
+from .horizon import Folder, Loss, Mark, Peer, behind, judged, vouched_by
 from .http import Asked, Refused, answer, read_request
 from .index import TooOdd
+from .markfile import MarkFile
 from .order import BadPurge, Purge, Stamps, Vector, check, read_vector, vector_text
 from .scope import BadScope, Catalog, parse
 from .standing import RETENTION_MS, Standing
 from .tokens import Tokens
-from .wire import A_BATCH, BEAT_S, MOST_BODY, Accepted, Event, Status, encode_json, encode_purge
-from .wire import purge_decoder, submit_decoder
+from .wire import A_BATCH, BEAT_S, MOST_BODY, MOST_EVENT, Accepted, Event, Status, batches, encode_json
+from .wire import encode_purge, event_decoder, purge_decoder, submit_decoder, vouch_decoder
 
 log = logging.getLogger(__name__)
 
@@ -47,29 +52,52 @@
 MOST_WAITING = 10_000  # purges not stored yet
 SNAPSHOT_AFTER = 20_000  # records in the log
 UNSENT_BYTES = 1_000_000
-BATCH_BYTES = 1_000_000  # of scopes in one event
 FORGET_S = 60.0
+SETTLE_S = 1.0  # for peers to make good what a start finds lost, before followers are told of it
+COPY_S = 2.0  # for other feeds to store a purge that is answered once they have
+OWN = b"\xc1"  # before a record that is no purge; msgpack never begins so
 TAIL = 10_000  # purges kept as they came; a follower further behind is served from what stands
 
 
 class _Waiting(NamedTuple):
     """A purge to store, asked for here, with who waits for it, or told by a peer; or how far a peer has told
-    all."""
+    all; or a record of our own."""
 
     scope: str = ""
     key: str = ""
     done: asyncio.Future[Accepted] | None = None
     told: Purge | None = None
     reached: Vector | None = None
+    own: _Own | None = None
+    saved: asyncio.Future[None] | None = None
+
+
+class _Own(msgspec.Struct, array_like=True):
+    """A record beside the purges: whose folder it is, with the epoch of a start, and losses as they became
+    known."""
+
+    start: tuple[str, int] = ("", 0)
+    losses: list[Loss] = []
+
+
+class _Owed(NamedTuple):
+    """A purge that is stored here and waits for other feeds to have it."""
+
+    purge: Purge
+    done: asyncio.Future[Accepted]
+    until: float  # s of the loop
 
 
 class Feed:
     def __init__(
         self, name: str, disk: Disk, tokens: Tokens, catalog: Callable[[], Catalog] = dict,
         sync: Policy = "always", retention_ms: float = RETENTION_MS,
-        clock: Callable[[], float] = lambda: time.time() * 1000.0,
+        clock: Callable[[], float] = lambda: time.time() * 1000.0, first: bool = False, copies: int = 1,
+        mark: MarkFile | None = None,
     ) -> None:
-        """Recovers from the disk. Raises Damaged, InUse and OSError."""
+        """Recovers from the disk. first: an operator says that an empty folder is no loss; copies: how many
+        feeds must have stored a purge before it is answered. Raises Damaged, InUse, Foreign, BadMark and
+        OSError."""
         self.name, self.tokens, self.catalog, self.clock = name, tokens, catalog, clock
         self.log: Log
         self.log, found = recover(disk, sync)
@@ -79,14 +107,21 @@
             if found.snapshot is not None:
                 self.standing.restore(found.snapshot, now)
             for record in found.records:
-                self.standing.take(purge_decoder.decode(record), now)
+                self._replay(record, now)
         self.recovered = f"{len(self.standing)} purges, {len(found.records)} from the log"
         if found.cut:
             self.recovered += f", {found.cut} bytes cut at {found.cut_at}"
             log.warning("torn tail cut bytes=%d at=%s", found.cut, found.cut_at)
         self._records = len(found.records)
         self._by_key = {p.key: p for p in self.standing.beyond({}) if p.key and p.issuer == name}
-        self._stamps = Stamps(name, self.standing.positions.vector(), self.standing.last_at_ms, now)
+        had = self._had = self.standing.positions.vector()
+        whose, latest = self.standing.start
+        folder = Folder(whose, latest, had, found.snapshot is None and not found.records)
+        self.copies, self._mark = copies, mark
+        lost = judged(name, folder, mark.read() if mark is not None else None, first)
+        known = [*had, (name, latest)] if latest else had
+        self._stamps = Stamps(name, known, self.standing.last_at_ms, now)
+        self.standing.start = name, self._stamps.epoch
         self._queue: asyncio.Queue[_Waiting] = asyncio.Queue(MOST_WAITING)
         self._asked: dict[str, asyncio.Future[Accepted]] = {}  # by key, while it is being stored
         self._tail: list[Purge] = []
@@ -97,22 +132,80 @@
         self._open: set[asyncio.Task[None]] = set()
         self._tasks: list[asyncio.Task[None]] = []
         self._peers: list[Follower] = []
+        self._peer_told: dict[str, tuple[Vector | None, str, int]] = {}  # by place: mark, name, copies
+        self._owed: deque[_Owed] = deque()
+        self._settled = asyncio.Event()
         self._server: asyncio.Server | None = None
         self.port = 0
+        if lost:
+            self._lose(lost)
+        self._unsaved = _Own(self.standing.start, self.standing.horizon.open(name))
+        self._save_own()
+
+    def _replay(self, record: bytes, now: float) -> None:
+        if record.startswith(OWN):
+            own: _Own = msgspec.msgpack.decode(record[len(OWN):], type=_Own)
+            self.standing.horizon.tell(own.losses, now)
+            if own.start[0]:
+                self.standing.start = own.start
+        else:
+            self.standing.take(purge_decoder.decode(record), now)
+
+    def _save_own(self) -> None:
+        """The start's record. A disk that is full now takes it with the first purge that it takes."""
+        self.log.append(OWN + msgspec.msgpack.encode(self._unsaved))
+        try:
+            self.log.commit()
+            self._move_mark()
+        except OSError as error:
+            self.log.drop()
+            log.error("start not stored: %s", error)
+        else:
+            self._unsaved = _Own()
+
+    def _move_mark(self) -> None:
+        """Behind what the folder holds, before anyone is answered."""
+        if self._mark is None:
+            return
+        try:
+            self._mark.write(Mark(self.name, self._stamps.epoch, self._stamps.seq))
+        except OSError as error:  # an older mark is true as well, and shows a little less
+            log.error("mark not stored path=%s: %s", self._mark.path, error)
+
+    def _lose(self, why: str) -> list[Loss]:
+        now = self.clock()
+        log.error("purges may be lost: %s", why)
+        return self.standing.horizon.tell([Loss(self.name, self._stamps.epoch, now, now)], now)
 
     async def start(self, host: str, port: int, tls: ssl.SSLContext | None = None) -> int:
         self._server = await asyncio.start_server(self._serve, host, port, ssl=tls, backlog=512)
         self.port = self._server.sockets[0].getsockname()[1]
-        self._tasks += [asyncio.create_task(self._commit_all()), asyncio.create_task(self._forget_all())]
+        self._tasks += [asyncio.create_task(self._commit_all()), asyncio.create_task(self._forget_all()),
+                        asyncio.create_task(self._settle())]
         log.info("feed ready name=%s listen=%s:%d epoch=%d recovered=%s",
                  self.name, host, self.port, self._stamps.epoch, self.recovered)
         return self.port
 
     def follow(self, host: str, port: int, tls: ssl.SSLContext | None = None) -> Follower:
         """A peer: what it knows comes here too."""
+        place = f"{host}:{port}"
+        self._peer_told[place] = None, "", 1
+
+        def said(event: Event) -> None:
+            mark, _, _ = self._peer_told[place]
+            self._peer_told[place] = mark, event.name, event.copies
+            self._join(event.losses)
+
+        def marked(vector: Vector) -> None:
+            _, name, copies = self._peer_told[place]
+            self._peer_told[place] = vector, name, copies
+            self._reached(vector)
+            self._close_losses()
+            self._release()
+
         peer = Follower(
-            host, port, self.tokens.own, self.standing.positions.vector, self._told, self._reached,
-            self.clock, tls,
+            host, port, self.tokens.own, self.standing.positions.vector, self._told, marked,
+            self.clock, tls, said,
         )
         self._peers.append(peer)
         self._tasks.append(asyncio.create_task(peer.run()))
@@ -126,6 +219,84 @@
         await asyncio.gather(*self._tasks, *self._open, return_exceptions=True)
         self.log.close()
 
+    # --- what may be lost
+
+    async def _settle(self) -> None:
+        """Followers wait while peers can show that nothing is missing: else each loss of one disk would void
+        all copies for a moment."""
+        with suppress(TimeoutError):
+            async with asyncio.timeout(SETTLE_S if self._peers or self._peer_told else 0.0):
+                await self._settled.wait()
+        self._settled.set()
+
+    def _join(self, losses: list[Loss]) -> None:
+        changed = self.standing.horizon.tell(losses, self.clock())
+        if changed:
+            self._keep(changed)
+
+    def _keep(self, losses: list[Loss], saved: asyncio.Future[None] | None = None) -> None:
+        """They bind already; stored behind what waits, and told to all."""
+        self._put(_Waiting(own=_Own(losses=losses), saved=saved))
+        self._tell_now()
+
+    def _suspect(self, told: Iterable[tuple[tuple[str, int], int]]) -> None:
+        """Others know more of this feed's own purges than its folder did: it is an older one."""
+        if self._lost_now():
+            return
+        why = behind(self.name, self._stamps.epoch, self._had, told)
+        if why:
+            self._keep(self._lose(why))
+
+    def _lost_now(self) -> bool:
+        own = (loss for loss in self.standing.horizon.losses() if loss.issuer == self.name)
+        return any(loss.epoch == self._stamps.epoch for loss in own)
+
+    def _close_losses(self) -> None:
+        horizon, positions = self.standing.horizon, self.standing.positions
+        if horizon.open(self.name):
+            peers = {
+                place: Peer(
+                    mark is not None and positions.reaches(mark), name, copies, bool(horizon.open(name))
+                ) for place, (mark, name, copies) in self._peer_told.items()
+            }
+            by = vouched_by(self.copies, peers)
+            closed = horizon.tell(horizon.close(0.0, by, self.name), self.clock()) if by else []
+            if closed:
+                log.warning("nothing is lost: %s", by)
+                self._keep(closed)
+        if not horizon.open(self.name):
+            self._settled.set()
+
+    async def vouch(self, since_ms: float, by: str) -> list[Loss]:
+        """An operator's word, once it is stored. Raises Refused."""
+        closed = self.standing.horizon.close(since_ms, by)
+        if not closed:
+            raise Refused(409, "no loss is open that this would close")
+        saved: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._keep(self.standing.horizon.tell(closed, self.clock()), saved)
+        log.warning("vouched by=%s since=%.0f", by, since_ms)
+        await asyncio.shield(saved)
+        return closed
+
+    def _release(self) -> None:
+        """Answers for what enough feeds have stored, or for what waited too long."""
+        now = asyncio.get_running_loop().time()
+        left: deque[_Owed] = deque()
+        for owed in self._owed:
+            stream = owed.purge.issuer, owed.purge.epoch
+            marks = [mark for mark, _, _ in self._peer_told.values() if mark is not None]
+            have = sum(mark.get(stream, 0) >= owed.purge.seq for mark in marks)
+            if owed.done.done():
+                continue
+            if 1 + have >= self.copies:
+                owed.done.set_result(accepted(owed.purge))
+            elif now >= owed.until:
+                where = f"in force and stored here, but not at {self.copies} feeds yet"
+                owed.done.set_exception(Refused(503, f"{where}; ask again with the same key"))
+            else:
+                left.append(owed)
+        self._owed = left
+
     # --- taking purges
 
     async def submit(self, scope: str, key: str = "", tags: Catalog | None = None) -> Accepted:
@@ -156,6 +327,7 @@
         return await asyncio.shield(done)
 
     def _told(self, purges: list[Purge]) -> None:
+        self._suspect(((purge.issuer, purge.epoch), purge.seq) for purge in purges)
         for purge in purges:
             if self.standing.positions.taken(purge.issuer, purge.epoch, purge.seq):
                 continue
@@ -169,6 +341,7 @@
 
     def _reached(self, vector: Vector) -> None:
         """Behind what was told before it, which is not stored yet."""
+        self._suspect(vector.items())
         if not self.standing.positions.reaches(vector):
             self._put(_Waiting(reached=vector))
 
@@ -193,8 +366,12 @@
         now = self.clock()
         stored: list[tuple[_Waiting, Purge]] = []
         own = 0
+        if self._unsaved.start[0]:
+            self.log.append(OWN + msgspec.msgpack.encode(self._unsaved))
         for waiting in batch:
-            if waiting.reached is not None:
+            if waiting.own is not None and waiting.own.losses:
+                self.log.append(OWN + msgspec.msgpack.encode(waiting.own))
+            if waiting.reached is not None or waiting.own is not None:
                 continue
             purge = waiting.told
             if purge is None:
@@ -203,7 +380,7 @@
             stored.append((waiting, purge))
             self.log.append(encode_purge(purge))
         try:
-            await asyncio.to_thread(self.log.commit)
+            await asyncio.to_thread(self._store, own > 0)
         except (OSError, Broken) as error:
             if isinstance(error, Broken):
                 self._broken = str(error)  # the numbers may be on the disk: they are not given out again
@@ -212,23 +389,41 @@
                     self._stamps.take_back()
             self.log.drop()
             log.error("purges not stored: %s", error)
+            losses = [*self._unsaved.losses, *(loss for w in batch if w.own for loss in w.own.losses)]
+            if losses:  # they bind, and are stored with the next commit
+                self._unsaved = _Own(self.standing.start, losses)
             self._fail(batch, Refused(507, f"not stored: {error}"))
             return
+        until = asyncio.get_running_loop().time() + COPY_S
         for waiting, purge in stored:
             self._take(purge, now)
-            if waiting.done is not None and not waiting.done.done():
-                waiting.done.set_result(accepted(purge))
+            if waiting.done is not None:
+                self._owed.append(_Owed(purge, waiting.done, until))
         for waiting in batch:
             if waiting.reached is not None:
                 self.standing.positions.adopt(waiting.reached)
+            if waiting.saved is not None and not waiting.saved.done():
+                waiting.saved.set_result(None)
         self._records += len(stored)
-        self._news.set()
-        self._news = asyncio.Event()
+        self._tell_now()
+        self._release()
+        self._close_losses()
         if self._records >= SNAPSHOT_AFTER:
             payload = await asyncio.to_thread(self.standing.snapshot)
             await asyncio.to_thread(self.log.snapshot, payload)
             self._records = 0
 
+    def _store(self, moves: bool) -> None:
+        """In a thread of its own."""
+        self.log.commit()
+        if moves or self._unsaved.start[0]:
+            self._move_mark()
+        self._unsaved = _Own()
+
+    def _tell_now(self) -> None:
+        self._news.set()
+        self._news = asyncio.Event()
+
     def _take(self, purge: Purge, now: float) -> None:
         try:
             new = self.standing.take(purge, now)
@@ -247,12 +442,20 @@
     @staticmethod
     def _fail(batch: list[_Waiting], error: Refused) -> None:
         for waiting in batch:
-            if waiting.done is not None and not waiting.done.done():
-                waiting.done.set_exception(error)
+            for one in (waiting.done, waiting.saved):
+                if one is not None and not one.done():
+                    one.set_exception(error)
 
     async def _forget_all(self) -> None:
+        due = asyncio.get_running_loop().time() + FORGET_S
         while True:
-            await asyncio.sleep(FORGET_S)
+            await asyncio.sleep(COPY_S / 4)
+            self._release()
+            if self._unsaved.start[0] and self._queue.empty() and not self._broken:
+                self._put(_Waiting(own=_Own()))
+            if asyncio.get_running_loop().time() < due:
+                continue
+            due += FORGET_S
             self.standing.forget(self.clock())
             past = self.clock() - self.standing.retention_ms
             self._by_key = {key: purge for key, purge in self._by_key.items() if purge.at_ms > past}
@@ -266,15 +469,18 @@
         try:
             try:
                 async with asyncio.timeout(REQUEST_S):
-                    _, asked = await read_request(reader, MOST_BODY)
+                    _, asked = await read_request(reader, MOST_EVENT)
+                    if len(asked.body) > MOST_BODY and asked.path != "/events":
+                        raise Refused(413, f"a body of more than {MOST_BODY} bytes")
                     if len(self._open) > MOST_CONNECTIONS:
                         raise Refused(503, "too many connections")
-                if not self.tokens.name_of(asked.headers.get("authorization", "")):
+                caller = self.tokens.name_of(asked.headers.get("authorization", ""))
+                if not caller:
                     raise Refused(401, "expected a known token: Authorization: Bearer TOKEN")
                 if (asked.method, asked.path) == ("GET", "/follow"):
                     await self._tell(writer, _from(asked))
                     return
-                writer.write(answer(200, "application/json", await self._answer(asked)))
+                writer.write(answer(200, "application/json", await self._answer(asked, caller)))
             except (BadScope, TooOdd, BadPurge, msgspec.MsgspecError, ValueError) as error:
                 writer.write(answer(400, "text/plain", f"{error}\n".encode()))
             except Refused as error:
@@ -292,7 +498,7 @@
             self._open.discard(task)
             writer.close()
 
-    async def _answer(self, asked: Asked) -> bytes:
+    async def _answer(self, asked: Asked, caller: str) -> bytes:
         match asked.method, asked.path:
             case "POST", "/purges":
                 wanted = submit_decoder.decode(asked.body)
@@ -300,6 +506,14 @@
                 if len(key) > 128 or not key.isprintable():
                     raise Refused(400, "Idempotency-Key; expected up to 128 printable characters")
                 return encode_json(await self.submit(wanted.scope, key, wanted.tags))
+            case "POST", "/events":
+                return self._hear(event_decoder.decode(asked.body))
+            case "POST", "/vouch":
+                word = vouch_decoder.decode(asked.body)
+                by = f"{caller}: {word.why}" if word.why else caller
+                if not 0.0 <= word.since_ms < 2**53 or len(by) > 256 or not by.isprintable():
+                    raise Refused(400, "since_ms, why; expected Unix ms or 0, and 200 printable characters")
+                return encode_json(await self.vouch(word.since_ms, by))
             case "GET", "/purges":
                 return encode_json(list(self.standing.beyond({})))
             case "GET", "/status":
@@ -308,12 +522,27 @@
                 return encode_json(self.explain(asked.query))
         raise Refused(404, f"{asked.method} {asked.path}: no such thing here")
 
+    def _hear(self, event: Event) -> bytes:
+        """What a director knows and this feed lacks."""
+        vector = read_vector(event.mark) if event.mark is not None else None
+        before = len(self.standing)
+        try:
+            self._join(event.losses)
+            self._told(event.purges)
+            if vector is not None:
+                self._reached(vector)
+        except OSError as error:
+            raise Refused(503, str(error)) from None
+        log.info("told by a director purges=%d known=%d", len(event.purges), before)
+        return b"{}"
+
     def status(self) -> Status:
         gaps = [f"{g.issuer}:{g.epoch}={g.first}-{g.last}" for g in self.standing.positions.gaps()]
         return Status(
             self.name, self._stamps.epoch, len(self.standing), vector_text(self.standing.positions.vector()),
             gaps, self.followers, {f"{p.host}:{p.port}": p.state for p in self._peers}, not self._broken,
-            self.recovered,
+            self.recovered, self.standing.known_since(self.clock()), self.standing.horizon.losses(),
+            self.copies,
         )
 
     def explain(self, query: str) -> list[Purge]:
@@ -332,16 +561,23 @@
         writer.transport.set_write_buffer_limits(high=UNSENT_BYTES)
         writer.write(answer(200, "text/event-stream", None))
         self.followers += 1
+        told = -1  # the version of the horizon that it was told
         try:
+            await self._settled.wait()
             place = self._tail_from + len(self._tail)
             reached = self.standing.positions.vector()
             backlog = list(self.standing.beyond(vector))
             while True:
                 for batch in batches(backlog):
                     await self._event(writer, Event(purges=batch))
-                await self._event(writer, Event(mark=vector_text(reached)))
+                mark = Event(mark=vector_text(reached))
+                if told != self.standing.horizon.version:
+                    told = self.standing.horizon.version
+                    losses = self.standing.horizon.losses()
+                    mark = Event(mark=mark.mark, losses=losses, name=self.name, copies=self.copies)
+                await self._event(writer, mark)
                 news = self._news
-                if place == self._tail_from + len(self._tail):
+                if place == self._tail_from + len(self._tail) and told == self.standing.horizon.version:
                     with suppress(TimeoutError):
                         async with asyncio.timeout(BEAT_S):
                             await news.wait()
@@ -367,17 +603,3 @@
 
 def accepted(purge: Purge, again: bool = False) -> Accepted:
     return Accepted(purge.issuer, purge.epoch, purge.seq, purge.at_ms, purge.scope, again)
-
-
-def batches(purges: Iterable[Purge]) -> Iterator[list[Purge]]:
-    """So many purges to an event, and so many bytes of scopes."""
-    batch: list[Purge] = []
-    size = 0
-    for purge in purges:
-        if batch and (len(batch) >= A_BATCH or size > BATCH_BYTES):
-            yield batch
-            batch, size = [], 0
-        batch.append(purge)
-        size += len(purge.scope)
-    if batch:
-        yield batch
--- a/gladelane/purges/follow.py
+++ b/gladelane/purges/follow.py
@@ -16,7 +16,7 @@
 from ..structures.backoff import Backoff
 from .http import Refused, ask
 from .order import BadPurge, Purge, Vector, read_vector, vector_text
-from .wire import SILENT_S, event_decoder
+from .wire import SILENT_S, Event, event_decoder
 
 log = logging.getLogger(__name__)
 
@@ -25,7 +25,8 @@
 
 
 class Follower:
-    """`take` is given what is told, in order; `vector` says what is known already.
+    """`take` is given what is told, in order; `vector` says what is known already; `said` hears who tells and
+    what was lost, before the mark that it came with.
 
     heard_ms: when the latest mark came; caught_ms: when everything that a mark named was known, 0: not
     yet."""
@@ -33,13 +34,13 @@
     def __init__(
         self, host: str, port: int, token: Callable[[], str], vector: Callable[[], Vector],
         take: Callable[[list[Purge]], None], mark: Callable[[Vector], None], clock: Callable[[], float],
-        tls: ssl.SSLContext | None = None,
+        tls: ssl.SSLContext | None = None, said: Callable[[Event], None] = lambda _: None,
     ) -> None:
         self.host, self.port = host, port
         self.heard_ms = self.caught_ms = 0.0
         self.state = "not reached yet"
         self._token, self._vector, self._take, self._mark = token, vector, take, mark
-        self._clock, self._tls = clock, tls
+        self._clock, self._tls, self._said = clock, tls, said
         self.caught_up = asyncio.Event()
 
     async def run(self) -> None:
@@ -72,6 +73,8 @@
         event = event_decoder.decode(text)
         if event.purges:
             self._take(event.purges)
+        if event.losses or event.name:
+            self._said(event)
         if event.mark is not None:
             vector = read_vector(event.mark)
             self._mark(vector)
--- a/gladelane/purges/holder.py
+++ b/gladelane/purges/holder.py
@@ -5,22 +5,29 @@
 
 import asyncio
 import logging
+import random
 from collections.abc import Callable, Mapping
+from typing import Literal
 
 import msgspec
 
 from ..durable import without_gc
 from ..durable.files import Disk
 from ..durable.log import Broken, Log, recover
-from .cutoff import CutOff
-from .follow import Follower
+from ..recovery.renewal import Cause, Renewal, Thing
+from ..recovery.reseed import Reseed
+from .cutoff import CutOff, Link
+from .follow import LOST, Follower
 from .deliver import Deliver
+from .horizon import Loss
+from .http import fetch
 from .index import Index
-from .order import BadPurge, Purge, Vector
+from .order import BadPurge, Purge, Vector, vector_text
 from .orders import Orders
 from .scope import BadScope
 from .standing import Standing
 from .tokens import Tokens
+from .wire import Event, batches, encode_json
 
 log = logging.getLogger(__name__)
 
@@ -44,6 +51,8 @@
     start_wait_ms: float
     order_kinds: frozenset[str] = frozenset()
     orders_per_s: float = 50.0
+    origin_per_s: float = 0.0  # renewals that the origin bears from all directors; 0: not known
+    lost: Literal["void", "serve"] = "void"  # what strict classes make of copies from before a loss
 
 
 class _Stored(msgspec.Struct, array_like=True):
@@ -51,34 +60,52 @@
 
     purges: list[Purge] = []
     reached: list[tuple[str, int, int]] = []
+    losses: list[Loss] = []
 
 
 class Holder:
     def __init__(
-        self, options: Options, index: Index, clock: Callable[[], float], disk: Disk | None = None
+        self, options: Options, index: Index, clock: Callable[[], float], disk: Disk | None = None,
+        directors: int = 1, rng: random.Random | None = None,
     ) -> None:
-        """Recovers from the disk, if there is one. Raises Damaged, BadTokens and OSError."""
+        """Recovers from the disk, if there is one. directors: who share the origin. Raises Damaged, BadTokens
+        and OSError."""
         self.options, self.clock = options, clock
         now = clock()
-        keep = disk is not None or bool(options.order_kinds)
-        self.standing = Standing(index, keep, options.retention_ms, options.skew_ms)
+        rng = rng or random.Random()
+        self.standing = Standing(index, True, options.retention_ms, options.skew_ms)
         self.orders = Orders(options.orders_per_s, ORDERS_AT_ONCE, now)
-        self.cut_off = CutOff(options.delay_ms, options.strict, options.cut_off_per_s, now, log.warning)
+        self.cut_off = CutOff(options.delay_ms, options.strict, log.warning)
+        part = options.origin_per_s / max(directors, 1)
+        self.renewal = Renewal(part or options.cut_off_per_s, part, now, rng)
+        self.renewal.begin(Cause.CUT_OFF, now)
+        self.reseeded = 0
         self._tokens = Tokens(options.token_file)
         self._log: Log | None = None
         self._fresh = _Stored()
         self._records = 0
         if disk is not None:
             self._recover(disk, now)
-        self.followers = [
-            Follower(
-                host, port, self._tokens.own, self.standing.positions.vector, self.take, self._reached, clock
-            ) for host, port in options.feeds
-        ]
+        self._since = 0.0  # copies from before it may be older than a purge that is lost
+        self.followers = [self._follower(host, port) for host, port in options.feeds]
+        self._lacks = [(one, Reseed(rng)) for one in self.followers]
+        self._marks: dict[Follower, Vector] = {}
+        self._look_at_horizon()
         self._tasks: list[asyncio.Task[None]] = []
         if options.order_kinds:
             self.orders.add(self.standing.beyond({}))
 
+    def _follower(self, host: str, port: int) -> Follower:
+        def marked(vector: Vector) -> None:
+            self._marks[one] = vector
+            self._reached(vector)
+
+        one = Follower(
+            host, port, self._tokens.own, self.standing.positions.vector, self.take, marked, self.clock,
+            said=self._said,
+        )
+        return one
+
     def _recover(self, disk: Disk, now: float) -> None:
         self._log, found = recover(disk)
         with without_gc():
@@ -89,6 +116,7 @@
                 for purge in stored.purges:
                     self.standing.take(purge, now)
                 self.standing.positions.adopt({(i, e): last for i, e, last in stored.reached})
+                self.standing.horizon.tell(stored.losses, now)
         self._records = len(found.records)
         standing, records = len(self.standing), self._records
         log.info("purges recovered standing=%d records=%d cut=%d", standing, records, found.cut)
@@ -141,6 +169,32 @@
             positions.adopt(vector)
             self._fresh.reached += [(issuer, epoch, last) for (issuer, epoch), last in vector.items()]
 
+    def _said(self, event: Event) -> None:
+        changed = self.standing.horizon.tell(event.losses, self.clock())
+        if changed:
+            self._fresh.losses += changed
+            self._look_at_horizon()
+
+    def _look_at_horizon(self) -> None:
+        """A horizon that rises makes copies void; one that falls gives them back."""
+        since, now = self.standing.known_since(self.clock()), self.clock()
+        if since == self._since:
+            return
+        was, self._since = self._since, since
+        strict = ",".join(sorted(self.options.strict)) or "none"
+        if since > was:
+            log.error(
+                "purges may be lost since=%.0f lost=%s: copies from before are %s for strict=%s, served else",
+                since, ",".join(f"{loss.issuer}:{loss.epoch}" for loss in self.standing.horizon.open()),
+                "void" if self.options.lost == "void" else "served", strict,
+            )
+            if self.options.lost == "void":
+                self.renewal.begin(Cause.LOST, now)
+        else:
+            log.warning("purges are known again since=%.0f", since)
+            if not since:
+                self.renewal.end(Cause.LOST)
+
     def listed(self, runs: Mapping[str, tuple[str, float]]) -> None:
         """The servers of the list: each one's kind and the start of its process."""
         kinds = self.options.order_kinds
@@ -151,15 +205,58 @@
     def oldest_ms(self, cls: str) -> float:
         """The oldest copy that may be accepted, in ms: nothing older than the retention can be vouched
         for."""
-        bound = self.cut_off.oldest_ms(cls)
-        return min(bound, self.standing.oldest_ms()) if bound else self.standing.oldest_ms()
+        oldest = self.standing.oldest_ms()
+        if cls in self.options.strict:
+            oldest = min(self.cut_off.oldest_ms(cls) or oldest, oldest)
+            if self._since and self.options.lost == "void":
+                oldest = min(oldest, max(self.clock() - self._since, 1.0))
+        return oldest
 
-    def admits(self, cls: str) -> bool:
-        return self.cut_off.admits(cls, self.clock())
+    def admits(self, cls: str, thing: Thing, worth: float) -> float:
+        """0: it may go on; else the moment to come back, in ms. worth: the part of what the best class
+        earns."""
+        if cls not in self.options.strict:
+            return 0.0
+        return self.renewal.admits(thing, worth, self.oldest_ms(cls), self.clock())
+
+    def answered(self, cls: str, thing: Thing, dated_ms: float, in_time: bool) -> None:
+        """An attempt has ended; dated_ms: of the copy that answered, 0: none did."""
+        if cls in self.options.strict:
+            self.renewal.answered(thing, dated_ms, in_time)
 
     def judge(self) -> None:
-        """Whether the director is cut off. A feed counts while all that it named is known here."""
-        self.cut_off.update(max((one.caught_ms for one in self.followers), default=0.0), self.clock())
+        """Whether the director is cut off, and what of the budget still binds. A feed counts while all that
+        it named is known here."""
+        now, was = self.clock(), self.cut_off.link
+        self.cut_off.update(max((one.caught_ms for one in self.followers), default=0.0), now)
+        link = self.cut_off.link
+        if link is not was:
+            if link is Link.CUT_OFF:
+                self.renewal.begin(Cause.CUT_OFF, now)
+            elif link is Link.RETURNING:
+                self.renewal.begin(Cause.BACK, now)
+        if link is not Link.CUT_OFF:
+            self.renewal.end(Cause.CUT_OFF)
+        self._look_at_horizon()  # it ends with the retention
+        if self.renewal.quiet(now):
+            self.renewal.end(Cause.LOST)
+            if link is Link.FOLLOWS:
+                self.renewal.end(Cause.BACK)
+
+    @property
+    def follows(self) -> bool:
+        """Whether some feed has told all that it knows, lately."""
+        return self.cut_off.link is not Link.CUT_OFF
+
+    def lines(self) -> list[tuple[str, int]]:
+        """For the operators' figures."""
+        renewal = self.renewal
+        return [
+            ("purges_standing", len(self.standing)), ("purges_known_since_ms", int(self._since)),
+            ("feeds_followed", sum(one.state == "follows" for one in self.followers)),
+            ("renewals", renewal.renewed), ("renewals_refused", renewal.refused),
+            ("renewals_bind", int(renewal.binds)), ("reseeded", self.reseeded),
+        ]
 
     # --- background
 
@@ -168,6 +265,10 @@
         while True:
             await asyncio.sleep(LOOK_S)
             self.judge()
+            for one, reseed in self._lacks:
+                told = self._marks.get(one) if one.state == "follows" else None
+                if reseed.due(self.standing.positions.vector(), told, self.clock()):
+                    await self._seed(one, told or {})
             looks += 1
             if looks % FORGET_EVERY == 0:
                 self.standing.forget(self.clock())
@@ -178,10 +279,29 @@
                 log.error("purges not stored: %s", error)
                 self._log = None
 
+    async def _seed(self, one: Follower, told: Vector) -> None:
+        """Sends a feed what it lacks, and then how far that reaches."""
+        vector = vector_text(self.standing.positions.vector())
+        events = [Event(purges=batch) for batch in batches(self.standing.beyond(told))]
+        events.append(Event(mark=vector, losses=self.standing.horizon.losses()))
+        try:
+            for event in events:
+                body = encode_json(event)
+                await fetch(one.host, one.port, "POST", "/events", self._tokens.own(), body, {
+                    "Content-Type": "application/json"
+                })
+        except LOST as error:
+            log.warning("feed not told feed=%s:%d: %s %s", one.host, one.port, type(error).__name__, error)
+            return
+        sent = sum(len(event.purges) for event in events)
+        self.reseeded += sent
+        log.warning("feed lacked purges and was told feed=%s:%d purges=%d", one.host, one.port, sent)
+
     async def _store(self) -> None:
-        if self._log is None or not (self._fresh.purges or self._fresh.reached):
+        fresh = self._fresh
+        if self._log is None or not (fresh.purges or fresh.reached or fresh.losses):
             return
-        fresh, self._fresh = self._fresh, _Stored()
+        self._fresh = _Stored()
         self._log.append(msgspec.msgpack.encode(fresh))
         await asyncio.to_thread(self._log.commit)
         self._records += len(fresh.purges) or 1
--- a/gladelane/purges/standing.py
+++ b/gladelane/purges/standing.py
@@ -16,6 +16,7 @@
 
 import msgspec
 
+from .horizon import Horizon, Loss
 from .index import Index, TooOdd
 from .order import Positions, Purge, Stream, Vector, check
 from .scope import BadScope, parse
@@ -34,6 +35,8 @@
     positions: list[tuple[str, int, int]]
     purges: list[Purge]
     ahead: list[tuple[str, int, int]] = []
+    losses: list[Loss] = []
+    start: tuple[str, int] = ("", 0)  # of a feed: whose folder it is, and the epoch of its latest start
 
 
 class Standing:
@@ -45,6 +48,8 @@
     ) -> None:
         self.index = Index() if index is None else index
         self.positions = Positions()
+        self.horizon = Horizon()
+        self.start = ("", 0)
         self.retention_ms, self.skew_ms = retention_ms, skew_ms
         self.last_at_ms = 0.0
         self.widened = 0  # purges whose patterns were too odd to look up, and bind by their prefix
@@ -96,12 +101,18 @@
         for name in gone:
             del self._purges[name]
         self.index.expire(now_ms)
+        self.horizon.forget(now_ms, self.retention_ms)
         return len(gone)
 
     def oldest_ms(self) -> float:
         """The oldest copy that may be accepted of anything: nothing older can be vouched for."""
         return self.retention_ms
 
+    def known_since(self, now_ms: float) -> float:
+        """Copies from before this moment may be older than a purge that nobody here knows; 0: none is."""
+        moment = self.horizon.moment(now_ms, self.retention_ms)
+        return moment + self.skew_ms if moment else 0.0
+
     # --- snapshots
 
     def snapshot(self) -> bytes:
@@ -109,7 +120,9 @@
         kept = self._uncovered()
         positions = [(issuer, epoch, last) for (issuer, epoch), last in self.positions.vector().items()]
         ahead = [(i, e, s) for i, e, s in self._purges if s > self.positions.vector().get((i, e), 0)]
-        return msgspec.msgpack.encode(Stored(FORMAT, positions, kept, ahead))
+        return msgspec.msgpack.encode(Stored(
+            FORMAT, positions, kept, ahead, self.horizon.losses(), self.start
+        ))
 
     def restore(self, payload: bytes, now_ms: float) -> None:
         """Into an empty one. Raises BadScope, BadPurge, or msgspec's errors for what no snapshot of ours
@@ -127,6 +140,8 @@
         self.positions.adopt(vector)
         for issuer, epoch, seq in stored.ahead:
             self.positions.take(issuer, epoch, seq)
+        self.horizon.tell(stored.losses, now_ms)
+        self.start = stored.start
 
     def _uncovered(self) -> list[Purge]:
         """Newest first, each against an index of those already kept."""
--- a/gladelane/routes/keys.py
+++ b/gladelane/routes/keys.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from collections.abc import Callable
 
 KEPT_MS = 10_000.0  # longer than a window of a class and the time a client goes on asking
 MOST = 4096  # keys; beyond, the oldest is forgotten, and its next try counts as a first
@@ -14,11 +15,14 @@
 
     def __init__(self) -> None:
         self._ran: OrderedDict[str, list[tuple[float, str]]] = OrderedDict()  # by their latest, oldest first
+        self.told: Callable[[str, float, str], None] | None = None  # hears of each try before it is made
 
     def __len__(self) -> int:
         return len(self._ran)
 
     def may_have_run(self, key: str, at_ms: float, store: str) -> None:
+        if self.told is not None:
+            self.told(key, at_ms, store)
         self._expire(at_ms)
         self._ran[key] = [*self._live(key, at_ms), (at_ms, store)]
         self._ran.move_to_end(key)
--- a/gladelane/settings/operator.py
+++ b/gladelane/settings/operator.py
@@ -16,6 +16,7 @@
 from ..endpoints.plan import Options
 from ..endpoints.rules import Network, Preference, Rule, Rules, check_template
 from ..purges.holder import Options as HolderOptions
+from ..recovery.options import Options as RecoveryOptions
 
 MOST_BYTES = 4_000_000
 _FAMILIES = {family.value: family for family in Family}
@@ -89,11 +90,22 @@
     start_wait_ms: float = 5_000.0
     order_kinds: list[str] = []
     orders_per_s: float = 50.0
+    origin_per_s: float = 0.0
+    lost: Literal["void", "serve"] = "void"
+
+
+class RecoveryText(msgspec.Struct, forbid_unknown_fields=True):
+    """dir: a lasting folder of this director alone; empty: nothing that was learnt is kept."""
+
+    dir: str = ""
+    every_s: float = 5.0
+    most_age_s: float = 120.0
 
 
 class OperatorText(msgspec.Struct, forbid_unknown_fields=True):
     endpoints: EndpointsText = msgspec.field(default_factory=EndpointsText)
     purges: PurgesText | None = None
+    recovery: RecoveryText | None = None
     logs: LogsText = msgspec.field(default_factory=LogsText)
 
 
@@ -104,6 +116,7 @@
     rules: Rules
     logs: LogsText
     purges: HolderOptions | None = None
+    recovery: RecoveryOptions | None = None
 
 
 def read_operator(data: bytes) -> Operator:
@@ -122,7 +135,18 @@
     except msgspec.ValidationError as error:
         raise _worded(str(error)) from None
     purges = None if text.purges is None else _purges(text.purges)
-    return Operator(_options(text.endpoints), _rules(text.endpoints.rules), text.logs, purges)
+    rules = _rules(text.endpoints.rules)
+    return Operator(_options(text.endpoints), rules, text.logs, purges, _recovery(text))
+
+
+def _recovery(text: OperatorText) -> RecoveryOptions | None:
+    """Phases are told wherever something has to be caught up with, or is kept."""
+    if text.recovery is None:
+        return RecoveryOptions() if text.purges is not None else None
+    told = text.recovery
+    _bounded("recovery.every_s", told.every_s, 1, 600)
+    _bounded("recovery.most_age_s", told.most_age_s, 1, 3600)
+    return RecoveryOptions(told.dir, told.every_s * 1000.0, told.most_age_s * 1000.0)
 
 
 def _line(text: str, message: str) -> str:
@@ -197,11 +221,12 @@
     _bounded("purges.delay_ms", text.delay_ms, 2_000, 600_000)
     _bounded("purges.cut_off_per_s", text.cut_off_per_s, 0, 1_000_000)
     _bounded("purges.orders_per_s", text.orders_per_s, 1, 1_000_000)
+    _bounded("purges.origin_per_s", text.origin_per_s, 0, 1_000_000)
     _bounded("purges.start_wait_ms", text.start_wait_ms, 0, 30_000)
     return HolderOptions(
         tuple(feeds), text.token_file, text.dir, text.retention_s * 1000.0, text.skew_ms, text.delay_ms,
         frozenset(text.strict), text.cut_off_per_s, text.start_wait_ms, frozenset(text.order_kinds),
-        text.orders_per_s,
+        text.orders_per_s, text.origin_per_s, text.lost,
     )
 
 
--- a/gladelane/upgrade/learnt.py
+++ b/gladelane/upgrade/learnt.py
@@ -51,27 +51,35 @@
     objects: list[ObjectLearnt]  # least lately asked for first
 
 
-def take(router: Router) -> Learnt:
-    """Leaves the old router its part of what is split."""
-    stores = []
-    for name, s in router.stores.items():
-        tokens = s.tokens
-        given = max(tokens.left, 0.0) * SHARE
-        tokens.left -= given
-        stores.append(StoreLearnt(
+def look(router: Router, share: float = 1.0) -> Learnt:
+    """As it is, with a part of the budgets; the router keeps its own."""
+    stores = [
+        StoreLearnt(
             name, s.member.came_up_ms, s.fails, s.lateness, s.flaw, s.answered_ms, s.down_until,
-            s.rest_ms, s.concurrency.limit, s.fills.limit, s.opened, (given, tokens.at_ms, tokens.most),
-        ))
-    retries, hedges = router.retries * SHARE, router.hedges * SHARE
-    router.retries -= retries
-    router.hedges -= hedges
+            s.rest_ms, s.concurrency.limit, s.fills.limit, s.opened,
+            (max(s.tokens.left, 0.0) * share, s.tokens.at_ms, s.tokens.most),
+        ) for name, s in router.stores.items()
+    ]
     latest = list(islice(reversed(router.objects.items()), MOST_OBJECTS))
     objects = [
         ObjectLearnt(key, o.count, o.utility, o.gate, o.parts, o.admitted, o.work)
         for key, o in reversed(latest)
     ]
     usual = router.cold.caches.usual, router.cold.parents.usual
-    return Learnt(retries, hedges, router.inlet.limit, usual, dict(router.work_of), stores, objects)
+    return Learnt(
+        router.retries * share, router.hedges * share, router.inlet.limit, usual, dict(router.work_of),
+        stores, objects,
+    )
+
+
+def take(router: Router) -> Learnt:
+    """Leaves the old router its part of what is split."""
+    learnt = look(router, SHARE)
+    for told in learnt.stores:
+        router.stores[told.store].tokens.left -= told.tokens[0]
+    router.retries -= learnt.retries
+    router.hedges -= learnt.hedges
+    return learnt
 
 
 def give(router: Router, learnt: Learnt) -> None:
