Add the rig of many processes: relays, faults by name from one line, rules over the whole run

Change: lab/fleet/ starts N directors and F feeds as processes, each link to a feed or the board through a relay that can be closed, silent, one-way, slow or reset half-way; a line such as "3 kill feeds:* empty; 3 kill directors:90% older" strikes them; clients ask in an open loop, and stale answers, doubles, losses, the origin's busiest second and the time to full service are counted.

--- a/benchmarks/purges.py
+++ b/benchmarks/purges.py
@@ -26,7 +26,7 @@
 from bisect import bisect_left
 from collections import Counter
 from pathlib import Path
-from typing import Any, NamedTuple
+from typing import Any
 
 import uvloop
 
@@ -37,35 +37,23 @@
 from gladelane.endpoints.address import Family
 from gladelane.lab.board import BoardStandin
 from gladelane.lab.client import Client
+from gladelane.lab.fleet.rules import SLACK_MS, Made, Purged, stale
 from gladelane.lab.shelf import Shelf, now_ms
 from gladelane.lab.standins import Fault, Standin
 from gladelane.purges.http import Refused, fetch
-from gladelane.purges.index import Index
 from gladelane.purges.order import Purge, Stamps
-from gladelane.purges.scope import Scope, parse
+from gladelane.purges.scope import parse
 from gladelane.purges.standing import Standing
 from gladelane.purges.wire import encode_purge, purge_decoder
 
 ROOT = Path(__file__).parent.parent
 TOKEN = "benchmark-token-of-this-run"
 DELAY_MS = 2000.0  # the stated delay
-SLACK_MS = 5.0  # dates are whole ms
 STRICT, LOOSE = "question-item", "video-part"
 OBJECTS = 300
 CUT_OFF_PER_S = 20.0
 
 
-class Made(NamedTuple):
-    """An answer that was served: what was asked, when, and how old its copy is."""
-
-    cls: str
-    group: int
-    object: int
-    part: int
-    sent_ms: float
-    dated_ms: float
-
-
 def object_id(number: int) -> str:
     return f"{number * 0x9E3779B97F4A7C15 & (2**64 - 1):016x}"
 
@@ -135,9 +123,10 @@
     def _feed(self, n: int) -> subprocess.Popen[bytes]:
         others = [f"127.0.0.1:{port}" for k, port in enumerate(self.feed_ports) if k != n]
         peers = [word for other in others for word in ("--peer", other)]
-        command = [sys.executable, "-c", "from gladelane.cli import main; main()", "purge", "serve", "--first",
-                   "--dir", str(self.folder / f"feed-{n}"), "--tokens", str(self.folder / "tokens"),
-                   "--listen", f"127.0.0.1:{self.feed_ports[n]}", "--name", f"feed-{n}", *peers]
+        command = [sys.executable, "-c", "from gladelane.cli import main; main()", "purge", "serve",
+                   "--first", "--dir", str(self.folder / f"feed-{n}"),
+                   "--tokens", str(self.folder / "tokens"), "--listen",
+                   f"127.0.0.1:{self.feed_ports[n]}", "--name", f"feed-{n}", *peers]
         return subprocess.Popen(command, cwd=ROOT, stderr=subprocess.DEVNULL)
 
     async def _feed_ready(self, n: int) -> None:
@@ -225,7 +214,7 @@
         self.world = world
         self.rng = random.Random(seed)
         self.made: list[Made] = []
-        self.purges: list[tuple[float, Scope]] = []
+        self.purges: list[Purged] = []
         self.lost = self.refused = self.failed = self.asked = 0
         self.running = True
         self.weights = [1.0 / (n + 1) for n in range(OBJECTS)]
@@ -283,39 +272,26 @@
                     break
                 except (OSError, Refused, TimeoutError):
                     await asyncio.sleep(0.02)
-            self.purges.append((told["at_ms"], parse(told["scope"])))
+            self.purges.append(Purged(told["at_ms"], parse(told["scope"])))
             await asyncio.sleep(each_s)
 
 
-def stale(made: list[Made], purges: list[tuple[float, Scope]], delay_ms: float) -> int:
-    """Answers sent more than the delay after a purge, from a copy older than it."""
-    index, place, found = Index(), 0, 0
-    purges = sorted(purges, key=lambda purge: purge[0])
-    for answer in sorted(made, key=lambda answer: answer.sent_ms):
-        while place < len(purges) and purges[place][0] + delay_ms <= answer.sent_ms:
-            index.add(purges[place][1], purges[place][0])
-            place += 1
-        at = index.newest(answer.cls, answer.group, answer.object, answer.part, answer.sent_ms)
-        found += answer.dated_ms + SLACK_MS < at
-    return found
-
-
-def stale_by_scan(made: list[Made], purges: list[tuple[float, Scope]], delay_ms: float, most: int) -> int:
+def stale_by_scan(made: list[Made], purges: list[Purged], delay_ms: float, most: int) -> int:
     """The same by the plainest scan over some of the answers: the index must not vouch for itself."""
     step = max(len(made) // most, 1)
     return sum(
         any(at + delay_ms <= a.sent_ms and a.dated_ms + SLACK_MS < at and scope.covers(
-            a.cls, a.group, a.object, a.part) for at, scope in purges)
+            a.cls, a.group, a.object, a.part) for at, scope, _ in purges)
         for a in made[::step]
     )
 
 
-def delays(made: list[Made], purges: list[tuple[float, Scope]]) -> list[float]:
+def delays(made: list[Made], purges: list[Purged]) -> list[float]:
     """For each purge, how long after it the last answer from an older copy was sent; 0: none was."""
     made = sorted(made, key=lambda answer: answer.sent_ms)
     sent = [answer.sent_ms for answer in made]
     found = []
-    for at, scope in purges:
+    for at, scope, _ in purges:
         late = 0.0
         for a in made[bisect_left(sent, at) : bisect_left(sent, at + 2 * DELAY_MS)]:
             if a.dated_ms + SLACK_MS < at and scope.covers(a.cls, a.group, a.object, a.part):
@@ -354,7 +330,7 @@
             else:  # what would have been purged, and is told to nobody
                 for _ in range(count):
                     text, tags = load.scope()
-                    load.purges.append((now_ms(), parse(text, tags)))
+                    load.purges.append(Purged(now_ms(), parse(text, tags)))
                     await asyncio.sleep(each_s)
             await asyncio.sleep(DELAY_MS / 1000.0 + 0.5)
             ended = loop.time()
@@ -381,7 +357,7 @@
             return figures | {
                 "purges": len(load.purges), "answers": len(load.made), "asked": load.asked,
                 "refused": load.refused, "failed": load.failed, "lost": load.lost, "answered_twice": twice,
-                "stale": stale(load.made, load.purges, DELAY_MS), "restarts": dict(world.restarts),
+                "stale": len(stale(load.made, load.purges, DELAY_MS)), "restarts": dict(world.restarts),
                 "stale_by_scan": stale_by_scan(load.made, load.purges, DELAY_MS, 2000),
                 "delay_ms_p99": round(statistics.quantiles(late, n=100, method="inclusive")[98], 1),
                 "delay_ms_most": round(max(late), 1),
--- a/gladelane/cli/fleet.py
+++ b/gladelane/cli/fleet.py
@@ -19,10 +19,11 @@
 AT_ONCE = 32  # doors asked side by side
 WITHIN_S = 3.0
 FIGURES = ("phase", "phase_reason", "phase_since_ms", "full_service_ms", "warm_start",
-           "purges_known_since_ms", "feeds_followed", "renewals", "renewals_refused", "renewals_bind", "reseeded")
+           "purges_known_since_ms", "feeds_followed", "renewals", "renewals_refused", "renewals_bind",
+           "reseeded")
 
 
-async def asked(doors: list[str]) -> dict[str, dict[str, int] | str]:
+async def ask_all(doors: list[str]) -> dict[str, dict[str, int] | str]:
     """Each door's figures, or why there are none."""
     places = {door: place_of(door) for door in doors}
     gate = asyncio.Semaphore(AT_ONCE)
@@ -41,6 +42,10 @@
     return dict(zip(doors, found, strict=True))
 
 
+def chosen(told: dict[str, int]) -> dict[str, int]:
+    return {name: told[name] for name in FIGURES if name in told}
+
+
 def row(door: str, told: dict[str, int] | str) -> list[str]:
     if isinstance(told, str):
         return [door, "no answer", told]
@@ -60,17 +65,15 @@
 @app.command()
 def status(
     door: Annotated[list[str], typer.Argument(help="IP:PORT of each director's door.")],
-    json_: Annotated[bool, typer.Option("--json", help="One JSON object, by door.")] = False,
+    json_: Annotated[
+        bool, typer.Option("--json", help="One JSON object by door: figures, or why there are none.")
+    ] = False,
 ) -> None:
     """Phases, seconds to full service and what is known of purges. Exits with 1 unless all are in full
     service."""
-    found = asyncio.run(asked(door))
+    found = asyncio.run(ask_all(door))
     if json_:
-        kept: dict[str, dict[str, int] | dict[str, str]] = {
-            at: {n: told[n] for n in FIGURES if n in told} if isinstance(told, dict) else {"error": told}
-            for at, told in found.items()
-        }
-        print(json.dumps(kept))
+        print(json.dumps({at: told if isinstance(told, str) else chosen(told) for at, told in found.items()}))
     else:
         table = Table("door", "phase", "reason", "full after s", "warm", "purges since", "feeds", "refused",
                       box=None, pad_edge=False)
--- a/gladelane/lab/board.py
+++ b/gladelane/lab/board.py
@@ -59,7 +59,7 @@
                 with suppress(TimeoutError):
                     async with asyncio.timeout(COMMENT_S):
                         await news.wait()
-        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError, RuntimeError):  # uvloop: closed
             pass
         finally:
             self._open.discard(task)
--- /dev/null
+++ b/gladelane/lab/fleet/faults.py
@@ -0,0 +1,97 @@
+"""The line that says what happens in a run: steps, each at its second, by names. Pure.
+
+    2 save feeds:*; 3 kill feeds:* empty; 3 kill directors:90% empty; 4 cut directors:0-3>feeds:* for 2
+
+A step is a moment in seconds, a word, whom it strikes, how, and for how long. Whom: `directors`, `feeds`,
+`caches`, `hub`, `origin` or `board`, with `:N`, `:N-M`, `:*` or `:P%` (so many, by the seed); a link is
+`FROM>TO`. """
+
+from __future__ import annotations
+
+import re
+from dataclasses import dataclass
+from random import Random
+
+#: word -> what it may strike, and the ways there are; the first is what an empty one means
+WORDS: dict[str, tuple[str, tuple[str, ...]]] = {
+    "kill": ("process", ("kept", "empty", "older", "torn", "swapped", "readonly")),
+    "term": ("process", ("kept",)),
+    "stop": ("process", ("kept",)),
+    "save": ("process", ("kept",)),  # copies the folders, for `older`
+    "full": ("process", ("kept",)),  # the disk takes nothing more
+    "cut": ("link", ("closed", "silent", "oneway", "slow", "halfway")),
+    "board": ("board", ("late", "restart")),
+    "store": ("store", ("save", "back", "slow", "renew")),  # copies kept, put back; slow; come up anew
+    "drain": ("store", ("out", "in")),
+    "purges": ("none", ("flood",)),  # so many in `for` seconds
+}
+PROCESSES, STORES = ("directors", "feeds"), ("caches", "hub", "origin")
+NUMBER = r"\d+(?:\.\d+)?"
+STEP = re.compile(rf"(?P<at>{NUMBER}) (?P<word>\w+)(?: (?P<rest>.+?))?(?: for (?P<last>{NUMBER}))?", re.ASCII)
+WHOM = re.compile(r"(?P<kind>[a-z]+)(?::(?P<which>\*|\d+(?:-\d+)?|\d+%))?")
+
+
+class BadLine(ValueError):
+    """The step and what was expected."""
+
+
+@dataclass(frozen=True, slots=True)
+class Step:
+    """at, last: seconds. whom: (kind, number) of processes and stores; links: pairs of those."""
+
+    at: float
+    word: str
+    whom: tuple[tuple[str, int], ...]
+    links: tuple[tuple[tuple[str, int], tuple[str, int]], ...]
+    how: str
+    last: float
+    text: str
+
+
+def read_line(line: str, counts: dict[str, int], rng: Random) -> list[Step]:
+    """Steps by their moments. counts: how many there are of each kind. Raises BadLine."""
+    steps = [_step(text.strip(), counts, rng) for text in line.split(";") if text.strip()]
+    return sorted(steps, key=lambda step: step.at)
+
+
+def _step(text: str, counts: dict[str, int], rng: Random) -> Step:
+    found = STEP.fullmatch(text)
+    if found is None or found["word"] not in WORDS:
+        raise BadLine(f"{text!r}; expected SECOND WORD WHOM HOW for SECONDS, a word of {', '.join(WORDS)}")
+    strikes, ways = WORDS[found["word"]]
+    words = (found["rest"] or "").split()
+    target = "" if strikes == "none" or not words or words[0] in ways else words.pop(0)
+    how = words.pop(0) if words else ways[0]
+    if words or not (how in ways or (found["word"] == "purges" and how.isdigit())):
+        raise BadLine(f"{text!r}: {how!r}; expected one of {', '.join(ways)}")
+    whom: tuple[tuple[str, int], ...] = ()
+    links: tuple[tuple[tuple[str, int], tuple[str, int]], ...] = ()
+    if strikes == "link":
+        near, _, far = target.partition(">")
+        links = tuple(
+            (one, other) for one in _whom(text, near, counts, rng, PROCESSES)
+            for other in _whom(text, far, counts, rng, ("feeds", "board")) if one != other
+        )
+    elif strikes in ("process", "store"):
+        whom = _whom(text, target, counts, rng, PROCESSES if strikes == "process" else STORES)
+    return Step(float(found["at"]), found["word"], whom, links, how, float(found["last"] or 0.0), text)
+
+
+def _whom(
+    text: str, target: str, counts: dict[str, int], rng: Random, kinds: tuple[str, ...]
+) -> tuple[tuple[str, int], ...]:
+    found = WHOM.fullmatch(target)
+    if found is None or found["kind"] not in kinds:
+        raise BadLine(f"{text!r}: {target!r}; expected one of {', '.join(kinds)}, with :N, :N-M, :* or :P%")
+    kind, which = found["kind"], found["which"] or "*"
+    count = counts.get(kind, 1)
+    if which == "*":
+        numbers = list(range(count))
+    elif which.endswith("%"):
+        numbers = sorted(rng.sample(range(count), round(count * int(which[:-1]) / 100)))
+    else:
+        first, _, last = which.partition("-")
+        numbers = list(range(int(first), int(last or first) + 1))
+    if not numbers or numbers[-1] >= count:
+        raise BadLine(f"{text!r}: {target!r}; there are {count} {kind}")
+    return tuple((kind, number) for number in numbers)
--- /dev/null
+++ b/gladelane/lab/fleet/fleet.py
@@ -0,0 +1,403 @@
+"""The processes of a run: directors and feeds, each its own, with folders that faults change between two
+lives."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import resource
+import shutil
+import signal
+import subprocess
+import sys
+import time
+from collections import Counter
+from dataclasses import dataclass, field
+from functools import partial
+from pathlib import Path
+from random import Random
+from typing import Any
+
+from ...purges.http import Refused, fetch
+from ..client import Answer, Client
+from ..processes import ROOT, free_port
+from .faults import Step
+from .relay import Relay, State
+from .world import World
+
+TOKEN = "token-of-a-run-in-the-laboratory"
+START_S = 30.0
+GONE_S = 6.0  # for SIGTERM
+ON_ONE, CONNECTIONS = 12, 16
+FEED = "from gladelane.cli import main; main()"
+
+
+@dataclass(frozen=True)
+class Shape:
+    """How a fleet is set up. lost: what strict classes make of copies from before a loss."""
+
+    directors: int = 12
+    feeds: int = 2
+    copies: int = 2
+    marks: bool = False
+    warm: bool = True
+    lost: str = "void"
+    delay_ms: float = 2000.0
+    cut_off_per_s: float = 40.0
+    origin_per_s: float = 0.0
+    strict: tuple[str, ...] = ("question-item",)
+
+
+class Pool:
+    """Connections to one director, few requests on each: a director turns away more than 32."""
+
+    def __init__(self, port: int) -> None:
+        self._port = port
+        self._clients: list[tuple[Client, list[int]]] = []  # with the number of requests open
+
+    async def reach(self) -> None:
+        """One connection. Raises OSError."""
+        self._clients.append((await Client.to("127.0.0.1", self._port), [0]))
+
+    async def ask(self, fields: dict[str, str], patience_s: float) -> Answer | None:
+        least = min(self._clients, key=lambda entry: entry[1][0])
+        if least[1][0] >= ON_ONE and len(self._clients) < CONNECTIONS:
+            with contextlib.suppress(OSError):
+                await self.reach()
+                least = self._clients[-1]
+        client, held = least
+        held[0] += 1
+        try:
+            return await client.ask(fields, patience_s=patience_s)
+        finally:
+            held[0] -= 1
+
+    async def close(self) -> None:
+        for client, _ in self._clients:
+            await client.close()
+
+
+@dataclass
+class Life:
+    """One process and its successors. up: it answers."""
+
+    name: str
+    port: int
+    folder: Path
+    process: subprocess.Popen[bytes] | None = None
+    up: bool = False
+    starts: int = 0
+    client: Pool | None = None
+    door: int = 0
+    failed: list[str] = field(default_factory=list)
+
+
+class Fleet:
+    """`events`: what happened, in s since the start, for the table."""
+
+    def __init__(self, folder: Path, world: World, shape: Shape, rng: Random) -> None:
+        self.folder, self.world, self.shape, self.rng = folder, world, shape, rng
+        self.directors = [
+            Life(f"director-{n}", free_port(), folder / f"director-{n}", door=free_port())
+            for n in range(shape.directors)
+        ]
+        self.feeds = [Life(f"feed-{n}", free_port(), folder / f"feed-{n}") for n in range(shape.feeds)]
+        self.links: dict[tuple[str, str], Relay] = {}
+        self.events: list[tuple[float, str, str]] = []
+        self.counts: Counter[str] = Counter()
+        self.killed_ms: dict[str, list[float]] = {}
+        self._began = time.monotonic()
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def note(self, what: str, detail: str = "") -> None:
+        self.events.append((round(time.monotonic() - self._began, 3), what, detail))
+
+    def of(self, whom: tuple[str, int]) -> Life:
+        return (self.directors if whom[0] == "directors" else self.feeds)[whom[1]]
+
+    async def start(self) -> None:
+        (self.folder / "tokens").write_text(f"lab {TOKEN}\n")
+        for one in (*self.directors, *self.feeds):
+            for other in self.feeds:
+                if one is not other:
+                    await self._link(one.name, other.name, other.port)
+        for one in self.directors:
+            await self._link(one.name, "board", self.world.board_port)
+        for one in (*self.feeds, *self.directors):
+            one.folder.mkdir()
+        await asyncio.gather(*(self._start(one, first=True) for one in self.feeds))
+        await asyncio.gather(*(self._start(one) for one in self.directors))
+
+    async def _link(self, near: str, far: str, port: int) -> None:
+        relay = self.links[near, far] = Relay(port)
+        await relay.start()
+
+    # --- lives
+
+    async def _start(self, one: Life, first: bool = False) -> None:
+        """Until it answers, or has ended with an error."""
+        one.starts += 1
+        feed = one in self.feeds
+        command, env = self._feed(one, first) if feed else self._director(one)
+        with open(self.folder / f"{one.name}.log", "ab") as log:
+            process = one.process = subprocess.Popen(command, cwd=ROOT, env=env, stderr=log)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(START_S):
+                while process.poll() is None and one.process is process:
+                    if await (self._feed_answers(one) if feed else self._director_answers(one)):
+                        if one.process is process and process.poll() is None:
+                            one.up = True
+                            self.note("up", one.name)
+                        return
+                    await asyncio.sleep(0.02)
+        if one.process is process:
+            tail = self.log(one).strip().splitlines()[-1:]
+            one.failed.append(tail[0] if tail else "")
+            self.note("start failed", f"{one.name}: {one.failed[-1][:200]}")
+
+    def log(self, one: Life) -> str:
+        return (self.folder / f"{one.name}.log").read_text(errors="replace")
+
+    def _feed(self, one: Life, first: bool) -> tuple[list[str], dict[str, str]]:
+        peers = [f"127.0.0.1:{self.links[one.name, o.name].port}" for o in self.feeds if o is not one]
+        command = [sys.executable, "-c", FEED, "purge", "serve", "--name", one.name, "--dir",
+                   str(one.folder / "purges"), "--tokens", str(self.folder / "tokens"), "--listen",
+                   f"127.0.0.1:{one.port}", "--copies", str(min(self.shape.copies, 1 + len(peers)))]
+        command += [word for peer in peers for word in ("--peer", peer)]
+        if first:
+            command.append("--first")
+        if self.shape.marks:
+            command += ["--mark", str(self.folder / f"{one.name}.mark")]
+        return command, dict(os.environ)
+
+    def _director(self, one: Life) -> tuple[list[str], dict[str, str]]:
+        shape = self.shape
+        raw = json.loads((ROOT / "example" / "config.json").read_text())
+        raw |= {"name": one.name, "listen": f"127.0.0.1:{one.port}", "known": self.world.board.known(),
+                "board": f"127.0.0.1:{self.links[one.name, 'board'].port}", "ops": f"127.0.0.1:{one.door}"}
+        raw["settings"] |= {"balancers": shape.directors, "me": self.directors.index(one)}
+        operator: dict[str, Any] = {"recovery": {"every_s": 1}}
+        if shape.warm:
+            operator["recovery"]["dir"] = str(one.folder / "warm")
+        if self.feeds:
+            operator["purges"] = {
+                "feeds": [f"127.0.0.1:{self.links[one.name, feed.name].port}" for feed in self.feeds],
+                "token_file": str(self.folder / "tokens"), "dir": str(one.folder / "purges"),
+                "delay_ms": shape.delay_ms, "strict": list(shape.strict), "lost": shape.lost,
+                "cut_off_per_s": shape.cut_off_per_s, "origin_per_s": shape.origin_per_s,
+                "start_wait_ms": 3000, "order_kinds": ["standard", "parent"],
+            }
+        config, file = self.folder / f"{one.name}.json", self.folder / f"{one.name}.json5"
+        config.write_text(json.dumps(raw))
+        file.write_text(json.dumps(operator))
+        temporary = one.folder / "tmp"
+        temporary.mkdir(exist_ok=True)
+        env = {**os.environ, "GW_CONFIG": str(config), "GW_OPERATOR": str(file), "TMPDIR": str(temporary)}
+        return [sys.executable, "-m", "gladelane"], env
+
+    async def _feed_answers(self, one: Life) -> bool:
+        with contextlib.suppress(OSError, TimeoutError, Refused):
+            await fetch("127.0.0.1", one.port, "GET", "/status", TOKEN, within_s=1.0)
+            return True
+        return False
+
+    async def _director_answers(self, one: Life) -> bool:
+        with contextlib.suppress(OSError):
+            pool = Pool(one.port)
+            await pool.reach()
+            one.client = pool
+            return True
+        return False
+
+    async def _end(self, one: Life, number: signal.Signals) -> None:
+        process, one.up = one.process, False
+        client, one.client = one.client, None
+        if number is signal.SIGTERM:
+            await asyncio.sleep(0.05)
+        if process is not None and process.poll() is None:
+            process.send_signal(number)
+            if number is signal.SIGKILL:
+                self._held_up(one)
+            with contextlib.suppress(subprocess.TimeoutExpired):
+                await asyncio.to_thread(process.wait, GONE_S)
+        if client is not None:
+            await client.close()
+
+    # --- faults
+
+    async def strike(self, step: Step) -> None:
+        """Carries a step out; what it lasts for goes on beside it."""
+        self.note(step.word, step.text)
+        match step.word:
+            case "kill" | "term":
+                await asyncio.gather(*(self._again(self.of(whom), step) for whom in step.whom))
+            case "stop":
+                for whom in step.whom:
+                    self._signal(self.of(whom), signal.SIGSTOP)
+                    self._held_up(self.of(whom))
+                self._later(step.last, lambda: self._all(step, signal.SIGCONT))
+            case "save":
+                for whom in step.whom:
+                    self._save(self.of(whom))
+            case "full":
+                for whom in step.whom:
+                    self._limit(self.of(whom), 0)
+                self._later(step.last, lambda: self._all(step, None))
+            case "cut":
+                relays = [self.links[self._name(a), self._name(b)] for a, b in step.links]
+                for relay in relays:
+                    relay.set(State(step.how))
+                if step.last:
+                    self._later(step.last, partial(heal, relays))
+            case "board":
+                await self._board(step)
+            case "store" | "drain":
+                await asyncio.gather(*(self._store(whom, step) for whom in step.whom))
+
+    def _name(self, whom: tuple[str, int]) -> str:
+        return "board" if whom[0] == "board" else self.of(whom).name
+
+    def _later(self, after: float, act: Any) -> None:
+        async def wait() -> None:
+            await asyncio.sleep(after)
+            act()
+
+        task = asyncio.create_task(wait())
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _all(self, step: Step, number: signal.Signals | None) -> None:
+        """Undoes a step: a signal, or room on the disk."""
+        for whom in step.whom:
+            if number is None:
+                self._limit(self.of(whom), -1)
+            else:
+                self._signal(self.of(whom), number)
+
+    def _signal(self, one: Life, number: signal.Signals) -> None:
+        self.counts[number.name] += 1
+        if one.process is not None and one.process.poll() is None:
+            one.process.send_signal(number)
+
+    def _held_up(self, one: Life) -> None:
+        """From now on what it had open may never be answered."""
+        self.killed_ms.setdefault(one.name, []).append(time.time() * 1000.0)
+
+    def _limit(self, one: Life, most: int) -> None:
+        """A file that may not grow is a full disk to whoever writes; root's rights do not change that."""
+        if one.process is not None and one.process.poll() is None:
+            self.counts["disk_faults"] += 1
+            resource.prlimit(one.process.pid, resource.RLIMIT_FSIZE, (most, -1))
+
+    async def _again(self, one: Life, step: Step) -> None:
+        """Ends a process, does to its folder what the step says, and starts it."""
+        number = signal.SIGKILL if step.word == "kill" else signal.SIGTERM
+        self.counts["kills"] += number is signal.SIGKILL
+        await self._end(one, number)
+        if step.last:
+            await asyncio.sleep(step.last)
+        if step.how == "readonly":
+            await self._readonly(one)
+        else:
+            self._spoil(one, step.how)
+        await self._start(one)
+
+    def _save(self, one: Life) -> None:
+        copy = self.folder / f"{one.name}.saved"
+        shutil.rmtree(copy, ignore_errors=True)
+        shutil.copytree(one.folder, copy, ignore=shutil.ignore_patterns("tmp", "LOCK"))
+
+    def _spoil(self, one: Life, how: str) -> None:
+        if how == "kept":
+            return
+        self.counts["disk_faults"] += 1
+        if how == "torn":  # a write that ended half way: the last bytes of each log are gone
+            for path in one.folder.rglob("*.log"):
+                os.truncate(path, max(path.stat().st_size - 7, 0))
+            return
+        source = one
+        if how == "swapped":
+            source = next(other for other in self.feeds if other is not one)
+        shutil.rmtree(one.folder)
+        one.folder.mkdir()
+        saved = self.folder / f"{one.name}.saved"
+        if how == "older" and saved.exists():
+            shutil.copytree(saved, one.folder, dirs_exist_ok=True)
+        elif how == "swapped":
+            left_out = shutil.ignore_patterns("LOCK")
+            shutil.copytree(source.folder, one.folder, dirs_exist_ok=True, ignore=left_out)
+
+    async def _readonly(self, one: Life) -> None:
+        """The folder's lock cannot be opened for writing: a start that fails, and one that does not."""
+        lock = one.folder / "purges" / "LOCK"
+        self.counts["disk_faults"] += 1
+        lock.unlink(missing_ok=True)
+        lock.mkdir(parents=True)
+        await self._start(one)
+        if one.up:  # it runs all the same: the next life finds it whole
+            await self._end(one, signal.SIGKILL)
+        lock.rmdir()
+
+    async def _board(self, step: Step) -> None:
+        if step.how == "late":
+            self.world.hold_board(True)
+            self._later(step.last, lambda: self.world.hold_board(False))
+            return
+        relays = [relay for (_, far), relay in self.links.items() if far == "board"]
+        for relay in relays:
+            relay.set(State.CLOSED)
+        self._later(step.last, partial(heal, relays))
+
+    async def _store(self, whom: tuple[str, int], step: Step) -> None:
+        name = {"hub": "depot", "origin": "bank"}.get(whom[0], f"cache-{whom[1]}")
+        shelf = self.world.shelves[name]
+        match step.how:
+            case "save":
+                self.world.saved[name] = dict(shelf.copies)
+            case "back":
+                shelf.copies = dict(self.world.saved.get(name, {}))
+            case "renew":
+                await self.world.renew(name)
+            case "out" | "in":
+                self.world.drain(name, step.how == "out")
+            case "slow":
+                slow = self.world.hub if name == "bank" else shelf  # what comes from there takes its way back
+                was, slow.fill_s = slow.fill_s, 0.25
+                self._later(step.last, lambda: setattr(slow, "fill_s", was))
+
+    # --- asking
+
+    async def stats(self, one: Life) -> dict[str, int]:
+        """What the door says; empty where nobody answers."""
+        with contextlib.suppress(OSError, TimeoutError, Refused, ValueError):
+            text = (await fetch("127.0.0.1", one.door, "GET", "/stats", within_s=2.0)).decode()
+            pairs = (line.removeprefix("director.").partition("=") for line in text.splitlines())
+            return {name: int(value) for name, _, value in pairs}
+        return {}
+
+    async def status(self, one: Life) -> dict[str, Any]:
+        with contextlib.suppress(OSError, TimeoutError, Refused, ValueError):
+            told: dict[str, Any] = json.loads(
+                await fetch("127.0.0.1", one.port, "GET", "/status", TOKEN, within_s=2.0)
+            )
+            return told
+        return {}
+
+    async def close(self) -> None:
+        for task in list(self._tasks):
+            task.cancel()
+        for one in (*self.directors, *self.feeds):
+            if one.process is not None and one.process.poll() is None:
+                one.process.kill()
+                await asyncio.to_thread(one.process.wait)
+            if one.client is not None:
+                await one.client.close()
+        for relay in self.links.values():
+            await relay.close()
+
+
+def heal(relays: list[Relay]) -> None:
+    for relay in relays:
+        relay.set(State.OPEN)
--- /dev/null
+++ b/gladelane/lab/fleet/relay.py
@@ -0,0 +1,113 @@
+"""A link between two processes: bytes pass as they come, until the link is made worse."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+from contextlib import suppress
+from enum import Enum
+
+READ_BYTES = 65_536
+SLOW_S = 0.3  # a piece, each way
+HALFWAY_BYTES = 400  # of the far end's, after which a connection is reset
+
+
+class State(Enum):
+    OPEN = "open"
+    CLOSED = "closed"  # connections are reset, new ones refused
+    SILENT = "silent"  # nothing passes and nobody is told
+    ONEWAY = "oneway"  # what the near end says arrives, the far end's answers do not
+    SLOW = "slow"
+    HALFWAY = "halfway"  # connections are reset in the middle of an answer
+
+
+class Relay:
+    """Listens for the near end, dials the far one."""
+
+    def __init__(self, port: int) -> None:
+        self.far = port
+        self.port = 0
+        self.state = State.OPEN
+        self.cut_short = 0
+        self._server: asyncio.Server | None = None
+        self._open: dict[asyncio.Task[None], tuple[asyncio.StreamWriter, asyncio.StreamWriter]] = {}
+        self._healed = asyncio.Event()
+
+    async def start(self) -> int:
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
+        self.port = int(self._server.sockets[0].getsockname()[1])
+        return self.port
+
+    def set(self, state: State) -> None:
+        """Connections that were made while it was silent stay, and go on once it is healed."""
+        self.state = state
+        if state is State.CLOSED:
+            for near, far in list(self._open.values()):
+                reset(near)
+                reset(far)
+        if state is State.OPEN:
+            self._healed.set()
+            self._healed = asyncio.Event()
+
+    async def close(self) -> None:
+        if self._server is not None:
+            self._server.close()
+        for task in list(self._open):
+            task.cancel()
+        await asyncio.gather(*self._open, return_exceptions=True)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if self.state is State.CLOSED:
+            reset(writer)
+            return
+        try:
+            far_reader, far = await asyncio.open_connection("127.0.0.1", self.far)
+        except OSError:
+            reset(writer)
+            return
+        task = asyncio.current_task()
+        assert task is not None
+        self._open[task] = writer, far
+        try:
+            ways = [asyncio.ensure_future(self._pass(reader, far, False)),
+                    asyncio.ensure_future(self._pass(far_reader, writer, True))]
+            try:
+                await asyncio.wait(ways, return_when=asyncio.FIRST_COMPLETED)
+                await asyncio.sleep(0)
+            finally:
+                for way in ways:
+                    way.cancel()
+                await asyncio.gather(*ways, return_exceptions=True)
+        finally:
+            self._open.pop(task, None)
+            for one in (writer, far):
+                with suppress(OSError):
+                    one.close()
+
+    async def _pass(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, back: bool) -> None:
+        passed = 0
+        with suppress(OSError):
+            while data := await reader.read(READ_BYTES):
+                while self.state is State.SILENT or (back and self.state is State.ONEWAY):
+                    await self._healed.wait()
+                if self.state is State.SLOW:
+                    await asyncio.sleep(SLOW_S)
+                if back and self.state is State.HALFWAY:
+                    left = max(HALFWAY_BYTES - passed, 1)
+                    if len(data) > left or passed >= HALFWAY_BYTES:
+                        writer.write(data[:left])
+                        await writer.drain()
+                        self.cut_short += 1
+                        reset(writer)
+                        return
+                passed += len(data)
+                writer.write(data)
+                await writer.drain()
+
+
+def reset(writer: asyncio.StreamWriter) -> None:
+    sock = writer.get_extra_info("socket")
+    with suppress(OSError, ValueError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
--- /dev/null
+++ b/gladelane/lab/fleet/rules.py
@@ -0,0 +1,106 @@
+"""The rules of a whole run, over all processes: told by clients and stand-ins, never by what is watched.
+
+`lab.checks` watches each request; here is what only the sum of all directors shows: answers from copies
+older than a purge, keys that ran twice beyond their window, how full the origin got, and the worth answered
+in time. Pure. """
+
+from __future__ import annotations
+
+from bisect import bisect_left
+from collections import Counter
+from typing import NamedTuple
+
+from ...purges.index import Index
+from ...purges.scope import Scope
+
+SLACK_MS = 5.0  # dates are whole ms
+
+
+class Made(NamedTuple):
+    """An answer that was served. Times are Unix ms."""
+
+    cls: str
+    group: int
+    object: int
+    part: int
+    sent_ms: float
+    dated_ms: float
+
+
+class Purged(NamedTuple):
+    """A purge that was answered: its moment, and when its sender had the answer."""
+
+    at_ms: float
+    scope: Scope
+    told_ms: float = 0.0
+
+
+class Ran(NamedTuple):
+    """A keyed request as a server took it."""
+
+    key: str
+    at_ms: float
+
+
+def stale(made: list[Made], purges: list[Purged], delay_ms: float) -> list[Made]:
+    """Answers asked for more than the delay after a purge was answered, from a copy older than it."""
+    index, place, found = Index(), 0, []
+    ordered = sorted(purges, key=lambda purge: max(purge.at_ms, purge.told_ms))
+    for answer in sorted(made, key=lambda answer: answer.sent_ms):
+        while place < len(ordered):
+            purge = ordered[place]
+            if max(purge.at_ms, purge.told_ms) + delay_ms > answer.sent_ms:
+                break
+            index.add(purge.scope, purge.at_ms)
+            place += 1
+        at = index.newest(answer.cls, answer.group, answer.object, answer.part, answer.sent_ms)
+        if answer.dated_ms + SLACK_MS < at:
+            found.append(answer)
+    return found
+
+
+def doubles(ran: list[Ran], window_ms: float, slack_ms: float = 20.0) -> list[str]:
+    """Keys that ran again after their window: the server no longer knows them for a repeat."""
+    first: dict[str, float] = {}
+    found = []
+    for one in sorted(ran, key=lambda one: one.at_ms):
+        if one.at_ms - first.setdefault(one.key, one.at_ms) > window_ms + slack_ms:
+            found.append(one.key)
+    return found
+
+
+def busiest(times: list[float], start: float, end: float) -> int:
+    """The most in any second, of moments in s."""
+    return max(Counter(int(at - start) for at in times if start <= at < end).values(), default=0)
+
+
+class Served:
+    """Worth answered in time, by when it was asked for. Seconds of one clock."""
+
+    SHARE, HELD_S, STEP_S = 0.95, 2.0, 0.1
+
+    def __init__(self) -> None:
+        self._at: list[float] = []
+        self._worth: list[float] = []
+
+    def add(self, at: float, worth: float) -> None:
+        self._at.append(at)
+        self._worth.append(worth)
+
+    def rate(self, start: float, end: float, at: list[float], sums: list[float]) -> float:
+        return (sums[bisect_left(at, end)] - sums[bisect_left(at, start)]) / (end - start)
+
+    def full_after(self, fault: float, before: tuple[float, float], until: float) -> float:
+        """Seconds from a fault to the first moment from which 95 % of the rate before is kept for 2 s;
+        infinite: there is none up to `until`."""
+        rows = sorted(zip(self._at, self._worth, strict=True))
+        at, sums = [row[0] for row in rows], [0.0]
+        for _, worth in rows:
+            sums.append(sums[-1] + worth)
+        wanted = self.SHARE * self.rate(*before, at, sums)
+        moment = fault
+        while moment + self.HELD_S <= until:
+            if self.rate(moment, moment + self.HELD_S, at, sums) >= wanted:
+                return moment - fault
+            moment += self.STEP_S
+        return float("inf")
--- /dev/null
+++ b/gladelane/lab/fleet/world.py
@@ -0,0 +1,137 @@
+"""The servers of a run: four caches, a hub, the origin and the board, in this process, with books of what the
+program's processes asked them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from ...endpoints.address import Family
+from ..board import BoardStandin
+from ..shelf import Shelf, Thing, now_ms
+from ..standins import Fault, Said, Seen, Standin
+from .rules import Ran
+
+OBJECTS, GROUPS = 300, 16
+CACHES = 4
+ORIGIN_S, HUB_S, CACHE_S = 0.002, 0.004, 0.002
+CACHE_MOST, HUB_MOST = 400, 400  # requests at once that push one over
+ORIGIN_PER_S = 900.0  # what it does in a second; more than that falls over
+
+
+def object_id(number: int) -> str:
+    return f"{number * 0x9E3779B97F4A7C15 & (2**64 - 1):016x}"
+
+
+def group_of(number: int) -> int:
+    return number % GROUPS
+
+
+class World:
+    def __init__(self) -> None:
+        self.board = BoardStandin()
+        self.origin = Shelf()
+        self.hub = Shelf({"bank": self.origin}, HUB_S)
+        self.caches = [Shelf({"depot": self.hub, "bank": self.origin}, CACHE_S) for _ in range(CACHES)]
+        self.shelves = {"depot": self.hub, "bank": self.origin}
+        self.shelves |= {f"cache-{n}": shelf for n, shelf in enumerate(self.caches)}
+        self.standins: dict[str, Standin] = {}
+        self.addresses: dict[str, str] = {}
+        self.started: dict[str, float] = dict.fromkeys(self.shelves, 0.0)
+        self.lifecycle: dict[str, str] = dict.fromkeys(self.shelves, "in_service")
+        self.saved: dict[str, dict[Thing, float]] = {}
+        self.ran: list[Ran] = []
+        self.at_once: Counter[str] = Counter()
+        self.most_at_once: Counter[str] = Counter()
+        self.drained_ms: dict[str, float] = {}
+        self.after_drain = 0  # requests to a drained cache past the second that directors have
+        self.board_port = 0
+        self.watch: Callable[[str, Seen], None] = lambda name, seen: None  # hears of each attempt
+        self._late: list[dict[str, Any]] = []
+        self._holding = False
+
+    async def start(self) -> None:
+        groups = {object_id(n): group_of(n) for n in range(OBJECTS)}
+        for name, shelf in self.shelves.items():
+            self.standins[name] = standin = Standin(name, lambda seen, name=name: self._answer(name, seen))  # type: ignore[misc]
+            shelf.groups = groups
+            standin.drop = shelf.drop
+            self.addresses[name] = await standin.listen(Family.V4)
+        self.board_port = int((await self.board.start()).rpartition(":")[2])
+        self.board.tell({"pool": {"generation": 1, "reset": True, "instances": [
+            self.instance(name) for name in self.shelves
+        ]}})
+
+    def instance(self, name: str) -> dict[str, Any]:
+        kind = {"depot": "parent", "bank": "origin"}.get(name, "standard")
+        return {"instanceId": name, "hostPort": self.addresses[name], "machineType": kind, "cell": 0,
+                "zone": "branch" if kind == "standard" else "hub", "lifecycle": self.lifecycle[name],
+                "weight": 60, "startedAtMs": self.started[name]}
+
+    def _answer(self, name: str, seen: Seen) -> Said | Awaitable[Said]:
+        if name in self.drained_ms and now_ms() > self.drained_ms[name] + 1000.0:
+            self.after_drain += 1
+        self.watch(name, seen)
+        key = seen.fields.get("replay")
+        if key:
+            self.ran.append(Ran(key, now_ms()))
+            return "served digest=d,dated=0,remark=h", b"\x00"
+        return self._held(name, seen)
+
+    async def _held(self, name: str, seen: Seen) -> Said:
+        self.at_once[name] += 1
+        self.most_at_once[name] = max(self.most_at_once[name], self.at_once[name])
+        try:
+            return await self.shelves[name].answer(seen)
+        finally:
+            self.at_once[name] -= 1
+
+    # --- what happens to them
+
+    def tell(self, name: str) -> None:
+        """The board says how it is now; held back while the board is late."""
+        notice = {"pool": {"instances": [self.instance(name)]}}
+        if self._holding:
+            self._late.append(notice)
+        else:
+            self.board.tell(notice)
+
+    def hold_board(self, on: bool) -> None:
+        self._holding = on
+        if not on:
+            late, self._late = self._late, []
+            for notice in late:
+                self.board.tell(notice)
+
+    def drain(self, name: str, out: bool) -> None:
+        self.lifecycle[name] = "terminating" if out else "in_service"
+        if out and not self._holding:
+            self.drained_ms[name] = now_ms()
+        elif not out:
+            self.drained_ms.pop(name, None)
+        self.tell(name)
+
+    async def renew(self, name: str) -> None:
+        """Its process dies and comes up anew with the copies that were saved, or none."""
+        standin, address = self.standins[name], self.addresses[name]
+        await standin.set(address, Fault.REFUSED)
+        self.lifecycle[name] = "terminated"
+        self.tell(name)
+        await asyncio.sleep(0.3)
+        self.shelves[name].copies = dict(self.saved.get(name, {}))
+        await standin.set(address, Fault.NONE)
+        self.lifecycle[name], self.started[name] = "in_service", now_ms()
+        self.tell(name)
+
+    def pushed_over(self, per_s: int) -> list[str]:
+        """Servers that were asked for more than they bear. per_s: the origin's busiest second."""
+        most = dict.fromkeys(self.shelves, CACHE_MOST) | {"depot": HUB_MOST}
+        pushed = [name for name, count in self.most_at_once.items() if count > most[name]]
+        return pushed + (["bank"] if per_s > ORIGIN_PER_S else [])
+
+    async def close(self) -> None:
+        await self.board.close()
+        for standin in self.standins.values():
+            await standin.close()
--- a/gladelane/purges/feed.py
+++ b/gladelane/purges/feed.py
@@ -2,7 +2,7 @@
 about order or what stands; `order`, `standing` and `durable` do.
 
     POST /purges              {"scope": ..., "tags": {...}}, with Idempotency-Key: stored, and told to all
-    GET  /follow?from=VECTOR  server-sent events: all that lacks, then what comes
+    GET  /follow?from=VECTOR  server-sent events: all that lacks, then what comes; with &peer=1 from a feed
     GET  /purges, /status     what stands; how the feed is
     GET  /explain?object=&class=&group=&part=
     POST /events              from a director that knows what this feed lacks: the events of the stream
@@ -205,7 +205,7 @@
 
         peer = Follower(
             host, port, self.tokens.own, self.standing.positions.vector, self._told, marked,
-            self.clock, tls, said,
+            self.clock, tls, said, peer=True,
         )
         self._peers.append(peer)
         self._tasks.append(asyncio.create_task(peer.run()))
@@ -264,7 +264,8 @@
             if closed:
                 log.warning("nothing is lost: %s", by)
                 self._keep(closed)
-        if not horizon.open(self.name):
+        heard = all(mark is not None and positions.reaches(mark) for mark, _, _ in self._peer_told.values())
+        if not horizon.open(self.name) or heard:  # all that peers can say was said
             self._settled.set()
 
     async def vouch(self, since_ms: float, by: str) -> list[Loss]:
@@ -478,6 +479,8 @@
                 if not caller:
                     raise Refused(401, "expected a known token: Authorization: Bearer TOKEN")
                 if (asked.method, asked.path) == ("GET", "/follow"):
+                    if "peer=1" not in asked.query.split("&"):
+                        await self._settled.wait()
                     await self._tell(writer, _from(asked))
                     return
                 writer.write(answer(200, "application/json", await self._answer(asked, caller)))
@@ -563,7 +566,6 @@
         self.followers += 1
         told = -1  # the version of the horizon that it was told
         try:
-            await self._settled.wait()
             place = self._tail_from + len(self._tail)
             reached = self.standing.positions.vector()
             backlog = list(self.standing.beyond(vector))
--- a/gladelane/purges/follow.py
+++ b/gladelane/purges/follow.py
@@ -35,12 +35,14 @@
         self, host: str, port: int, token: Callable[[], str], vector: Callable[[], Vector],
         take: Callable[[list[Purge]], None], mark: Callable[[Vector], None], clock: Callable[[], float],
         tls: ssl.SSLContext | None = None, said: Callable[[Event], None] = lambda _: None,
+        peer: bool = False,
     ) -> None:
         self.host, self.port = host, port
         self.heard_ms = self.caught_ms = 0.0
         self.state = "not reached yet"
         self._token, self._vector, self._take, self._mark = token, vector, take, mark
         self._clock, self._tls, self._said = clock, tls, said
+        self._as_peer = "&peer=1" if peer else ""
         self.caught_up = asyncio.Event()
 
     async def run(self) -> None:
@@ -59,7 +61,7 @@
 
     async def _follow(self) -> None:
         events = EventStream()
-        target = f"/follow?from={vector_text(self._vector())}"
+        target = f"/follow?from={vector_text(self._vector())}{self._as_peer}"
         async with aclosing(ask(self.host, self.port, "GET", target, self._token(), tls=self._tls)) as stream:
             while True:
                 async with asyncio.timeout(SILENT_S):
--- a/gladelane/recovery/renewal.py
+++ b/gladelane/recovery/renewal.py
@@ -10,7 +10,8 @@
 directors together keep to the figure while most is void; after that what is asked anew is mostly what always
 was.
 
-Free of it are things that were renewed here already, and those being renewed: their answers are shared. What
+Free of it are things that were renewed here already, and those being renewed: their answers are shared; what
+turns out to have been renewed by another director is given back. What
 is over the budget is refused at once with a moment to come back that grows with the crowd. What earns less
 for its class has to leave a reserve to what earns more.
 """
@@ -30,6 +31,7 @@
 QUIET_MS = 10_000.0  # without a refusal, after which the budget has done its work
 PART_MS = 30_000.0  # for which a part of the origin's figure is not exceeded
 SHARED_MS = 2_000.0  # for which a renewal that was sent has others wait on it
+FOUND_MS = 100.0  # a copy older than its request by so much was there before it
 THINGS = 65_536  # renewed ones that are remembered
 BACK_MS, BACK_MOST = 1_000.0, 5.0  # advice to who is refused, and the most it grows to
 Thing = tuple[int, int]  # object and part
@@ -119,8 +121,15 @@
             self._fresh.move_to_end(thing)
             if len(self._fresh) > THINGS:
                 self._fresh.popitem(last=False)
-        if self._out.pop(thing, None) is not None:
-            self._late += not in_time
+        sent_ms = self._out.pop(thing, None)
+        if sent_ms is None:
+            return
+        if 0.0 < dated_ms < sent_ms - FOUND_MS:  # another director had renewed it: the origin was not asked
+            self._tokens = min(self._tokens + 1.0, self._burst())
+            self.renewed -= 1
+            self._sent -= 1
+            return
+        self._late += not in_time
 
     def _burst(self) -> float:
         return max(self.rate * BURST_S, 1.0)
