Test coming back with real processes killed, cut off and robbed of their folders

A loss that only a director shows is not closed by peers: they lack what they should have stored. The budget's test found that a thing never renewed counted as fresh where the oldest allowed copy is older than 1970, mended.

--- a/gladelane/lab/fleet/fleet.py
+++ b/gladelane/lab/fleet/fleet.py
@@ -142,7 +142,10 @@
         feed = one in self.feeds
         command, env = self._feed(one, first) if feed else self._director(one)
         with open(self.folder / f"{one.name}.log", "ab") as log:
-            process = one.process = subprocess.Popen(command, cwd=ROOT, env=env, stderr=log)
+            # in a thread, as all that touches folders: the clients' loop must not stand still for a disk
+            process = one.process = await asyncio.to_thread(
+                subprocess.Popen, command, cwd=ROOT, env=env, stderr=log
+            )
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(START_S):
                 while process.poll() is None and one.process is process:
@@ -213,9 +216,12 @@
 
     async def _end(self, one: Life, number: signal.Signals) -> None:
         process, one.up = one.process, False
+        if number is signal.SIGKILL:
+            one.process = None  # whoever waits for its start need not
         client, one.client = one.client, None
         if number is signal.SIGTERM:
             await asyncio.sleep(0.05)
+            one.process = None
         if process is not None and process.poll() is None:
             process.send_signal(number)
             if number is signal.SIGKILL:
@@ -240,7 +246,7 @@
                 self._later(step.last, lambda: self._all(step, signal.SIGCONT))
             case "save":
                 for whom in step.whom:
-                    self._save(self.of(whom))
+                    await asyncio.to_thread(self._save, self.of(whom))
             case "full":
                 for whom in step.whom:
                     self._limit(self.of(whom), 0)
@@ -301,7 +307,7 @@
         if step.how == "readonly":
             await self._readonly(one)
         else:
-            self._spoil(one, step.how)
+            await asyncio.to_thread(self._spoil, one, step.how)
         await self._start(one)
 
     def _save(self, one: Life) -> None:
--- a/gladelane/lab/fleet/relay.py
+++ b/gladelane/lab/fleet/relay.py
@@ -79,6 +79,8 @@
                 for way in ways:
                     way.cancel()
                 await asyncio.gather(*ways, return_exceptions=True)
+        except asyncio.CancelledError:  # the relay closes; asyncio would report it
+            pass
         finally:
             self._open.pop(task, None)
             for one in (writer, far):
--- a/gladelane/lab/losses.py
+++ b/gladelane/lab/losses.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from ..purges.horizon import Folder, Horizon, Loss, Mark, Peer, behind, judged, vouched_by
+from ..purges.horizon import SEEN, Folder, Horizon, Loss, Mark, Peer, behind, judged, vouched_by
 
 KEPT_MS = 1e6  # a retention that the search does not reach
 NAMES = ("a", "b")
@@ -168,11 +168,11 @@
     return then
 
 
-def _suspect(world: World, feed: FeedState, told: frozenset[tuple[str, int, int]]) -> None:
+def _suspect(world: World, feed: FeedState, told: frozenset[tuple[str, int, int]], by: str = "") -> None:
     if any(loss.issuer == feed.name and loss.epoch == feed.epoch for loss in feed.losses):
         return
     if behind(feed.name, feed.epoch, vector(feed.had), vector(told).items()):
-        loss = Loss(feed.name, feed.epoch, float(world.now), float(world.now))
+        loss = Loss(feed.name, feed.epoch, float(world.now), float(world.now), by)
         feed.losses = joined(feed.losses, (loss,), Plant.NONE)
 
 
@@ -188,7 +188,8 @@
     losing = bool(opened(feed.losses, other)) and then.plant is not Plant.EACH_OTHER
     by = vouched_by(copies, {other: Peer(feed.heard, other, copies, losing)})
     if by:
-        closed = [msgspec.structs.replace(loss, since_ms=0.0, by=by) for loss in opened(feed.losses, name)]
+        closed = [msgspec.structs.replace(loss, since_ms=0.0, by=by) for loss in opened(feed.losses, name)
+                  if loss.by != SEEN]
         feed.losses = joined(feed.losses, tuple(closed), Plant.NONE)
     feed.kept = feed.losses
     return then
@@ -216,7 +217,7 @@
 def _seed(world: World, name: str) -> World:
     then = world.copy()
     feed = then.feeds[name]
-    _suspect(then, feed, then.director)
+    _suspect(then, feed, then.director, SEEN)
     feed.known |= then.director
     feed.stored = feed.known
     if then.plant is Plant.SEED_LOWERS:
--- a/gladelane/purges/feed.py
+++ b/gladelane/purges/feed.py
@@ -34,7 +34,7 @@
 from ..durable.log import Broken, Log, Policy, recover
 from ..sse import encode_event
 from .follow import Follower
-from .horizon import Folder, Loss, Mark, Peer, behind, judged, vouched_by
+from .horizon import SEEN, Folder, Loss, Mark, Peer, behind, judged, vouched_by
 from .http import Asked, Refused, answer, read_request
 from .index import TooOdd
 from .markfile import MarkFile
@@ -172,10 +172,10 @@
         except OSError as error:  # an older mark is true as well, and shows a little less
             log.error("mark not stored path=%s: %s", self._mark.path, error)
 
-    def _lose(self, why: str) -> list[Loss]:
+    def _lose(self, why: str, by: str = "") -> list[Loss]:
         now = self.clock()
         log.error("purges may be lost: %s", why)
-        return self.standing.horizon.tell([Loss(self.name, self._stamps.epoch, now, now)], now)
+        return self.standing.horizon.tell([Loss(self.name, self._stamps.epoch, now, now, by)], now)
 
     async def start(self, host: str, port: int, tls: ssl.SSLContext | None = None) -> int:
         self._server = await asyncio.start_server(self._serve, host, port, ssl=tls, backlog=512)
@@ -239,13 +239,13 @@
         self._put(_Waiting(own=_Own(losses=losses), saved=saved))
         self._tell_now()
 
-    def _suspect(self, told: Iterable[tuple[tuple[str, int], int]]) -> None:
+    def _suspect(self, told: Iterable[tuple[tuple[str, int], int]], by: str = "") -> None:
         """Others know more of this feed's own purges than its folder did: it is an older one."""
         if self._lost_now():
             return
         why = behind(self.name, self._stamps.epoch, self._had, told)
         if why:
-            self._keep(self._lose(why))
+            self._keep(self._lose(why, by))
 
     def _lost_now(self) -> bool:
         own = (loss for loss in self.standing.horizon.losses() if loss.issuer == self.name)
@@ -260,7 +260,7 @@
                 ) for place, (mark, name, copies) in self._peer_told.items()
             }
             by = vouched_by(self.copies, peers)
-            closed = horizon.tell(horizon.close(0.0, by, self.name), self.clock()) if by else []
+            closed = horizon.tell(horizon.close_own(self.name, by), self.clock()) if by else []
             if closed:
                 log.warning("nothing is lost: %s", by)
                 self._keep(closed)
@@ -531,6 +531,8 @@
         before = len(self.standing)
         try:
             self._join(event.losses)
+            # feeds that had stored these with us would have told them
+            self._suspect((((p.issuer, p.epoch), p.seq) for p in event.purges), SEEN if self._peers else "")
             self._told(event.purges)
             if vector is not None:
                 self._reached(vector)
--- a/gladelane/purges/horizon.py
+++ b/gladelane/purges/horizon.py
@@ -21,6 +21,7 @@
 from .order import ISSUER, BadPurge, Stream, Vector
 
 MOST_LOSSES = 4_096
+SEEN = "seen by a director"  # `by` of a loss that other feeds did not show: they lack what they should have
 AHEAD_MS = 60_000.0  # a clock further ahead than this is not believed
 
 
@@ -84,11 +85,18 @@
         """What still binds, of one issuer or all."""
         return [loss for loss in self.losses() if loss.since_ms and issuer in ("", loss.issuer)]
 
-    def close(self, since_ms: float, by: str, issuer: str = "") -> list[Loss]:
-        """What a word closes, to be told: those of an issuer, or all. Never opens further."""
+    def close(self, since_ms: float, by: str) -> list[Loss]:
+        """What an operator's word closes, to be told. Never opens further."""
         return [
             msgspec.structs.replace(loss, since_ms=since_ms, by=by)
-            for loss in self.open(issuer) if since_ms < loss.since_ms
+            for loss in self.open() if since_ms < loss.since_ms
+        ]
+
+    def close_own(self, issuer: str, by: str) -> list[Loss]:
+        """What peers' word closes: an issuer's own losses, but none that the peers themselves missed."""
+        return [
+            msgspec.structs.replace(loss, since_ms=0.0, by=by)
+            for loss in self.open(issuer) if loss.by != SEEN
         ]
 
     def forget(self, now_ms: float, retention_ms: float) -> None:
--- a/gladelane/recovery/renewal.py
+++ b/gladelane/recovery/renewal.py
@@ -91,7 +91,8 @@
         if not self.causes:
             return 0.0
         self._second(now_ms)
-        if self._fresh.get(thing, 0.0) >= now_ms - oldest_ms:
+        dated = self._fresh.get(thing)
+        if dated is not None and dated >= now_ms - oldest_ms:
             return 0.0
         if self._out.get(thing, -SHARED_MS) > now_ms - SHARED_MS:
             return 0.0
--- a/tests/purges/test_horizon.py
+++ b/tests/purges/test_horizon.py
@@ -18,7 +18,7 @@
 from gladelane.lab.modelcheck import Violation, search
 from gladelane.lab.simdisk import SimDisk
 from gladelane.purges.feed import Feed
-from gladelane.purges.horizon import Folder, Foreign, Horizon, Loss, Mark, Peer, behind, check, judged, vouched_by
+from gladelane.purges.horizon import SEEN, Folder, Foreign, Horizon, Loss, Mark, Peer, behind, check, judged, vouched_by
 from gladelane.purges.http import Refused, fetch
 from gladelane.purges.index import Index
 from gladelane.purges.markfile import BadMark, MarkFile
@@ -54,8 +54,10 @@
 def test_a_loss_binds_until_it_is_closed_or_past_the_retention_and_a_clock_ahead_is_not_believed() -> None:
     horizon = held([Loss("a", 1, 1000.0, 1000.0)])
     assert horizon.moment(1500.0, 600.0) == 1000.0 and horizon.moment(1600.0, 600.0) == 0.0
-    closed = horizon.close(400.0, "ops", "a")
-    assert horizon.close(1000.0, "ops") == [] and horizon.close(0.0, "ops", "b") == []
+    closed = horizon.close(400.0, "ops")
+    assert horizon.close(1000.0, "ops") == [] and horizon.close_own("b", "peers") == []
+    seen = held([Loss("a", 1, 9.0, 9.0, SEEN), Loss("a", 2, 9.0, 9.0)])
+    assert [loss.epoch for loss in seen.close_own("a", "peers")] == [2] and len(seen.close(0.0, "ops")) == 2
     horizon.tell(closed, 1500.0)
     assert horizon.moment(1500.0, 5000.0) == 400.0 and horizon.open("a")[0].by == "ops"
     horizon.tell([Loss("a", 1, 1000.0, 1000.0)], 1500.0)  # who has not heard tells it open again
