--- a/gladelane/lab/losses.py
+++ b/gladelane/lab/losses.py
@@ -169,9 +169,8 @@
 
 
 def _suspect(world: World, feed: FeedState, told: frozenset[tuple[str, int, int]], by: str = "") -> None:
-    if any(loss.issuer == feed.name and loss.epoch == feed.epoch for loss in feed.losses):
-        return
-    if behind(feed.name, feed.epoch, vector(feed.had), vector(told).items()):
+    covered = max((loss.epoch for loss in feed.losses if loss.issuer == feed.name), default=0)
+    if behind(feed.name, feed.epoch, vector(feed.had), vector(told).items(), covered):
         loss = Loss(feed.name, feed.epoch, float(world.now), float(world.now), by)
         feed.losses = joined(feed.losses, (loss,), Plant.NONE)
 
--- a/gladelane/purges/feed.py
+++ b/gladelane/purges/feed.py
@@ -241,16 +241,11 @@
 
     def _suspect(self, told: Iterable[tuple[tuple[str, int], int]], by: str = "") -> None:
         """Others know more of this feed's own purges than its folder did: it is an older one."""
-        if self._lost_now():
-            return
-        why = behind(self.name, self._stamps.epoch, self._had, told)
+        own = (loss.epoch for loss in self.standing.horizon.losses() if loss.issuer == self.name)
+        why = behind(self.name, self._stamps.epoch, self._had, told, max(own, default=0))
         if why:
             self._keep(self._lose(why, by))
 
-    def _lost_now(self) -> bool:
-        own = (loss for loss in self.standing.horizon.losses() if loss.issuer == self.name)
-        return any(loss.epoch == self._stamps.epoch for loss in own)
-
     def _close_losses(self) -> None:
         horizon, positions = self.standing.horizon, self.standing.positions
         if horizon.open(self.name):
--- a/gladelane/purges/holder.py
+++ b/gladelane/purges/holder.py
@@ -92,6 +92,7 @@
         self._marks: dict[Follower, Vector] = {}
         self._look_at_horizon()
         self._tasks: list[asyncio.Task[None]] = []
+        self._seeding: set[asyncio.Task[None]] = set()
         if options.order_kinds:
             self.orders.add(self.standing.beyond({}))
 
@@ -125,7 +126,7 @@
         self._tasks = [asyncio.create_task(one.run()) for one in self.followers]
         if deliver is not None and self.options.order_kinds:
             self._tasks.append(asyncio.create_task(deliver.run()))
-        self._tasks.append(asyncio.create_task(self._look()))
+        self._tasks += [asyncio.create_task(self._look()), asyncio.create_task(self._keep())]
 
     async def ready(self) -> None:
         """Until one feed has told all that it has, or `start_wait_ms`: then strict classes are bound as when
@@ -141,9 +142,9 @@
         self.judge()
 
     async def close(self) -> None:
-        for task in self._tasks:
+        for task in (*self._tasks, *self._seeding):
             task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await asyncio.gather(*self._tasks, *self._seeding, return_exceptions=True)
         if self._log is not None:
             await self._store()
             self._log.close()
@@ -268,11 +269,19 @@
             for one, reseed in self._lacks:
                 told = self._marks.get(one) if one.state == "follows" else None
                 if reseed.due(self.standing.positions.vector(), told, self.clock()):
-                    await self._seed(one, told or {})
+                    task = asyncio.create_task(self._seed(one, told or {}))
+                    self._seeding.add(task)
+                    task.add_done_callback(self._seeding.discard)
             looks += 1
             if looks % FORGET_EVERY == 0:
                 self.standing.forget(self.clock())
                 self.orders.compact(self.standing.beyond({}), len(self.standing))
+
+    async def _keep(self) -> None:
+        """Beside the looks: a disk or a feed that stands still must not keep the director from seeing that
+        it is cut off."""
+        while True:
+            await asyncio.sleep(LOOK_S)
             try:
                 await self._store()
             except (OSError, Broken) as error:  # what binds goes on binding; a restart asks the feeds again
--- a/gladelane/purges/horizon.py
+++ b/gladelane/purges/horizon.py
@@ -154,11 +154,14 @@
     return ""
 
 
-def behind(name: str, epoch: int, had: Vector, told: Iterable[tuple[Stream, int]]) -> str:
+def behind(
+    name: str, epoch: int, had: Vector, told: Iterable[tuple[Stream, int]], covered: int = 0
+) -> str:
     """Why the folder that `had` so much at the start must be an older one: others know purges of its issuer,
-    of other epochs than this start's, that it does not. Empty: no sign of it."""
+    of other epochs than this start's, that it does not. Empty: no sign of it. covered: the epoch of the
+    latest loss that is known already; what is missing from before it was said then."""
     for (issuer, of), last in told:
-        if issuer == name and of != epoch and last > had.get((issuer, of), 0):
+        if issuer == name and of != epoch and of >= covered and last > had.get((issuer, of), 0):
             had_last = had.get((issuer, of), 0)
             return f"others know purge {of}:{last} of this feed, its folder had {had_last}"
     return ""
--- a/tests/purges/test_horizon.py
+++ b/tests/purges/test_horizon.py
@@ -106,6 +106,7 @@
     had = {("a", 1): 5, ("b", 2): 1}
     assert not behind("a", 9, had, [(("a", 1), 5), (("a", 9), 3), (("b", 2), 8)])
     assert "purge 1:6" in behind("a", 9, had, [(("a", 1), 6)]) and behind("a", 9, had, [(("a", 3), 1)])
+    assert not behind("a", 9, had, [(("a", 1), 6)], 2) and behind("a", 9, had, [(("a", 2), 6)], 2)  # said already
 
 
 def test_peers_vouch_only_where_none_of_them_can_lack_an_answered_purge() -> None:
