Keep the book of keys readable after a full disk, and start a feed whose disk will not sync

Found on reading the change again: a record half written on a full disk hid all that came behind it in the book of keys, and a sync that failed at a feed's start ended it with a trace. Change: the half record is cut before the next one; the feed starts, serves its followers and takes nothing.

--- a/gladelane/purges/feed.py
+++ b/gladelane/purges/feed.py
@@ -157,8 +157,9 @@
         try:
             self.log.commit()
             self._move_mark()
-        except OSError as error:
+        except (OSError, Broken) as error:
             self.log.drop()
+            self._broken = str(error) if isinstance(error, Broken) else ""
             log.error("start not stored: %s", error)
         else:
             self._unsaved = _Own()
--- a/gladelane/recovery/keeper.py
+++ b/gladelane/recovery/keeper.py
@@ -44,6 +44,7 @@
         self._number = 0
         self._turned_ms = now_ms
         self._failed = False
+        self._whole = 0  # bytes of the present file, up to the end of its last whole record
         for name in KEY_FILES:
             if name in disk.names():
                 self._read(disk.read(name), now_ms)
@@ -64,6 +65,7 @@
         if at_ms - self._turned_ms >= TURN_MS:
             self._turned_ms = at_ms
             self._number = 1 - self._number
+            self._whole = 0
             try:
                 if KEY_FILES[self._number] in self._disk.names():
                     self._disk.truncate(KEY_FILES[self._number], 0)
@@ -73,9 +75,13 @@
 
     def _append(self, tried: Tried) -> None:
         record = encode_record(0, msgspec.msgpack.encode(tried))
+        name = KEY_FILES[self._number]
         try:
-            self._disk.append(KEY_FILES[self._number], record)
+            if self._failed:  # half a record would hide those behind it
+                self._disk.truncate(name, self._whole)
+            self._disk.append(name, record)
             self._failed = False
+            self._whole += len(record)
         except OSError as error:
             if not self._failed:  # once a failure: the request goes on, a restart would not know its key
                 log.error("keys not stored: %s", error)
--- a/tests/fleet/test_coming_back.py
+++ b/tests/fleet/test_coming_back.py
@@ -71,7 +71,7 @@
 def test_older_folders_without_marks_are_seen_by_the_director_that_lived_and_peers_do_not_vouch() -> None:
     line = SAVED + "0 save feeds:*; 0.2 purges 40 for 1; 2 kill feeds:* older; 2 kill directors:1-3 empty" + BACK
     figures = asyncio.run(play(line, Shape(4), 3, 8.0))
-    assert figures["horizon_open"] == [True, True] and 40 <= min(figures["standing"]), figures
+    assert figures["horizon_open"] == [True, True] and min(figures["standing"]) >= 40, figures
     assert figures["doubles"] == figures["lost"] == figures["rules_broken"] == 0
 
 
@@ -86,7 +86,7 @@
 def test_full_disks_and_then_a_kill_lose_no_purge_that_was_answered() -> None:
     line = "0.2 full feeds:* for 2; 0.2 full directors:* for 2; 0.3 purges 20 for 1; 3.5 kill directors:*; 3.5 kill feeds:*"
     figures = run(line, 7.0, 10, directors=4)
-    assert 30 <= min(figures["standing"]) and figures["disk_faults"] == 12 and not any(figures["horizon_open"]), figures
+    assert min(figures["standing"]) >= 30 and figures["disk_faults"] == 12 and not any(figures["horizon_open"]), figures
 
 
 def test_directors_back_on_old_folders_while_the_board_is_behind_use_nothing_that_drained_before() -> None:
@@ -97,4 +97,4 @@
 
 def test_directors_that_slept_through_purges_and_a_drain_answer_nothing_stale() -> None:
     figures = run("1 stop directors:0-1 for 1.5; 1.2 drain caches:0 out; 1.2 purges 20 for 1", 6.0, 10, directors=4)
-    assert 30 <= min(figures["standing"]) and figures["served"] > 0.7 * figures["asked"], figures
+    assert min(figures["standing"]) >= 30 and figures["served"] > 0.7 * figures["asked"], figures
--- a/tests/recovery/test_recovery.py
+++ b/tests/recovery/test_recovery.py
@@ -266,6 +266,11 @@
     disk.room = 0
     full = KeyBook(disk, 60_000.0)
     full.write("k", 60_001.0, "root")  # a full disk costs what a restart knows, and no request
+    disk.room = 40
+    full.write("half", 60_002.0, "root")
+    disk.room = 10_000
+    full.write("later", 60_003.0, "root")
+    assert "later" in KeyBook(disk.copy(), 60_004.0).found and "half" not in KeyBook(disk.copy(), 60_004.0).found
     book_on_disk = KeyBook(Folder(tmp_path / "keys"), 1000.0)
     book_on_disk.write("k", 1001.0, "root")
 
