--- a/gladelane/lab/fleet/fleet.py
+++ b/gladelane/lab/fleet/fleet.py
@@ -92,6 +92,7 @@
     client: Pool | None = None
     door: int = 0
     failed: list[str] = field(default_factory=list)
+    spawning: asyncio.Lock = field(default_factory=asyncio.Lock)
 
 
 class Fleet:
@@ -143,9 +144,10 @@
         command, env = self._feed(one, first) if feed else self._director(one)
         with open(self.folder / f"{one.name}.log", "ab") as log:
             # in a thread, as all that touches folders: the clients' loop must not stand still for a disk
-            process = one.process = await asyncio.to_thread(
-                subprocess.Popen, command, cwd=ROOT, env=env, stderr=log
-            )
+            async with one.spawning:  # who ends it meanwhile waits until there is something to end
+                process = one.process = await asyncio.to_thread(
+                    subprocess.Popen, command, cwd=ROOT, env=env, stderr=log
+                )
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(START_S):
                 while process.poll() is None and one.process is process:
@@ -215,7 +217,8 @@
         return False
 
     async def _end(self, one: Life, number: signal.Signals) -> None:
-        process, one.up = one.process, False
+        async with one.spawning:
+            process, one.up = one.process, False
         if number is signal.SIGKILL:
             one.process = None  # whoever waits for its start need not
         client, one.client = one.client, None
--- a/tests/fleet/test_rig.py
+++ b/tests/fleet/test_rig.py
@@ -8,6 +8,7 @@
 import pytest
 from harness import trial
 
+from gladelane.lab.fleet.day import spans
 from gladelane.lab.fleet.faults import BadLine, read_line
 from gladelane.lab.fleet.relay import Relay, State
 from gladelane.lab.fleet.rules import Made, Purged, Ran, Served, busiest, doubles, stale
@@ -37,6 +38,11 @@
         read_line(line, COUNTS, Random(1))
 
 
+def test_faults_that_stand_apart_are_timed_apart() -> None:
+    steps = read_line("1 kill directors:0; 1.5 kill directors:1; 2 save feeds:0; 6 stop directors:2 for 1", COUNTS, Random(1))
+    assert [(text[:13], at, until) for text, at, until in spans(steps, 9.0)] == [("1 kill direct", 1.5, 6.0), ("6 stop direct", 6.0, 9.0)]
+
+
 @trial
 async def test_a_relay_passes_cuts_silences_and_breaks_answers_off() -> None:
     async def echo(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
