Let clients of a run repeat a key past its window only where a folder could tell

Seen: one of 664 tests in a fresh clone (284 s) counted a double: a write was held by a director that was killed and whose folder was deleted, and its client asked again there 2.3 s later. Nothing can know that key then (docs/design/recovery.md, Keyed requests); the test of the key shows both cases. Change: the load repeats late only at directors that kept their folder, which must not try it again.

--- a/gladelane/lab/fleet/fleet.py
+++ b/gladelane/lab/fleet/fleet.py
@@ -81,13 +81,14 @@
 
 @dataclass
 class Life:
-    """One process and its successors. up: it answers."""
+    """One process and its successors. up: it answers; kept: it found the folder that the one before it left."""
 
     name: str
     port: int
     folder: Path
     process: subprocess.Popen[bytes] | None = None
     up: bool = False
+    kept: bool = True
     starts: int = 0
     client: Pool | None = None
     door: int = 0
@@ -305,6 +306,7 @@
         number = signal.SIGKILL if step.word == "kill" else signal.SIGTERM
         self.counts["kills"] += number is signal.SIGKILL
         await self._end(one, number)
+        one.kept = step.how in ("kept", "torn", "readonly")
         if step.last:
             await asyncio.sleep(step.last)
         if step.how == "readonly":
--- a/gladelane/lab/fleet/load.py
+++ b/gladelane/lab/fleet/load.py
@@ -97,7 +97,8 @@
         code, killed = await self._ask(one, cls, n, part, key, due_ms)
         if code is None and killed and write:
             await asyncio.sleep(max(LATE_REPEAT_S - (now_ms() - due_ms) / 1000.0, 0.0))
-            if one.up and one.client is not None:
+            # a director that lost its folder cannot know the key; clients are not to ask there past the window
+            if one.up and one.client is not None and one.kept and self.fleet.shape.warm:
                 self.counts["late_repeats"] += 1
                 await self._ask(one, cls, n, part, key, now_ms())
 
