--- a/gladelane/lab/client.py
+++ b/gladelane/lab/client.py
@@ -23,6 +23,7 @@
     def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.answers: Counter[int] = Counter()
         self.told = False  # to send no more requests here
+        self.ended = False  # by the director, or broken
         self._reader, self._writer = reader, writer
         self._stream = 0
         self._waiting: dict[int, tuple[asyncio.Future[Answer], float]] = {}
@@ -34,6 +35,8 @@
 
     async def ask(self, fields: dict[str, str], body: bytes = b"", patience_s: float = 10.0) -> Answer | None:
         """None: no answer in time, or the connection ended before it."""
+        if self.ended:
+            return None
         loop = asyncio.get_running_loop()
         self._stream += 1
         stream, future = self._stream, loop.create_future()
@@ -68,6 +71,7 @@
         except OSError:
             pass
         finally:
+            self.ended = True
             for future, _ in self._waiting.values():
                 if not future.done():
                     future.set_exception(ConnectionError("the director closed the connection"))
