Record what each director did under which view, judge stragglers, hold tenures

Change: fleet/ with views (partial order), trails of sealed spans, ledger, ladder and tenure, all pure; directors report to feeds over POST /reports, feeds store before they answer, hand on to one another and judge. Director.recheck and served answers look at tenure and view; off unless an operator's file has 'fleet'.

--- a/gladelane/__main__.py
+++ b/gladelane/__main__.py
@@ -17,6 +17,7 @@
 import uvloop
 
 if TYPE_CHECKING:
+    from .fleet.service import Service
     from .operations.door import Door
     from .purges.holder import Holder
     from .purges.holder import Options as HolderOptions
@@ -73,6 +74,7 @@
             self.director, self.clock.now, self.wheel, int(limits.sockets * CLIENT_SHARE),
             limits.memory_mb * 1_000_000 * HELD_SHARE,
         )
+        self.audit: Service | None = None
         self.configure(operator)
         self.purges: Holder | None = None
         if operator is not None and operator.purges is not None:
@@ -87,6 +89,15 @@
                 lambda: self.desk.takes_clients,
             )
             self.director.more = self.recovery.lines
+        if operator is not None and operator.fleet is not None and self.purges is not None:
+            from .fleet.service import Service
+
+            self.audit = self.director.audit = Service(
+                operator.fleet, config.name, self.director, self.purges, self.clock.now, self.front.drain,
+                self.front.empty, self._follow,
+            )
+            self.purges.turned = self.audit.turned
+            self.director.more = self._lines
         self.port = 0
         self.folder = os.environ.get("TMPDIR", "")
         self.desk = Desk(self.director, self.front.drain, self.clock.now, self.front.empty, self._held)
@@ -95,6 +106,11 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._board: asyncio.Task[None] | None = None
 
+    def _lines(self) -> list[tuple[str, int]]:
+        """Figures of parts that operators switched on."""
+        own = self.recovery.lines() if self.recovery is not None else []
+        return own + (self.audit.lines() if self.audit is not None else [])
+
     async def start(self) -> int:
         """Clients are let in only once all that is known has been applied: readiness promises that."""
         given = self._meet()
@@ -116,6 +132,8 @@
             timeout = self.config.conn.dial_timeout_ms
             self.purges.start(Deliver(self.purges.orders, self.endpoints, self.upstream, timeout))
             await self.purges.ready()
+        if self.audit is not None:
+            await self.audit.start()
         host, port = self.config.listen
         self.port = await self.front.listen(host, port, given, shared=self.config.ops is not None)
         if self.succession is not None:
@@ -157,12 +175,16 @@
             self._board.cancel()
         rng = random.Random(f"{self.config.name} {self.config.seed}")
         board = Board(*self.config.board, lambda: self.director.rev, self.director.notice, rng)
+        if self.audit is not None:
+            board.heard, board.steady = self.audit.tenure.board_heard, self.audit.steady
         self._board = asyncio.create_task(board.run())
 
     def configure(self, operator: Operator | None) -> None:
         """An operator's file changes under load as a whole: addresses that went lose their dials."""
         if operator is not None:
             self.director.configure(operator.options, operator.rules)
+            if self.audit is not None and operator.fleet is not None:
+                self.audit.reconfigured(operator.fleet.digest)
 
     def reload(self, config: Config, operator: Operator | None = None) -> None:
         """What may change under load is the board, classes and attempts, and the operator's file; all else is
@@ -231,6 +253,8 @@
             self.succession.close()
         await self.front.close()
         self.upstream.close()
+        if self.audit is not None:
+            await self.audit.close()
         if self.recovery is not None:
             await self.recovery.close()
         if self.purges is not None:
--- a/gladelane/cli/purge.py
+++ b/gladelane/cli/purge.py
@@ -75,6 +75,14 @@
         Path | None, typer.Option(help="A file on another disk than --dir; shows that the folder is older.")
     ] = None,
     copies: Annotated[int, typer.Option(help="Feeds that store a purge before it is answered.")] = 1,
+    audit: Annotated[
+        Path | None, typer.Option(help="Take directors' reports; where they are stored, a folder of its own.")
+    ] = None,
+    tenure_ms: Annotated[float, typer.Option(help="For which a director may act after an answer.")] = 3000.0,
+    behind_ms: Annotated[
+        float, typer.Option(help="How long behind until shut out; the steps before it are parts of this.")
+    ] = 8000.0,
+    share: Annotated[float, typer.Option(help="Of the fleet, that may be held back at once.")] = 0.25,
     retention_s: Annotated[float, typer.Option(help="For which a purge stands.")] = 604_800.0,
     tls_cert: Annotated[Path | None, typer.Option(help="Serve TLS.")] = None,
     tls_key: Annotated[Path | None, typer.Option(help="Its key.")] = None,
@@ -85,6 +93,8 @@
     logging.getLogger("asyncio").setLevel(logging.ERROR)
     host, port = place_of(listen)
     peers = [place_of(text) for text in peer or ()]
+    if not (1_000.0 <= tenure_ms <= 600_000.0 and 2_000.0 <= behind_ms <= 600_000.0 and 0.0 < share <= 1.0):
+        fail("--tenure-ms 1000 to 600000, --behind-ms 2000 to 600000, --share above 0 and up to 1 expected")
     if not 1 <= copies <= len(peers) + 1:
         fail(f"--copies {copies}; expected 1 to {len(peers) + 1}, this feed and its peers")
 
@@ -98,6 +108,16 @@
             name, Folder(dir), Tokens(tokens), lambda: known, retention_ms=retention_s * 1000.0, first=first,
             copies=copies, mark=MarkFile(mark) if mark is not None else None,
         )
+        if audit is not None:
+            from ..fleet.collector import Collector
+            from ..fleet.straggle import ladder_of
+
+            feed.audit = Collector(
+                name, Folder(audit), feed.tokens.own, feed.clock, ladder_of(behind_ms, share, tenure_ms),
+                tenure_ms,
+            )
+            for place in peers:
+                feed.audit.hand_to(*place, tls=_trust(tls_ca))
         stop = asyncio.Event()
         for number in (signal.SIGTERM, signal.SIGINT):
             asyncio.get_running_loop().add_signal_handler(number, stop.set)
--- a/gladelane/lab/fleet/faults.py
+++ b/gladelane/lab/fleet/faults.py
@@ -19,7 +19,7 @@
     "stop": ("process", ("kept",)),
     "save": ("process", ("kept",)),  # copies the folders, for `older`
     "full": ("process", ("kept",)),  # the disk takes nothing more
-    "cut": ("link", ("closed", "silent", "oneway", "slow", "halfway")),
+    "cut": ("link", ("closed", "silent", "oneway", "mute", "slow", "halfway")),
     "board": ("board", ("late", "restart")),
     "store": ("store", ("save", "back", "slow", "renew")),  # copies kept, put back; slow; come up anew
     "drain": ("store", ("out", "in")),
--- a/gladelane/lab/fleet/fleet.py
+++ b/gladelane/lab/fleet/fleet.py
@@ -52,6 +52,14 @@
     cut_off_per_s: float = 40.0
     origin_per_s: float = 0.0
     strict: tuple[str, ...] = ("question-item",)
+    audit: bool = False
+    alone: str = "out"
+    board_ms: float = 0.0
+    tenure_ms: float = 3000.0
+    behind_ms: float = 8000.0
+    share: float = 0.25
+    trail: bool = True  # each director has a folder for its trail
+    enforce: bool = True
 
 
 class Pool:
@@ -127,6 +135,8 @@
         self.links: dict[tuple[str, str], Relay] = {}
         self.events: list[tuple[float, str, str]] = []
         self.counts: Counter[str] = Counter()
+        self.changes: dict[str, dict[str, Any]] = {}  # of a director's operator file
+        self.program: dict[str, Path] = {}  # folders of other versions of the program
         self.held_up: dict[str, list[list[float]]] = {}  # from and to, Unix ms: a process answers nothing
         self._began = time.monotonic()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -165,7 +175,7 @@
             # in a thread, as all that touches folders: the clients' loop must not stand still for a disk
             async with one.spawning:  # who ends it meanwhile waits until there is something to end
                 process = one.process = await asyncio.to_thread(
-                    subprocess.Popen, command, cwd=ROOT, env=env, stderr=log
+                    subprocess.Popen, command, cwd=self.program.get(one.name, ROOT), env=env, stderr=log
                 )
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(START_S):
@@ -194,6 +204,9 @@
             command.append("--first")
         if self.shape.marks:
             command += ["--mark", str(self.folder / f"{one.name}.mark")]
+        if self.shape.audit:
+            command += ["--audit", str(one.folder / "audit"), "--tenure-ms", str(self.shape.tenure_ms),
+                        "--behind-ms", str(self.shape.behind_ms), "--share", str(self.shape.share)]
         return command, dict(os.environ)
 
     def _director(self, one: Life) -> tuple[list[str], dict[str, str]]:
@@ -213,6 +226,11 @@
                 "cut_off_per_s": shape.cut_off_per_s, "origin_per_s": shape.origin_per_s,
                 "start_wait_ms": 3000, "order_kinds": ["standard", "parent"],
             }
+        if shape.audit:
+            operator["fleet"] = {"alone": shape.alone, "board_ms": shape.board_ms, "report_ms": 400,
+                                 "enforce": shape.enforce}
+            operator["fleet"] |= {"dir": str(one.folder / "trail")} if shape.trail else {}
+        operator |= self.changes.get(one.name, {})
         config, file = self.folder / f"{one.name}.json", self.folder / f"{one.name}.json5"
         config.write_text(json.dumps(raw))
         file.write_text(json.dumps(operator))
--- a/gladelane/lab/fleet/relay.py
+++ b/gladelane/lab/fleet/relay.py
@@ -18,6 +18,7 @@
     CLOSED = "closed"  # connections are reset, new ones refused
     SILENT = "silent"  # nothing passes and nobody is told
     ONEWAY = "oneway"  # what the near end says arrives, the far end's answers do not
+    MUTE = "mute"  # the far end's words arrive, what the near end says does not
     SLOW = "slow"
     HALFWAY = "halfway"  # connections are reset in the middle of an answer
 
@@ -91,7 +92,7 @@
         passed = 0
         with suppress(OSError):
             while data := await reader.read(READ_BYTES):
-                while self.state is State.SILENT or (back and self.state is State.ONEWAY):
+                while self.state is State.SILENT or self.state is (State.ONEWAY if back else State.MUTE):
                     await self._healed.wait()
                 if self.state is State.SLOW:
                     await asyncio.sleep(SLOW_S)
--- a/gladelane/net/board.py
+++ b/gladelane/net/board.py
@@ -28,6 +28,9 @@
         self, host: str, port: int, last: Callable[[], int], tell: Callable[[Notice], None],
         rng: random.Random,
     ) -> None:
+        """heard: hears of each word, with a moment of `steady` (ms) from before which it was not said."""
+        self.heard: Callable[[float], None] | None = None
+        self.steady: Callable[[], float] = lambda: 0.0
         self._host, self._port = host, port
         self._backoff = Backoff(rng, BACKOFF_S, BACKOFF_MOST_S)
         self._last, self._tell = last, tell
@@ -45,6 +48,7 @@
             await asyncio.sleep(self._backoff.after(self._last() > before))
 
     async def _follow(self) -> None:
+        waited = self.steady()  # what comes next was said after this
         async with asyncio.timeout(DIAL_S):
             reader, writer = await asyncio.open_connection(self._host, self._port)
         try:
@@ -58,11 +62,18 @@
                 match http.next_event():
                     case h11.NEED_DATA:
                         async with asyncio.timeout(SILENT_S):
-                            http.receive_data(await reader.read(65_536))
+                            data = await reader.read(65_536)
+                        http.receive_data(data)
+                        if self.heard is not None and data:
+                            now = self.steady()
+                            if now - waited > SILENT_S * 1000.0:  # slept: what lay here may be old
+                                raise TimeoutError("slept")
+                            self.heard(waited)
+                            waited = now
                     case h11.Response(status_code=status) if status != 200:
                         raise OSError(f"status {status}")
-                    case h11.Data(data=data):
-                        for event in events.feed(bytes(data)):
+                    case h11.Data(data=part):
+                        for event in events.feed(bytes(part)):
                             self._event(event)
                     case h11.EndOfMessage() | h11.ConnectionClosed():
                         return
--- a/gladelane/net/director.py
+++ b/gladelane/net/director.py
@@ -60,6 +60,22 @@
     def listed(self, runs: Mapping[str, tuple[str, float]]) -> None: ...
 
 
+class Audit(Protocol):
+    """Whether this director may still act on what it knows, and what it did under which view."""
+
+    def admits(self, cls: str) -> float: ...
+
+    def may(self, cls: str) -> bool: ...
+
+    def may_answer(self, cls: str) -> bool: ...
+
+    def sent(self, cls: str) -> int: ...
+
+    def served(self, cls: str, number: int) -> None: ...
+
+    def turned(self) -> None: ...
+
+
 class Director:
     def __init__(
         self, settings: Settings, seed: int, clock: Callable[[], float], wheel: Wheel, endpoints: Endpoints
@@ -73,6 +89,7 @@
         self.live: dict[int, Exchange] = {}
         self._by_id: dict[str, Exchange] = {}  # the latest of the live ones under a client's id
         self.guard: Guard | None = None  # the fleet's purges, where feeds are followed
+        self.audit: Audit | None = None  # where an operator's file asks for it
         self.more: Callable[[], list[tuple[str, int]]] = list  # figures of parts that operators switched on
         self.rev = 0
         self.figures = Figures()
@@ -104,6 +121,9 @@
         spec, most = self.settings.classes[ask.cls], self.settings.max_attempts
         exchange = Exchange(ask, request, deliver, spec, most, figures=self.figures)
         self.figures.inflight += 1
+        if self.audit is not None and (back := self.audit.admits(ask.cls)):
+            exchange.finish(Final(Code.REFUSED, come_back_ms=min(back, self.settings.max_retry_after_ms)))
+            return exchange
         if self.guard is not None and spec.cacheable:
             earns = spec.worth / max((one.worth for one in self.settings.classes.values()), default=1.0)
             back = self.guard.admits(ask.cls, (request.object, request.part), earns)
@@ -149,6 +169,7 @@
             if notice.pool.reset and not told:
                 # one bad whole list, sent to all directors, would stop the fleet: the last good one stays
                 log.error("bad event: rev=%d is a whole list without a usable store", notice.rev)
+                self._turned()
             else:
                 self._tell(told, notice.pool.reset)
         if notice.flush is not None:
@@ -159,8 +180,14 @@
             object_ = 0 if asset is None else int(asset, 16) + 1
             self._flushes.append(notice)
             self._forget_flushes()
+            self._turned()
             self.post(Purge(object_, group or 0, max(self.clock() - notice.flush.ms, 0.0)))
 
+    def _turned(self) -> None:
+        """What decisions rest on has changed: said before anything is decided on it."""
+        if self.audit is not None:
+            self.audit.turned()
+
     def _forget_flushes(self) -> None:
         binds = self.settings.purge_done_ms + FLUSH_KEPT_MS
         while self._flushes and self._flushes[0].flush and self._flushes[0].flush.ms + binds < self.clock():
@@ -208,6 +235,10 @@
         kind = ListKind.COMPLETE if complete else ListKind.CHANGES
         self.post(Members(kind, tuple(member for _, member in laid)))
 
+    def told(self) -> Mapping[str, tuple[Instance, Member]]:
+        """The list, without what operators took out."""
+        return self._told
+
     def has(self, store: str) -> bool:
         """Whether operators may name it: it is listed, was, or is out. Read in the door's thread too."""
         return store in self._seen or store in self.register.out
@@ -241,6 +272,7 @@
                 member.store, instance.host_port, member.zone, member.kind, member.cell,
                 member.state is State.READY, member.came_up_ms, tuple(instance.addresses),
             )
+        self._turned()
         self._apply(self.endpoints.tell(listings.values(), gone, complete))
         if self.guard is not None:
             self.guard.listed({s: (m.kind, m.came_up_ms) for s, m in self._listed.items()})
@@ -249,6 +281,7 @@
         """For requests that come from now on; those that are open keep what they came with."""
         self.settings = settings
         self.figures.know(settings.classes)
+        self._turned()
         self.router.retune(settings)
 
     def configure(self, options: Options, rules: Rules) -> None:
@@ -272,6 +305,10 @@
         if not self._ready(attempt.store) or (attempt.source and not self._ready(attempt.source)):
             return End.WITHDRAWN
         request, spec = attempt.exchange.request, attempt.exchange.spec
+        if self.audit is not None:
+            if not self.audit.may(request.cls):
+                return End.SHUT_OUT
+            attempt.span = self.audit.sent(request.cls)
         if spec.effect is Effect.KEYED and attempt.exchange.ask.key:
             attempt.ran_ms = now
             self.keys.may_have_run(attempt.exchange.ask.key, now, attempt.store)
@@ -312,10 +349,16 @@
                 by = attempt.bound_ms - reply.dated_ms
                 log.warning("outdated answer store=%s by_ms=%.0f", attempt.store, by)
                 end = End.OUTDATED
+        if self.audit is not None and exchange.spec.cacheable and STATUS[end] is Status.OK:
+            # a write that was answered has run, whatever is known here: its answer is passed on
+            if not self.audit.may_answer(exchange.ask.cls):
+                end = End.WITHHELD
         status = STATUS[end]
         if attempt.ran_ms and status in NEVER_RAN:
             self.keys.never_ran(exchange.ask.key, attempt.ran_ms, attempt.store)
         if status is Status.OK and reply is not None:
+            if self.audit is not None and not exchange.done:
+                self.audit.served(exchange.ask.cls, attempt.span)
             exchange.finish(Final(Code.SERVED, reply.body, valid=end is End.STILL_GOOD))
         now = self.clock()
         if self.guard is not None and exchange.spec.cacheable and status not in UNTOLD:
--- a/gladelane/net/ends.py
+++ b/gladelane/net/ends.py
@@ -25,12 +25,14 @@
     EXPIRED = auto()  # its time ran out before it could be written
     WITHDRAWN = auto()  # the store or its source left the list before it could be written
     SURPLUS = auto()  # sent after the end of its request, or beyond max_attempts
+    SHUT_OUT = auto()  # this director may not act: it has not heard for too long, or is too far behind
     # the connection ended under the request
     RESET = auto()
     CLOSED = auto()
     GARBLED = auto()
     CUT_SHORT = auto()  # an answer began and brought nothing more
     OUTDATED = auto()  # the answer is from a copy older than a purge that held when the request was written
+    WITHHELD = auto()  # the answer came when this director might no longer pass it on
     SILENT = auto()  # nothing came while the peer answered later attempts on another connection
     # the director ended it
     TIMED_OUT = auto()
@@ -55,11 +57,13 @@
     End.EXPIRED: Status.MOOT,
     End.WITHDRAWN: Status.MOOT,
     End.SURPLUS: Status.MOOT,
+    End.SHUT_OUT: Status.MOOT,
     End.RESET: Status.RESET,
     End.CLOSED: Status.RESET,
     End.GARBLED: Status.RESET,
     End.CUT_SHORT: Status.RESET,
     End.OUTDATED: Status.ERROR,
+    End.WITHHELD: Status.ERROR,
     End.SILENT: Status.RESET,
     End.TIMED_OUT: Status.TIMEOUT,
     End.CANCELLED: Status.CANCELLED,
--- a/gladelane/net/exchange.py
+++ b/gladelane/net/exchange.py
@@ -84,6 +84,7 @@
     bound_ms: float = 0.0  # the purge that held when it was written: no older copy may answer it
     ran_ms: float = 0.0  # of a keyed request: since when this attempt may have run, or 0
     written_ms: float = 0.0  # 0 until a byte of it may have left
+    span: int = 0  # of the director's trail, in which it was sent; 0: none is kept
 
     def fields(self, now_ms: float) -> dict[str, str]:
         """The request as it goes to a cache. Ages are rounded down, but 0 would mean no bound at all."""
--- a/gladelane/operations/drain.py
+++ b/gladelane/operations/drain.py
@@ -13,11 +13,12 @@
 class Drain:
     def __init__(self) -> None:
         self.failed_ms = 0.0  # since when an operator wants it empty, 0: not
+        self.behind_ms = 0.0  # since when it is too far behind to take clients, 0: it is not
         self.leaving = False  # the process is to end; nothing undoes that
 
     @property
     def on(self) -> bool:
-        return self.leaving or bool(self.failed_ms)
+        return self.leaving or bool(self.failed_ms or self.behind_ms)
 
     @property
     def ready(self) -> bool:
@@ -37,6 +38,20 @@
         self.failed_ms = 0.0
         return True
 
+    def behind(self, now: float) -> bool:
+        """It is behind the fleet, and nobody is to ask it. Whether that changed anything."""
+        if self.behind_ms:
+            return False
+        self.behind_ms = now
+        return True
+
+    def forward(self) -> bool:
+        """It is no longer behind; what an operator wants stays."""
+        if not self.behind_ms:
+            return False
+        self.behind_ms = 0.0
+        return True
+
     def leave(self) -> None:
         self.leaving = True
 
@@ -51,4 +66,4 @@
 
     def turns_away(self, told_ms: float, now: float) -> bool:
         """Whether a request on it is refused. A process that leaves serves to its end."""
-        return bool(told_ms) and bool(self.failed_ms) and now - told_ms >= LATE_MS
+        return bool(told_ms) and bool(self.failed_ms or self.behind_ms) and now - told_ms >= LATE_MS
--- a/gladelane/purges/feed.py
+++ b/gladelane/purges/feed.py
@@ -7,6 +7,7 @@
     GET  /explain?object=&class=&group=&part=
     POST /events              from a director that knows what this feed lacks: the events of the stream
     POST /vouch               an operator's word on what was lost (`horizon`)
+    /reports, /handed, /fleet/...   the audit, where it is on (`fleet.collector`)
 
 Feeds that name one another follow one another: what one took reaches the followers of all, and one that comes
 back gets from its peers what it missed, also of its own earlier epochs. Only the committer changes the state,
@@ -23,7 +24,7 @@
 from collections import deque
 from collections.abc import Callable, Iterable
 from contextlib import suppress
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
 from urllib.parse import parse_qs, unquote
 
 import h11
@@ -45,6 +46,9 @@
 from .wire import A_BATCH, BEAT_S, MOST_BODY, MOST_EVENT, Accepted, Event, Status, batches, encode_json
 from .wire import encode_purge, event_decoder, purge_decoder, submit_decoder, vouch_decoder
 
+if TYPE_CHECKING:
+    from ..fleet.collector import Collector
+
 log = logging.getLogger(__name__)
 
 REQUEST_S = 5.0  # for a whole request to come in
@@ -55,6 +59,7 @@
 FORGET_S = 60.0
 SETTLE_S = 1.0  # for peers to make good what a start finds lost, before followers are told of it
 COPY_S = 2.0  # for other feeds to store a purge that is answered once they have
+LARGE = ("/events", "/reports", "/handed")  # bodies of up to MOST_EVENT bytes
 OWN = b"\xc1"  # before a record that is no purge; msgpack never begins so
 TAIL = 10_000  # purges kept as they came; a follower further behind is served from what stands
 
@@ -136,6 +141,7 @@
         self._owed: deque[_Owed] = deque()
         self._settled = asyncio.Event()
         self._server: asyncio.Server | None = None
+        self.audit: Collector | None = None  # of what directors report, where an option asks for it
         self.port = 0
         if lost:
             self._lose(lost)
@@ -183,6 +189,9 @@
         self.port = self._server.sockets[0].getsockname()[1]
         self._tasks += [asyncio.create_task(self._commit_all()), asyncio.create_task(self._forget_all()),
                         asyncio.create_task(self._settle())]
+        if self.audit is not None:
+            self.audit.start()
+            self._tell_audit()
         log.info("feed ready name=%s listen=%s:%d epoch=%d recovered=%s",
                  self.name, host, self.port, self._stamps.epoch, self.recovered)
         return self.port
@@ -218,6 +227,8 @@
         for task in (*self._tasks, *self._open):
             task.cancel()
         await asyncio.gather(*self._tasks, *self._open, return_exceptions=True)
+        if self.audit is not None:
+            await self.audit.close()
         self.log.close()
 
     # --- what may be lost
@@ -417,7 +428,13 @@
             self._move_mark()
         self._unsaved = _Own()
 
+    def _tell_audit(self) -> None:
+        if self.audit is not None:
+            horizon = self.standing.horizon.moment(self.clock(), self.standing.retention_ms)
+            self.audit.reached(self.standing.positions.vector(), horizon)
+
     def _tell_now(self) -> None:
+        self._tell_audit()
         self._news.set()
         self._news = asyncio.Event()
 
@@ -467,7 +484,7 @@
             try:
                 async with asyncio.timeout(REQUEST_S):
                     _, asked = await read_request(reader, MOST_EVENT)
-                    if len(asked.body) > MOST_BODY and asked.path != "/events":
+                    if len(asked.body) > MOST_BODY and asked.path not in LARGE:
                         raise Refused(413, f"a body of more than {MOST_BODY} bytes")
                     if len(self._open) > MOST_CONNECTIONS:
                         raise Refused(503, "too many connections")
@@ -519,6 +536,8 @@
                 return encode_json(self.status())
             case "GET", "/explain":
                 return encode_json(self.explain(asked.query))
+        if self.audit is not None:
+            return await self.audit.answer(asked, caller)
         raise Refused(404, f"{asked.method} {asked.path}: no such thing here")
 
     def _hear(self, event: Event) -> bytes:
--- a/gladelane/purges/follow.py
+++ b/gladelane/purges/follow.py
@@ -44,14 +44,22 @@
         self._clock, self._tls, self._said = clock, tls, said
         self._as_peer = "&peer=1" if peer else ""
         self.caught_up = asyncio.Event()
+        self._again = False
+        self._stream: asyncio.Task[None] | None = None
 
     async def run(self) -> None:
         backoff = Backoff(random.Random(), BACKOFF_S, BACKOFF_MOST_S)
         while True:
             before = self.heard_ms
+            self._stream = asyncio.ensure_future(self._follow())
             try:
-                await self._follow()
+                await self._stream
                 self.state = "ended"
+            except asyncio.CancelledError:
+                task = asyncio.current_task()
+                if not self._again or (task is not None and task.cancelling()):
+                    raise  # not the stream alone: this task is to end
+                self.state = "follows again"
             except LOST as error:
                 self.state = f"lost: {type(error).__name__} {error}"
                 log.warning("feed lost feed=%s:%d: %s %s", self.host, self.port, type(error).__name__, error)
@@ -59,9 +67,17 @@
                 log.exception("feed failed")
             await asyncio.sleep(backoff.after(self.heard_ms > before))
 
+    def follow_again(self) -> None:
+        """From the beginning, on a new connection: what went wrong on the way here may lie in the stream."""
+        self._again = True
+        if self._stream is not None:
+            self._stream.cancel()
+
     async def _follow(self) -> None:
         events = EventStream()
-        target = f"/follow?from={vector_text(self._vector())}{self._as_peer}"
+        reached = {} if self._again else self._vector()
+        self._again = False
+        target = f"/follow?from={vector_text(reached)}{self._as_peer}"
         async with aclosing(ask(self.host, self.port, "GET", target, self._token(), tls=self._tls)) as stream:
             while True:
                 async with asyncio.timeout(SILENT_S):
--- a/gladelane/purges/holder.py
+++ b/gladelane/purges/holder.py
@@ -87,6 +87,7 @@
         if disk is not None:
             self._recover(disk, now)
         self._since = 0.0  # copies from before it may be older than a purge that is lost
+        self.turned: Callable[[], None] = lambda: None  # hears that something else is known now
         self.followers = [self._follower(host, port) for host, port in options.feeds]
         self._lacks = [(one, Reseed(rng)) for one in self.followers]
         self._marks: dict[Follower, Vector] = {}
@@ -163,12 +164,14 @@
                 self._fresh.purges.append(purge)
             if new and self.options.order_kinds:
                 self.orders.add((purge,))
+        self.turned()
 
     def _reached(self, vector: Vector) -> None:
         positions = self.standing.positions
         if not positions.reaches(vector):
             positions.adopt(vector)
             self._fresh.reached += [(issuer, epoch, last) for (issuer, epoch), last in vector.items()]
+            self.turned()
 
     def _said(self, event: Event) -> None:
         changed = self.standing.horizon.tell(event.losses, self.clock())
@@ -182,6 +185,7 @@
         if since == self._since:
             return
         was, self._since = self._since, since
+        self.turned()
         strict = ",".join(sorted(self.options.strict)) or "none"
         if since > was:
             log.error(
@@ -196,6 +200,15 @@
             if not since:
                 self.renewal.end(Cause.LOST)
 
+    def own_token(self) -> str:
+        """As it is shown to feeds."""
+        return self._tokens.own()
+
+    def follow_again(self) -> None:
+        """All feeds, from the beginning."""
+        for one in self.followers:
+            one.follow_again()
+
     def listed(self, runs: Mapping[str, tuple[str, float]]) -> None:
         """The servers of the list: each one's kind and the start of its process."""
         kinds = self.options.order_kinds
--- a/gladelane/settings/operator.py
+++ b/gladelane/settings/operator.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import re
+from hashlib import blake2b
 from typing import Any, Literal
 
 import msgspec
@@ -15,6 +16,7 @@
 from ..endpoints.address import BadAddress, Family, parse
 from ..endpoints.plan import Options
 from ..endpoints.rules import Network, Preference, Rule, Rules, check_template
+from ..fleet.options import Options as FleetOptions
 from ..purges.holder import Options as HolderOptions
 from ..recovery.options import Options as RecoveryOptions
 
@@ -102,10 +104,24 @@
     most_age_s: float = 120.0
 
 
+class FleetText(msgspec.Struct, forbid_unknown_fields=True):
+    """The audit of the fleet: which director acted on which version. dir: a lasting folder of this director
+    alone."""
+
+    dir: str = ""
+    report_ms: float = 500.0
+    board: str = "main"
+    board_ms: float = 0.0
+    alone: Literal["out", "strict"] = "out"
+    enforce: bool = True
+    trail_mb: float = 4.0
+
+
 class OperatorText(msgspec.Struct, forbid_unknown_fields=True):
     endpoints: EndpointsText = msgspec.field(default_factory=EndpointsText)
     purges: PurgesText | None = None
     recovery: RecoveryText | None = None
+    fleet: FleetText | None = None
     logs: LogsText = msgspec.field(default_factory=LogsText)
 
 
@@ -117,6 +133,7 @@
     logs: LogsText
     purges: HolderOptions | None = None
     recovery: RecoveryOptions | None = None
+    fleet: FleetOptions | None = None
 
 
 def read_operator(data: bytes) -> Operator:
@@ -136,7 +153,7 @@
         raise _worded(str(error)) from None
     purges = None if text.purges is None else _purges(text.purges)
     rules = _rules(text.endpoints.rules)
-    return Operator(_options(text.endpoints), rules, text.logs, purges, _recovery(text))
+    return Operator(_options(text.endpoints), rules, text.logs, purges, _recovery(text), _fleet(text))
 
 
 def _recovery(text: OperatorText) -> RecoveryOptions | None:
@@ -149,6 +166,34 @@
     return RecoveryOptions(told.dir, told.every_s * 1000.0, told.most_age_s * 1000.0)
 
 
+def _fleet(text: OperatorText) -> FleetOptions | None:
+    told = text.fleet
+    if told is None:
+        return None
+    if text.purges is None:
+        raise BadOperatorFile("fleet", "needs purges.feeds; expected feeds that take reports")
+    _bounded("fleet.report_ms", told.report_ms, 100, 10_000)
+    if told.board_ms:  # it says every second that it is there
+        _bounded("fleet.board_ms", told.board_ms, 2_000, 600_000)
+    _bounded("fleet.trail_mb", told.trail_mb, 0.1, 100)
+    if not told.board or len(told.board) > 64:
+        raise BadOperatorFile("fleet.board", f"{told.board[:64]!r}; expected a name of up to 64 characters")
+    return FleetOptions(
+        told.dir, told.report_ms, told.board, told.board_ms, told.alone, told.enforce,
+        int(told.trail_mb * 1e6), _digest(text),
+    )
+
+
+def _digest(text: OperatorText) -> str:
+    """Of what the file decides: places and tokens differ from director to director."""
+    raw = msgspec.to_builtins(text)
+    places = {"purges": ("feeds", "token_file", "dir"), "recovery": ("dir",), "fleet": ("dir",)}
+    for part, keys in places.items():
+        for key in keys:
+            (raw.get(part) or {}).pop(key, None)
+    return blake2b(msgspec.json.encode(raw, order="sorted"), digest_size=8).hexdigest()
+
+
 def _line(text: str, message: str) -> str:
     found = re.search(r"near (\d+)", message)
     return f"line {text.count(chr(10), 0, int(found[1])) + 1}: " if found else ""
--- a/tests/test_net_parsers.py
+++ b/tests/test_net_parsers.py
@@ -133,7 +133,7 @@
     assert set(STATUS) == set(End)
     ran = {end for end in End if STATUS[end] not in NEVER_RAN}
     assert ran == {End.SERVED, End.STILL_GOOD, End.CRASHED, End.RESET, End.CLOSED, End.GARBLED, End.CUT_SHORT, End.SILENT, End.TIMED_OUT,
-                   End.CANCELLED, End.IDLE, End.OUTDATED}  # fmt: skip
+                   End.CANCELLED, End.IDLE, End.OUTDATED, End.WITHHELD}  # fmt: skip
     assert {end for end in End if STATUS[end] is Status.OK} == {End.SERVED, End.STILL_GOOD}
 
 
