--- a/gladelane/fleet/collector.py
+++ b/gladelane/fleet/collector.py
@@ -82,30 +82,15 @@
         self.epoch = int(clock())
         self.ledger = Ledger(retention_ms)
         self.judge = Judge(ladder or Ladder(silent_ms=tenure_ms), clock())
-        self._log: Log
-        self._log, found = recover(disk)
-        with without_gc():
-            if found.snapshot is not None:
-                stored = _snapshot_decoder.decode(found.snapshot)
-                self.ledger.restore(stored[0])
-                for word in stored[1]:
-                    self.judge.told.expect(word)
-            for record in found.records:
-                self._apply(_record_decoder.decode(record))
-        self._records = len(found.records)
+        self._log, words, self._records = recovered(disk, self.ledger)
+        for word in words:
+            self.judge.told.expect(word)
         self._queue: asyncio.Queue[_Waiting] = asyncio.Queue(MOST_WAITING)
         self._peers: list[_Peer] = []
         self._tasks: list[asyncio.Task[None]] = []
         self._failed = False
         self.taken = 0
 
-    def _apply(self, record: _Record) -> None:
-        for word in record.expects:
-            self.judge.told.expect(word)
-        for report in record.reports:
-            with suppress(BadReport):
-                self.ledger.take(report)
-
     def hand_to(self, host: str, port: int, tls: ssl.SSLContext | None = None) -> None:
         """Another feed. Before `start`."""
         self._peers.append(_Peer(host, port, tls))
@@ -402,6 +387,24 @@
         return self._said(explained=told, ladder=self.judge.ladder, source=self.judge.source)
 
 
+def recovered(disk: Disk, ledger: Ledger) -> tuple[Log, list[Expect], int]:
+    """What a feed had stored, into an empty ledger: the log, operators' words, records in the log. Raises
+    Damaged and OSError."""
+    log, found = recover(disk)
+    words: list[Expect] = []
+    with without_gc():
+        if found.snapshot is not None:
+            payload, words = _snapshot_decoder.decode(found.snapshot)
+            ledger.restore(payload)
+        for data in found.records:
+            record = _record_decoder.decode(data)
+            words += record.expects
+            for report in record.reports:
+                with suppress(BadReport):
+                    ledger.take(report)
+    return log, words, len(found.records)
+
+
 _snapshot_decoder: msgspec.msgpack.Decoder[tuple[bytes, list[Expect]]] = (
     msgspec.msgpack.Decoder(tuple[bytes, list[Expect]])
 )
--- a/gladelane/fleet/ledger.py
+++ b/gladelane/fleet/ledger.py
@@ -199,6 +199,8 @@
             run = self._runs[key] = _Started(report.zone)
             starts = self._starts.setdefault(report.director, [])
             starts.insert(bisect_left(starts, report.start), report.start)
+        if report.current:
+            self.views.setdefault(name_of(report.view), report.view)
         for name, view in report.views.items():
             if name_of(view) != name:
                 if key not in self.unnamed:
--- a/gladelane/fleet/service.py
+++ b/gladelane/fleet/service.py
@@ -249,7 +249,7 @@
             return report, spans[-1]
         spans = trail.waiting(A_REPORT)
         open_ = trail.checkpoint(self._totals(), self._clock())
-        named = {span.view for span in spans} | {open_.view}
+        named = {span.view for span in spans} - {open_.view}  # that one goes along as the report's own
         return Report(
             trail.director, trail.start, zone, 0.0, spans=spans,
             views={name: self._views[name] for name in named if name in self._views}, open=open_,
--- a/gladelane/fleet/straggle.py
+++ b/gladelane/fleet/straggle.py
@@ -162,7 +162,9 @@
         )
 
 
-class _Director:
+class Watched:
+    """A director as its judge sees it."""
+
     __slots__ = ("zone", "view", "heard_ms", "behind", "stage", "why", "lacks", "well_ms", "back_ms",
                  "returned_ms", "start", "mine")
 
@@ -204,7 +206,7 @@
         self.alone = False  # no other feed is heard: what operators said meanwhile may be unknown here
         self.source: dict[str, int] = {}  # parts that most lack, and how many do
         self.few = False  # most are silent
-        self._directors: dict[str, _Director] = {}
+        self._directors: dict[str, Watched] = {}
         self._looked_ms = -LOOK_MS
 
     # --- hearing
@@ -215,7 +217,7 @@
     ) -> None:
         """A view that a director reported, here or to another feed, with the stage that it was given there.
         Of two starts of one name the newer is judged."""
-        one = self._directors.setdefault(director, _Director())
+        one = self._directors.setdefault(director, Watched())
         if start < one.start or now_ms < one.heard_ms:
             return
         one.zone, one.view, one.heard_ms, one.start = zone, view, now_ms, start
@@ -243,7 +245,7 @@
         returning = bool(one.well_ms) and one.stage is not Stage.WELL
         return Verdict(one.stage, one.why, one.lacks, returning)
 
-    def _behind(self, one: _Director, now_ms: float) -> dict[str, float]:
+    def _behind(self, one: Watched, now_ms: float) -> dict[str, float]:
         """For how long it has lacked what, in ms; only what has been told for longer than the lag."""
         found = {part: now_ms - since for part, since in self.told.behind(one.view).items()}
         return {part: age for part, age in found.items() if age > self.ladder.lag_ms}
@@ -264,7 +266,7 @@
         self.source = {part: count for part, count in counts.items() if 2 * count > heard and heard > 1}
         self.few = 2 * heard <= known and known > 1
 
-    def _forward(self, one: _Director, now_ms: float) -> None:
+    def _forward(self, one: Watched, now_ms: float) -> None:
         if one.well_ms:
             one.well_ms = 0.0
         most = max(one.behind.values())
@@ -282,7 +284,7 @@
         one.why = f"{why}; {held}" if held else why
         one.lacks = self.told.lacks(one.view, parts)
 
-    def _allowed(self, one: _Director, wanted: Stage, now_ms: float) -> tuple[Stage, str]:
+    def _allowed(self, one: Watched, wanted: Stage, now_ms: float) -> tuple[Stage, str]:
         """How far it is moved, and what holds it back."""
         if wanted <= Stage.TOLD:
             return wanted, ""
@@ -302,7 +304,7 @@
             return Stage.KEPT, f"the last that serves zone {one.zone}, and right about the list"
         return wanted, ""
 
-    def _back(self, one: _Director, now_ms: float) -> None:
+    def _back(self, one: Watched, now_ms: float) -> None:
         one.well_ms = one.well_ms or now_ms
         if now_ms - one.well_ms < one.back_ms:
             well_s, back_s = (now_ms - one.well_ms) / 1000.0, one.back_ms / 1000.0
@@ -324,7 +326,7 @@
         )
         return min(part - sum(one.mine for one in held), most - len(held) - silent)
 
-    def _others(self, one: _Director, now_ms: float) -> int:
+    def _others(self, one: Watched, now_ms: float) -> int:
         """How many others serve its zone."""
         return sum(
             other is not one and other.zone == one.zone and other.stage < SERVES
--- a/gladelane/lab/fleet/day.py
+++ b/gladelane/lab/fleet/day.py
@@ -7,6 +7,7 @@
 import os
 import tempfile
 import time
+from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from pathlib import Path
 from random import Random
@@ -19,12 +20,13 @@
 from .world import CACHES, World
 
 WARM_UP_S, BEFORE_S = 3.0, 2.0
+Look = Callable[[Fleet, Load], Awaitable[dict[str, Any]]]  # at the end, while all still runs
 APART_S = 3.0  # between faults that are timed apart
 
 
 async def play(
     line: str, shape: Shape, seed: int, seconds: float, per_s: float = 250.0, purges: int = 0,
-    table: Path | None = None,
+    table: Path | None = None, look: Look | None = None,
 ) -> dict[str, Any]:
     """The line's seconds count from the end of the warm-up. purges: during the warm-up. The same seed asks
     for the same things at the same moments and strikes the same processes; what the machine makes of it may
@@ -39,6 +41,8 @@
             await fleet.start()
             load = Load(fleet, Random(seed + 2))
             figures = await _run(fleet, load, steps, seconds, per_s, purges)
+            if look is not None:
+                figures |= await look(fleet, load)
         finally:
             await fleet.close()
             await world.close()
--- a/gladelane/lab/fleet/fleet.py
+++ b/gladelane/lab/fleet/fleet.py
@@ -138,11 +138,11 @@
         self.changes: dict[str, dict[str, Any]] = {}  # of a director's operator file
         self.program: dict[str, Path] = {}  # folders of other versions of the program
         self.held_up: dict[str, list[list[float]]] = {}  # from and to, Unix ms: a process answers nothing
-        self._began = time.monotonic()
+        self.began = time.monotonic()
         self._tasks: set[asyncio.Task[None]] = set()
 
     def note(self, what: str, detail: str = "") -> None:
-        self.events.append((round(time.monotonic() - self._began, 3), what, detail))
+        self.events.append((round(time.monotonic() - self.began, 3), what, detail))
 
     def of(self, whom: tuple[str, int]) -> Life:
         return (self.directors if whom[0] == "directors" else self.feeds)[whom[1]]
@@ -253,7 +253,7 @@
             return True
         return False
 
-    async def _end(self, one: Life, number: signal.Signals) -> None:
+    async def end(self, one: Life, number: signal.Signals) -> None:
         async with one.spawning:
             process, one.up = one.process, False
         if number is signal.SIGKILL:
@@ -348,7 +348,7 @@
         """Ends a process, does to its folder what the step says, and starts it."""
         number = signal.SIGKILL if step.word == "kill" else signal.SIGTERM
         self.counts["kills"] += number is signal.SIGKILL
-        await self._end(one, number)
+        await self.end(one, number)
         one.kept = step.how in ("kept", "torn", "readonly")
         if step.last:
             await asyncio.sleep(step.last)
@@ -391,7 +391,7 @@
         lock.mkdir(parents=True)
         await self._start(one)
         if one.up:  # it runs all the same: the next life finds it whole
-            await self._end(one, signal.SIGKILL)
+            await self.end(one, signal.SIGKILL)
         lock.rmdir()
 
     async def _board(self, step: Step) -> None:
--- a/gladelane/lab/fleet/load.py
+++ b/gladelane/lab/fleet/load.py
@@ -17,7 +17,7 @@
 from ..shelf import now_ms
 from ..standins import Seen
 from .fleet import TOKEN, Fleet, Life
-from .rules import Made, Purged, Served
+from .rules import Made, Purged, Sent, Served
 from .world import OBJECTS, group_of, object_id
 
 CLASSES = read_config((ROOT / "example" / "config.json").read_bytes()).settings.classes
@@ -35,6 +35,8 @@
         self.fleet, self.rng = fleet, rng
         self.made: list[Made] = []
         self.purges: list[Purged] = []
+        self.attempts: list[Sent] = []
+        self._asked_at: dict[str, str] = {}  # by a request's id, for as long as the run lasts: its director
         self.served = Served()
         self.counts: Counter[str] = Counter()
         self.broken: list[Broken] = []
@@ -47,6 +49,10 @@
         fleet.world.watch = self._attempt
 
     def _attempt(self, store: str, seen: Seen) -> None:
+        fields = seen.fields
+        self.attempts.append(Sent(
+            self._asked_at.get(seen.id, ""), now_ms(), store, fields.get("parent", ""), fields["profile"]
+        ))
         director, number = self._who.get(seen.id, ("", 0))
         if director:
             self._tries[seen.id] += 1
@@ -115,6 +121,7 @@
         if key:
             fields["k"] = key
         self._who[id_] = one.name, number
+        self._asked_at[id_] = one.name
         self.monitor.request(one.name, number, spec, sent + min(spec.deadline_ms, 1500.0))
         self.counts["asked"] += 1
         answer = await client.ask(fields, patience_s=PATIENCE_S)
@@ -134,7 +141,9 @@
             if answer.code == 0:
                 if not key:
                     dated = float(answer.body[1:] or 0)
-                    self.made.append(Made(cls, group_of(n), int(object_id(n), 16), part, sent, dated))
+                    self.made.append(
+                        Made(cls, group_of(n), int(object_id(n), 16), part, sent, dated, one.name, now)
+                    )
                 if now - due_ms <= spec.aim_ms:
                     self.served.add(due_ms / 1000.0, spec.worth)
         self._who.pop(id_, None)
@@ -159,5 +168,7 @@
                 except (OSError, Refused, TimeoutError):
                     self.counts["purges_again"] += 1
                     await asyncio.sleep(0.05)
-            self.purges.append(Purged(told["at_ms"], parse(told["scope"]), now_ms()))
+            self.purges.append(Purged(
+                told["at_ms"], parse(told["scope"]), now_ms(), told["issuer"], told["epoch"], told["seq"]
+            ))
             await asyncio.sleep(seconds / count)
--- a/gladelane/lab/fleet/relay.py
+++ b/gladelane/lab/fleet/relay.py
@@ -3,12 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+import re
 import socket
 import struct
+import time
 from contextlib import suppress
 from enum import Enum
+from typing import NamedTuple
 
 READ_BYTES = 65_536
+REPORT = b"POST /reports "
+STAGE = re.compile(rb'"stage":(\d)')
 SLOW_S = 0.3  # a piece, each way
 HALFWAY_BYTES = 400  # of the far end's, after which a connection is reset
 
@@ -23,6 +28,14 @@
     HALFWAY = "halfway"  # connections are reset in the middle of an answer
 
 
+class Reported(NamedTuple):
+    """A report that passed and whose answer passed back. Unix ms; stage: of the verdict."""
+
+    asked_ms: float
+    answered_ms: float
+    stage: int
+
+
 class Relay:
     """Listens for the near end, dials the far one."""
 
@@ -31,6 +44,8 @@
         self.port = 0
         self.state = State.OPEN
         self.cut_short = 0
+        self.reported: list[Reported] = []  # as they passed here: what the parties say of it is not asked
+        self.report_bytes = 0
         self._server: asyncio.Server | None = None
         self._open: dict[asyncio.Task[None], tuple[asyncio.StreamWriter, asyncio.StreamWriter]] = {}
         self._healed = asyncio.Event()
@@ -70,9 +85,10 @@
         task = asyncio.current_task()
         assert task is not None
         self._open[task] = writer, far
+        watch = _Watch(self)
         try:
-            ways = [asyncio.ensure_future(self._pass(reader, far, False)),
-                    asyncio.ensure_future(self._pass(far_reader, writer, True))]
+            ways = [asyncio.ensure_future(self._pass(reader, far, False, watch)),
+                    asyncio.ensure_future(self._pass(far_reader, writer, True, watch))]
             try:
                 await asyncio.wait(ways, return_when=asyncio.FIRST_COMPLETED)
                 await asyncio.sleep(0)
@@ -88,7 +104,9 @@
                 with suppress(OSError):
                     one.close()
 
-    async def _pass(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, back: bool) -> None:
+    async def _pass(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, back: bool, watch: _Watch
+    ) -> None:
         passed = 0
         with suppress(OSError):
             while data := await reader.read(READ_BYTES):
@@ -105,10 +123,34 @@
                         reset(writer)
                         return
                 passed += len(data)
+                watch.passes(data, back)
                 writer.write(data)
                 await writer.drain()
 
 
+class _Watch:
+    """One connection: whether it carries a report, and what became of it."""
+
+    def __init__(self, relay: Relay) -> None:
+        self._relay = relay
+        self._asked_ms = 0.0
+        self._said = b""
+
+    def passes(self, data: bytes, back: bool) -> None:
+        now = time.time() * 1000.0
+        if not back:
+            if not self._asked_ms and data.startswith(REPORT):
+                self._asked_ms = now
+            if self._asked_ms:
+                self._relay.report_bytes += len(data)
+        elif self._asked_ms:
+            self._said += data
+            if self._said.endswith(b"}") and b"200 OK" in self._said:
+                found = STAGE.search(self._said)
+                stage = int(found[1]) if found else 0
+                self._relay.reported.append(Reported(self._asked_ms, now, stage))
+
+
 def reset(writer: asyncio.StreamWriter) -> None:
     sock = writer.get_extra_info("socket")
     with suppress(OSError, ValueError):
--- a/gladelane/lab/fleet/rules.py
+++ b/gladelane/lab/fleet/rules.py
@@ -25,6 +25,18 @@
     part: int
     sent_ms: float
     dated_ms: float
+    director: str = ""
+    answered_ms: float = 0.0
+
+
+class Sent(NamedTuple):
+    """An attempt as a server saw it. Unix ms."""
+
+    director: str
+    at_ms: float
+    store: str
+    source: str
+    cls: str
 
 
 class Purged(NamedTuple):
@@ -33,6 +45,9 @@
     at_ms: float
     scope: Scope
     told_ms: float = 0.0
+    issuer: str = ""
+    epoch: int = 0
+    seq: int = 0
 
 
 class Ran(NamedTuple):
