--- a/gladelane/cli/__init__.py
+++ b/gladelane/cli/__init__.py
@@ -21,7 +21,7 @@
 
 
 def build() -> typer.Typer:
-    from . import addresses, director, fleet, purge
+    from . import addresses, audit, director, fleet, purge
 
     app = typer.Typer(
         name="gladelane", no_args_is_help=True, add_completion=False, pretty_exceptions_enable=False,
@@ -31,6 +31,8 @@
     app.command("check")(director.check)
     app.add_typer(addresses.app, name="addresses")
     app.add_typer(purge.app, name="purge")
+    for command in audit.COMMANDS:
+        fleet.app.command()(command)
     app.add_typer(fleet.app, name="fleet")
     return app
 
--- a/gladelane/cli/purge.py
+++ b/gladelane/cli/purge.py
@@ -133,7 +133,7 @@
         fail(error)
 
 
-def _ask(
+def ask_feed(
     feed: str, tokens: Path, ca: Path | None, method: str, target: str, body: bytes = b"", key: str = ""
 ) -> Any:
     host, port = place_of(feed)
@@ -159,7 +159,7 @@
     """Purges; says so once it is stored."""
     tags = {name: value for name, _, value in (text.partition("=") for text in tag or ())}
     body = json.dumps({"scope": scope, "tags": tags}).encode()
-    told = _ask(feed, tokens, tls_ca, "POST", "/purges", body, key)
+    told = ask_feed(feed, tokens, tls_ca, "POST", "/purges", body, key)
     again = ", asked for before" if told["again"] else ""
     out.print(f"{told['issuer']}:{told['epoch']}={told['seq']} {told['scope']}{again}")
 
@@ -174,13 +174,13 @@
 @app.command("list")
 def list_(feed: FeedAt, tokens: TokenFile, tls_ca: CaFile = None) -> None:
     """All purges that stand."""
-    _rows(_ask(feed, tokens, tls_ca, "GET", "/purges"))
+    _rows(ask_feed(feed, tokens, tls_ca, "GET", "/purges"))
 
 
 @app.command()
 def status(feed: FeedAt, tokens: TokenFile, tls_ca: CaFile = None) -> None:
     """How a feed is: positions, gaps, followers, peers."""
-    for name, value in _ask(feed, tokens, tls_ca, "GET", "/status").items():
+    for name, value in ask_feed(feed, tokens, tls_ca, "GET", "/status").items():
         out.print(f"{name}: {value}")
 
 
@@ -198,15 +198,15 @@
     if all_ == bool(since):
         fail("expected --all or --since")
     try:
-        moment = 0.0 if all_ else float(since) if since.isdigit() else _moment(since)
+        moment = 0.0 if all_ else float(since) if since.isdigit() else moment_of(since)
     except ValueError:
         fail(f"--since {since!r}; expected Unix ms or a moment such as 2026-12-01T09:30:00Z")
     body = json.dumps({"since_ms": moment, "why": why}).encode()
-    for lost, epoch, *_ in _ask(feed, tokens, tls_ca, "POST", "/vouch", body):
+    for lost, epoch, *_ in ask_feed(feed, tokens, tls_ca, "POST", "/vouch", body):
         out.print(f"{lost}:{epoch} is closed from {moment:.0f} on")
 
 
-def _moment(text: str) -> float:
+def moment_of(text: str) -> float:
     at = datetime.datetime.fromisoformat(text)
     if at.tzinfo is None:
         raise ValueError("without a zone")
@@ -224,7 +224,7 @@
 ) -> None:
     """Which purges bind a request, newest first: its copies must be from after the first."""
     target = f"/explain?object={quote(object)}&class={quote(cls)}&group={group}&part={part}"
-    found = _ask(feed, tokens, tls_ca, "GET", target)
+    found = ask_feed(feed, tokens, tls_ca, "GET", target)
     if not found:
         out.print("no purge binds it")
         return
--- a/gladelane/lab/fleet/fleet.py
+++ b/gladelane/lab/fleet/fleet.py
@@ -74,7 +74,8 @@
 
     async def reach(self) -> None:
         """One connection. Raises OSError."""
-        self._clients.append((await Client.to("127.0.0.1", self._port), [0]))
+        client = await Client.to("127.0.0.1", self._port)
+        self._clients.append((client, [0]))  # the list may have been made anew meanwhile
 
     async def ask(self, fields: dict[str, str], patience_s: float) -> Answer | None:
         answer, ended = await self._ask(fields, patience_s)
