--- a/benchmarks/audit.py
+++ b/benchmarks/audit.py
@@ -167,8 +167,9 @@
     return best
 
 
-def week(directors: int, spans: int) -> tuple[Ledger, float, float]:
-    """A week of a fleet: bytes a director and hour, and the slowest of some questions in ms."""
+def week(directors: int, spans: int) -> dict[str, float]:
+    """A week of a fleet: bytes a director and hour, the slowest of some questions in ms, and how long a
+    snapshot and a start take."""
     ledger, step = Ledger(), WEEK_MS / spans
     views = [View("main", rev, f"{rev:016x}", (), f"f:1={rev}") for rev in range(1, spans + 1)]
     names = [name_of(view) for view in views]
@@ -194,8 +195,17 @@
         began = time.perf_counter()
         ledger.of(f"director-{rng.randrange(directors)}", at, at + 3_600_000.0)
         took.append((time.perf_counter() - began) * 1000.0)
-    size = len(ledger.snapshot()) / directors / (WEEK_MS / 3_600_000.0)
-    return ledger, size, max(took)
+    began = time.perf_counter()
+    payload = ledger.snapshot()
+    stored = time.perf_counter()
+    again = Ledger()
+    again.restore(payload)
+    assert again.spans == ledger.spans
+    return {
+        "week_spans": ledger.spans, "query_ms": round(max(took), 1),
+        "week_bytes_per_director_hour": round(len(payload) / directors / (WEEK_MS / 3_600_000.0)),
+        "snapshot_ms": round((stored - began) * 1000.0), "recover_s": round(time.perf_counter() - stored, 2),
+    }
 
 
 async def events(fleet: Fleet, load: Load) -> dict[str, Any]:
@@ -248,7 +258,7 @@
     }
     clean, sought = cleanly.result(), {name: found.result() for name, found in seeking.items()}
     searches.shutdown()
-    _, week_bytes, query_ms = week(300, 170 if quick else 2016)
+    asked = week(300, 170 if quick else 2016)
 
     def total(name: str) -> int:
         return sum(run[name] for run in runs.values())
@@ -273,7 +283,7 @@
         "recheck_us": round(recheck_us(), 2),
         "bytes_per_director_hour": round(total("stored_bytes") / hours),
         "report_bytes_per_director_hour": round(total("report_bytes") / hours),
-        "week_bytes_per_director_hour": round(week_bytes), "query_ms": round(query_ms, 1),
+        **asked,
         "search_states": clean, "search_planted": len(sought),
         "search_caught": [name for name, found in sought.items() if isinstance(found, str)],
     }
--- a/gladelane/fleet/ledger.py
+++ b/gladelane/fleet/ledger.py
@@ -131,6 +131,18 @@
         self._count_on()
         return None
 
+    def cut(self, place: int) -> int:
+        """Forgets all spans before a place; what stays is that they were."""
+        last = self.span(place - 1)
+        begins = min([self.froms[0], *(one.from_ms for one in self.lost if one.first <= last.number)])
+        self.lost = [one for one in self.lost if one.first > last.number]
+        self.lost.insert(0, Lost(1, last.number, begins, last.to_ms, last.seal))
+        for kept in (self.numbers, self.froms, self.tos, self.views, self.blobs):
+            del kept[:place]
+        for number in [number for number in self.ends if number <= last.number]:
+            del self.ends[number]
+        return place
+
     def has(self, number: int) -> bool:
         place = bisect_left(self.numbers, number)
         return place < len(self.numbers) and self.numbers[place] == number
@@ -365,7 +377,7 @@
         for gap in run.lost:
             if gap.from_ms <= high and gap.to_ms >= low and not run.has(gap.first):
                 yield Row(director, start, run.zone, gap.from_ms, gap.to_ms, Known.UNKNOWN.value,
-                          gap.first, why=f"{gap.last - gap.first + 1} spans were dropped", offset=run.offset)
+                          gap.first, why=f"{gap.last - gap.first + 1} spans are gone", offset=run.offset)
         open_ = run.open
         if open_ is not None and not run.has(open_.number) and open_.from_ms <= high and open_.to_ms >= low:
             yield self._row(director, start, run, open_)
@@ -408,31 +420,40 @@
     # --- keeping
 
     def forget(self, now_ms: float) -> int:
-        """Drops starts whose last word is past the retention; gives how many."""
-        past = now_ms - self.retention_ms
-        gone = [key for key, run in self._runs.items() if max(self._last(run), run.taken_ms) < past]
-        for key in gone:
-            self.spans -= len(self._runs.pop(key).numbers)
-            self._starts[key[0]].remove(key[1])
-            if not self._starts[key[0]]:
-                del self._starts[key[0]]
-        if gone:
+        """Drops spans that ended before the retention, and starts whose last word is from before it; gives
+        how many spans."""
+        past, before = now_ms - self.retention_ms, self.spans
+        for key, run in list(self._runs.items()):
+            if max(self._last(run), run.taken_ms) < past:
+                self.spans -= len(self._runs.pop(key).numbers)
+                self._starts[key[0]].remove(key[1])
+                if not self._starts[key[0]]:
+                    del self._starts[key[0]]
+            elif len(run.tos) and run.tos[0] < past:
+                self.spans -= run.cut(bisect_left(run.tos, past))
+        if self.spans < before:
             used = {view for run in self._runs.values() for view in run.views}
             used |= {run.open.view for run in self._runs.values() if run.open is not None}
+            used |= {name_of(run.view) for run in self._runs.values()}
             self.views = {name: view for name, view in self.views.items() if name in used}
-        return len(gone)
+        return before - self.spans
 
     def snapshot(self) -> bytes:
-        return encode((FORMAT, list(self.beyond({}, 2**31)), self.conflicts, self.unnamed))
+        """The whole of it; spans go over as they are kept, since all of it is done at once."""
+        runs = [(self._report(key, run, []), run.blobs) for key, run in self._runs.items()]
+        return encode((FORMAT, runs, self.views, self.conflicts, self.unnamed))
 
     def restore(self, payload: bytes) -> None:
         """Into an empty one. Raises msgspec's errors and BadReport."""
-        form, reports, conflicts, unnamed = _stored_decoder.decode(payload)
+        form, runs, self.views, self.conflicts, self.unnamed = _stored_decoder.decode(payload)
         if form != FORMAT:
             raise BadReport(f"snapshot of format {form}; expected {FORMAT}")
-        for report in reports:
+        for report, blobs in runs:
             self.take(report)
-        self.conflicts, self.unnamed = conflicts, unnamed
+            run = self._runs[report.director, report.start]
+            for blob in blobs:
+                run.put(span_decoder.decode(blob))
+            self.spans += len(run.numbers)
 
 
 def _faults(director: str, start: int, run: _Started) -> Iterator[tuple[int, str]]:
@@ -460,6 +481,5 @@
 
 encode = msgspec.msgpack.encode
 span_decoder: msgspec.msgpack.Decoder[Span] = msgspec.msgpack.Decoder(Span)
-_stored_decoder: msgspec.msgpack.Decoder[tuple[int, list[Report], list[Conflict], list[Run]]] = (
-    msgspec.msgpack.Decoder(tuple[int, list[Report], list[Conflict], list[Run]])
-)
+Stored = tuple[int, list[tuple[Report, list[bytes]]], dict[str, View], list[Conflict], list[Run]]
+_stored_decoder: msgspec.msgpack.Decoder[Stored] = msgspec.msgpack.Decoder(Stored)
--- a/gladelane/fleet/service.py
+++ b/gladelane/fleet/service.py
@@ -102,6 +102,7 @@
         self._prior = [(page, spans) for page in left if page.director == name and (spans := ends(page))]
         self._written = 0  # the last span in the book
         self._feeds = list(holder.options.feeds)
+        self._leaves = False  # its last span is closed
         self._more = False  # there is something to tell at once
         self._at = int(blake2b(name.encode(), digest_size=4).hexdigest(), 16) % len(self._feeds)
         self._offset: tuple[float, float] | None = None
@@ -266,6 +267,11 @@
                             lost=page.lost, current=False)
             return report, spans[-1]
         spans = trail.waiting(A_REPORT)
+        if self._leaves:
+            named = {span.view for span in spans}
+            views = {name: self._views[name] for name in named if name in self._views}
+            last = Report(trail.director, trail.start, zone, 0.0, spans=spans, views=views, lost=trail.lost)
+            return last, None
         open_ = trail.checkpoint(self._totals(), self._clock())
         named = {span.view for span in spans} - {open_.view}  # that one goes along as the report's own
         return Report(
@@ -346,7 +352,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        self._prior = []
+        self._prior, self._leaves = [], True
         self.trail.turn(self._name, self._totals(), self._clock(), "stopped")
         await self._write()
         await self._report(LAST_S)
--- a/tests/fleet/test_audit_pure.py
+++ b/tests/fleet/test_audit_pure.py
@@ -112,7 +112,7 @@
     ledger = Ledger()
     ledger.take(report(trail, lost=trail.lost))
     assert [row.why for row in ledger.of("d", 0.0, 2000.0) if row.known == "unknown" and row.number] == [
-        f"{trail.lost[0].last - 8} spans were dropped"]
+        f"{trail.lost[0].last - 8} spans are gone"]
     full, _ = trail_of(30, random.Random(1))
     ledger.take(report(full, full.kept()[:8]))
     assert ledger.verify() == [] and ledger.upto(("d", 1)) == 30
@@ -192,6 +192,22 @@
     assert [row.from_ms for row in ledger.of("d", 1035.0, 1060.0) if row.known == "unknown"] == [1040.0]
 
 
+def test_a_ledger_forgets_what_is_past_the_retention_and_says_that_it_was() -> None:
+    ledger = Ledger(retention_ms=100.0)
+    trail, _ = trail_of(30, random.Random(1))
+    ledger.take(report(trail, taken_ms=1300.0))
+    ledger.take(report(trail_of(2, random.Random(1), "old")[0], taken_ms=1050.0))
+    assert ledger.forget(1305.0) == 22 and ledger.directors() == ["d"] and ledger.spans == 10 and ledger.verify() == []
+    assert [row.why for row in ledger.of("d", 1100.0, 1100.0)] == ["20 spans are gone"] and len(ledger.views) == 11
+    other = Ledger()
+    for told in ledger.beyond({}, 100):
+        other.take(told)
+    assert other.upto(("d", 1)) == 30 and other.verify() == []
+    other = Ledger()
+    other.restore(ledger.snapshot())
+    assert other.spans == 10 and other.upto(("d", 1)) == 30 and other.views == ledger.views
+
+
 def test_pages_of_a_book_join_to_what_a_killed_process_had_not_told() -> None:
     trail, _ = trail_of(4, random.Random(1))
     first, second, third, fourth = trail.kept()
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -19,12 +19,13 @@
 
 ROOT = Path(__file__).parent.parent
 EXAMPLE = ROOT / "deploy" / "operator.example.json5"
+FEEDS = "{purges: {feeds: ['127.0.0.1:1'], token_file: 't'}, fleet: {%s}}"
 RULE = "{endpoints: {rules: [{name: 'x', %s}]}}"
 
 
 @pytest.mark.parametrize("text,says", [
     ("{\n\nendpoints: {,}}", "line 3: .*expected JSON5"), ("[]", "the whole file: expected object"),
-    ("{endpoint: {}}", "endpoint: unknown key; expected one of endpoints, purges, recovery, logs"),
+    ("{endpoint: {}}", "endpoint: unknown key; expected one of endpoints, purges, recovery, fleet, logs"),
     (RULE % "match: {zon: 'a'}", r"endpoints.rules\[0\].match.zon: unknown key; expected one of id, zone"),
     (RULE % "add: 'x'", r"endpoints.rules\[0\].add: expected array, got str"),
     (RULE % "", r"endpoints.rules\[0\]: expected exactly one of add, replace, order"),
@@ -37,6 +38,10 @@
     ("{endpoints: {delay: {least_ms: 5}}}", "endpoints.delay.least_ms: 5; expected a number from 10 to 2000"),
     ("{endpoints: {delay: {first_ms: NaN}}}", "endpoints.delay.first_ms: nan; expected a number"),
     ("{endpoints: {pause: {most_ms: 1}}}", "endpoints.pause.most_ms: 1; expected a number from 500"),
+    ("{fleet: {}}", "fleet: needs purges.feeds; expected feeds that take reports"),
+    ("{fleet: {alone: 'no'}}", "fleet.alone: 'no'; expected one of out, strict"),
+    (FEEDS % "board_ms: 500", "fleet.board_ms: 500; expected a number from 2000"),
+    (FEEDS % "report_ms: 0", "fleet.report_ms: 0; expected a number from 100"), (FEEDS % "board: ''", "fleet.board: ''; expected a name"),
     ("{logs: {format: 'xml'}}", "logs.format: 'xml'; expected one of json, keyvalue, plain"),
 ])  # fmt: skip
 def test_what_is_wrong_is_one_line_with_the_key_and_what_was_expected(text: str, says: str) -> None:
@@ -45,6 +50,16 @@
     assert "\n" not in str(caught.value)
 
 
+def test_the_digest_of_a_file_leaves_places_out() -> None:
+    def digest(text: str) -> str:
+        told = read_operator(text.encode()).fleet
+        assert told is not None
+        return told.digest
+
+    moved = (FEEDS % "dir: '/a'").replace("127.0.0.1:1", "127.0.0.1:2").replace("'t'", "'u'")
+    assert digest(FEEDS % "dir: ''") == digest(FEEDS % "") == digest(moved) != digest(FEEDS % "alone: 'strict'")
+
+
 def test_the_example_has_every_key_at_its_default() -> None:
     operator = read_operator(EXAMPLE.read_bytes())
     assert operator.options == Options() and len(operator.rules.rules) == 3
@@ -77,7 +92,7 @@
 def test_the_platforms_start_imports_none_of_the_heavy_parts() -> None:
     code = "import sys, gladelane.__main__; print(sorted(m for m in sys.modules if '.' not in m or 'gladelane' in m))"
     done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, cwd=ROOT, check=True)
-    for heavy in ("typer", "rich", "structlog", "pyjson5", "netaddr", "gladelane.lab", "gladelane.cli", "gladelane.settings"):
+    for heavy in ("typer", "rich", "structlog", "pyjson5", "netaddr", "gladelane.lab", "gladelane.cli", "gladelane.settings", "gladelane.fleet"):
         assert f"'{heavy}'" not in done.stdout
 
 
