Tell what earlier processes left part by part, and test an upgrade under the audit

Cause: read again, a large trail of a killed process would have made one report over the feed's bound and been refused for ever, and a feed that lost all its state would have been told the same spans without a pause, since it could never say that it has them from the first on.

Change: Prior tells parts; a report names the first span that its sender still has, and feeds count from there. A test brings a second process up beside the first: two starts, one trail's folder handed over.

--- a/gladelane/fleet/collector.py
+++ b/gladelane/fleet/collector.py
@@ -156,7 +156,7 @@
             self.judge.heard(report.director, report.zone, report.view, now, report.start)
         await self._take([report], [], "")
         run = report.director, report.start
-        stored = self.ledger.upto(run)
+        stored = self.ledger.upto(run, report.first)
         others = max((peer.upto.get(run, 0) for peer in self._peers), default=stored)
         answer = Answer(self.name, self.epoch, self.clock(), stored, min(stored, others), self.tenure_ms)
         if report.current and report.open is None:
--- a/gladelane/fleet/ledger.py
+++ b/gladelane/fleet/ledger.py
@@ -264,9 +264,18 @@
 
     # --- for other ledgers
 
-    def upto(self, run: Run) -> int:
-        """The last number up to which all spans of a start are here."""
-        return self._runs[run].upto if run in self._runs else 0
+    def upto(self, run: Run, first: int = 1) -> int:
+        """The last number up to which all spans of a start are here, from one on: who tells them may have no
+        earlier ones any more."""
+        started = self._runs.get(run)
+        if started is None:
+            return 0
+        if started.upto >= first - 1:
+            return started.upto
+        place, last = bisect_left(started.numbers, first), first - 1
+        while place < len(started.numbers) and started.numbers[place] == last + 1:
+            place, last = place + 1, last + 1
+        return last
 
     def marks(self) -> dict[Run, int]:
         return {key: run.upto for key, run in self._runs.items()}
--- a/gladelane/fleet/service.py
+++ b/gladelane/fleet/service.py
@@ -40,6 +40,7 @@
 BACKOFF_S, BACKOFF_MOST_S = 0.1, 1.0
 START_SHIFT = 1024  # two starts of one millisecond are told apart by chance
 OPEN_AGAIN_MS = 2_000.0
+MOST_TRIES = 60  # to have a second feed say that it has what an earlier process left
 LAST_S = 0.5  # for the last report
 
 
@@ -71,6 +72,31 @@
     return blake2b(repr(sorted(plain.items())).encode(), digest_size=DIGEST_BYTES).hexdigest()
 
 
+class Prior:
+    """What an earlier process left, told part by part until two feeds have it."""
+
+    def __init__(self, page: Page, spans: list[Span]) -> None:
+        self.page = page
+        self._spans = spans
+        self._stored = spans[0].number - 1
+        self._tries = 0
+
+    def report(self, director: str, zone: str) -> Report:
+        part = [span for span in self._spans if span.number > self._stored][:A_REPORT] or self._spans[-1:]
+        return Report(
+            director, self.page.start, zone, 0.0, spans=part, views=self.page.views, lost=self.page.lost,
+            current=False, first=self._spans[0].number,
+        )
+
+    def told(self, answer: Answer) -> bool:
+        """Whether it is done with; also after many tries: a feed that lost what came before it never says
+        that two have all."""
+        self._tries = 0 if answer.stored > self._stored else self._tries + 1
+        self._stored = max(self._stored, answer.stored)
+        last = self._spans[-1].number
+        return answer.copied >= last or (answer.stored >= last and self._tries >= MOST_TRIES)
+
+
 class Service:
     """`Director.audit`. empty: tells clients to go; again: follows the board anew."""
 
@@ -99,7 +125,7 @@
         self._views = {self._name: self._view}
         worths = {cls: spec.worth for cls, spec in director.settings.classes.items()}
         self.trail = Trail(name, start, self._name, worths, now, options.trail_bytes)
-        self._prior = [(page, spans) for page in left if page.director == name and (spans := ends(page))]
+        self._prior = [Prior(page, spans) for page in left if page.director == name and (spans := ends(page))]
         self._written = 0  # the last span in the book
         self._feeds = list(holder.options.feeds)
         self._leaves = False  # its last span is closed
@@ -232,11 +258,12 @@
             why = type(error).__name__
             log.warning("audit: feed did not answer feed=%s:%d: %s %s", host, port, why, error)
             return False
-        self._more = prior is not None or len(report.spans) == A_REPORT
         if prior is not None:
-            if answer.copied >= prior.number:
+            self._more = True  # its own turn is next, without a wait
+            if prior.told(answer):
                 self._prior.pop(0)
             return True
+        self._more = len(report.spans) == A_REPORT and answer.stored >= report.spans[-1].number
         self._answered(answer, report, asked)
         return True
 
@@ -257,27 +284,27 @@
             self._at = (self._at + 1) % len(self._feeds)
         self._forget_views()
 
-    def _next(self) -> tuple[Report, Span | None]:
-        """What to report; with the last span of an earlier process, where it is that one's."""
+    def _next(self) -> tuple[Report, Prior | None]:
+        """What to report, and of which earlier process, where it is of one."""
         trail = self.trail
         zone = self._director.settings.zone
         if self._prior and self._granted.is_set() and not self._more:  # in turns: the tenure goes on
-            page, spans = self._prior[0]
-            report = Report(trail.director, page.start, zone, 0.0, spans=spans, views=page.views,
-                            lost=page.lost, current=False)
-            return report, spans[-1]
+            prior = self._prior[0]
+            return prior.report(trail.director, zone), prior
         spans = trail.waiting(A_REPORT)
         if self._leaves:
             named = {span.view for span in spans}
             views = {name: self._views[name] for name in named if name in self._views}
             last = Report(trail.director, trail.start, zone, 0.0, spans=spans, views=views, lost=trail.lost)
+            last.first = trail.copied + 1
             return last, None
         open_ = trail.checkpoint(self._totals(), self._clock())
         named = {span.view for span in spans} - {open_.view}  # that one goes along as the report's own
         return Report(
             trail.director, trail.start, zone, 0.0, spans=spans,
             views={name: self._views[name] for name in named if name in self._views}, open=open_,
-            lost=trail.lost, offset=self._offset, clock=self._clock_of, stage=int(self.tenure.stage),
+            lost=trail.lost, offset=self._offset, clock=self._clock_of, first=trail.copied + 1,
+            stage=int(self.tenure.stage),
         ), None
 
     def _forget_views(self) -> None:
@@ -286,7 +313,7 @@
 
     async def _write(self) -> None:
         if self._book is None and self._options.dir and steady_ms() > self._book_again_ms:
-            self._prior += [(p, spans) for p in self._open_book() if p.director == self.trail.director
+            self._prior += [Prior(p, spans) for p in self._open_book() if p.director == self.trail.director
                             and p.start < self.trail.start and (spans := ends(p))]
         if self._book is None:
             return
@@ -299,7 +326,7 @@
         whole = None
         if self._book.full:
             mine = Page(trail.director, trail.start, kept, dict(self._views), open_, trail.lost, trail.copied)
-            whole = [*(page for page, _ in self._prior), mine]
+            whole = [*(prior.page for prior in self._prior), mine]
         if await asyncio.to_thread(self._book.write, page, whole):
             self._written = max(self._written, fresh[-1].number if fresh else 0)
 
--- a/gladelane/fleet/wire.py
+++ b/gladelane/fleet/wire.py
@@ -22,8 +22,9 @@
 class Report(msgspec.Struct, omit_defaults=True):
     """Of one start of a director. sent_ms: its Unix clock. offset: bounds of what the feed's clock shows
     beyond its own, in ms, with `clock`, the feed's name, as found in earlier exchanges. current: the process
-    lives; else it tells what the one before it left behind. The feed that takes it adds `taken_ms`, by its
-    own clock, and its name as `by`."""
+    lives; else it tells what the one before it left behind. first: the first span that the sender still has;
+    what lies before it two feeds had once. The feed that takes it adds `taken_ms`, by its own clock, and its
+    name as `by`."""
 
     director: str
     start: int
@@ -40,6 +41,7 @@
     stage: int = 0
     taken_ms: float = 0.0
     by: str = ""
+    first: int = 1
 
 
 class Answer(msgspec.Struct, omit_defaults=True):
--- a/gladelane/lab/fleet/fleet.py
+++ b/gladelane/lab/fleet/fleet.py
@@ -169,6 +169,10 @@
 
     # --- lives
 
+    def command(self, one: Life) -> tuple[list[str], dict[str, str]]:
+        """How a director is started, for a process beside it."""
+        return self._director(one)
+
     async def again(self, one: Life) -> None:
         """Starts one that has ended."""
         await self._start(one)
--- a/tests/fleet/test_audit.py
+++ b/tests/fleet/test_audit.py
@@ -25,7 +25,7 @@
 from gladelane.fleet.view import View, name_of
 from gladelane.fleet.wire import Answer, Report
 from gladelane.lab.fleet.audited import asked, play_audited
-from gladelane.lab.fleet.fleet import TOKEN, Fleet, Shape
+from gladelane.lab.fleet.fleet import TOKEN, Fleet, Shape, kept_port
 from gladelane.lab.fleet.load import Load
 from gladelane.lab.fleet.relay import State
 from gladelane.lab.processes import ROOT
@@ -380,3 +380,37 @@
             assert code == 1 and "404" in text
 
     asyncio.run(scene())
+
+
+def test_an_upgrade_is_two_starts_of_one_director_and_the_trails_folder_goes_over(tmp_path: Path) -> None:
+    async def scene() -> None:
+        async with fleet_of(tmp_path, directors=1, feeds=1, audit=True) as fleet:
+            one, file = fleet.directors[0], tmp_path / "director-0.json5"
+            told = json.loads(file.read_text())
+            told["purges"]["dir"] = ""  # one folder of purges cannot be open twice
+            fleet.changes["director-0"] = {"purges": told["purges"]}
+            await struck(fleet, "0 term directors:0")
+            command, env = fleet.command(one)
+            raw = json.loads((tmp_path / "director-0.json").read_text())
+            raw["ops"] = f"127.0.0.1:{kept_port(random.Random(9))}"
+            (tmp_path / "newer.json").write_text(json.dumps(raw))
+            with open(tmp_path / "newer.log", "wb") as log:
+                newer = await asyncio.create_subprocess_exec(*command, cwd=ROOT, env={**env, "GW_CONFIG": str(tmp_path / "newer.json")}, stderr=log)
+            try:
+                await until(lambda: "ready name=" in (tmp_path / "newer.log").read_text(), 10.0)
+                await fleet.end(one, signal.SIGTERM)
+                await until(lambda: list((one.folder / "trail").glob("*.log")) and "processes=1" in (tmp_path / "newer.log").read_text(), 5.0)
+                await asyncio.sleep(3.5)
+                rows = (await asked(fleet, 0, "/fleet/audit?director=director-0"))["rows"]
+                starts = sorted({row["start"] for row in rows})
+                assert len(starts) == 3 and [row["known"] for row in rows if row["start"] == starts[1]][-1] in ("acted", "not running"), rows
+                assert (await asked(fleet, 0, "/fleet/verify"))["wrong"] == []
+                assert (await asked(fleet, 0, "/fleet/versions"))["lacks"] == []
+                assert "the process before this one has the trail's folder" in (tmp_path / "newer.log").read_text()
+            finally:
+                newer.terminate()
+                await newer.wait()
+            last = (await asked(fleet, 0, "/fleet/audit?director=director-0&from=" + str(time.time() * 1000.0)))["rows"]
+            assert [row["known"] for row in last if row["start"] == starts[2]][-1:] == ["not running"], last
+
+    asyncio.run(scene())
--- a/tests/fleet/test_audit_pure.py
+++ b/tests/fleet/test_audit_pure.py
@@ -129,6 +129,9 @@
     for place in rng.sample(range(8), 8):
         other.take(parts[place])
     assert one.spans == other.spans == 12 and one.marks() == other.marks() and one.verify() == other.verify() == []
+    partly = Ledger()
+    partly.take(report(trails[0], trails[0].kept()[3:]))  # it lost what came before, and so did its peers
+    assert (partly.upto(("d", 1)), partly.upto(("d", 1), 4), partly.upto(("d", 1), 7)) == (0, 6, 6)
     third = Ledger()
     for told in one.beyond({("d", 1): 4}, 3):
         third.take(told)
