Let a director that slept and has caught up act again with its next answer

Change: who caught up within again_ms and has not relapsed within a minute is let back at once (fleet/straggle.py).

With it a test: back with the next report, not twice.

--- a/gladelane/fleet/straggle.py
+++ b/gladelane/fleet/straggle.py
@@ -14,7 +14,8 @@
 - The last of a zone that serves is not emptied or shut out unless it is wrong about all that it serves, that
   is about the list; it is kept from strict classes at the most.
 
-Back it comes once it lacks nothing for `back_ms`, twice as long after each relapse within a minute.
+Back it comes once it lacks nothing for `back_ms`, twice as long after each relapse within a minute; at once
+where it caught up within `again_ms` and had not lacked anything lately, as one does that slept.
 """
 
 from __future__ import annotations
@@ -166,7 +167,7 @@
     """A director as its judge sees it."""
 
     __slots__ = ("zone", "view", "heard_ms", "behind", "stage", "why", "lacks", "well_ms", "back_ms",
-                 "returned_ms", "start", "mine")
+                 "returned_ms", "start", "mine", "held_ms", "relapsed")
 
     def __init__(self) -> None:
         self.zone = ""
@@ -181,6 +182,8 @@
         self.returned_ms = -RELAPSE_MS
         self.start = 0
         self.mine = False  # this feed judged it last
+        self.held_ms = -RELAPSE_MS  # when it was moved past being told
+        self.relapsed = False  # a while after it had been let back
 
 
 class Explained(msgspec.Struct):
@@ -280,6 +283,7 @@
             relapsed = now_ms - one.returned_ms < RELAPSE_MS
             before = one.back_ms if relapsed else 0.0
             one.back_ms = min(max(2.0 * before, self.ladder.back_ms), BACK_MOST * self.ladder.back_ms)
+            one.held_ms, one.relapsed = now_ms, relapsed
         one.stage = allowed
         one.why = f"{why}; {held}" if held else why
         one.lacks = self.told.lacks(one.view, parts)
@@ -306,7 +310,9 @@
 
     def _back(self, one: Watched, now_ms: float) -> None:
         one.well_ms = one.well_ms or now_ms
-        if now_ms - one.well_ms < one.back_ms:
+        # one that woke and has heard all by its next report was behind for no fault of its own
+        slept = not one.relapsed and now_ms - one.held_ms < self.ladder.again_ms
+        if not slept and now_ms - one.well_ms < one.back_ms:
             well_s, back_s = (now_ms - one.well_ms) / 1000.0, one.back_ms / 1000.0
             one.why = f"lacks nothing, for {well_s:.1f} of {back_s:.1f} s"
             if one.stage >= SERVES and not self._others(one, now_ms):
--- a/tests/fleet/test_audit_pure.py
+++ b/tests/fleet/test_audit_pure.py
@@ -293,6 +293,20 @@
     assert took[0] < took[1] < took[2] <= 5000.0
 
 
+def test_one_that_slept_and_has_heard_all_by_its_next_report_is_let_back_at_once_but_not_twice() -> None:
+    fleet = Fleet(dict.fromkeys("abcdefgh", "z"))
+    fleet.run(1000.0)
+    for rev, at_once in ((2, True), (3, False)):
+        fleet.silent = {"a"}
+        fleet.change("bcdefgh", rev=rev)
+        fleet.run(6000.0)
+        fleet.silent = set()
+        assert fleet.run(400.0) == {"a": Stage.EMPTIED}, "it does not act on what it knew"
+        fleet.change("a", rev=rev)
+        assert (fleet.run(400.0) == {}) is at_once
+        fleet.run(2500.0)
+
+
 @pytest.mark.parametrize(("zones", "behind", "change", "stages", "why"), [
     # more than the share: one is held back, the others are only told
     (dict.fromkeys("abcdefgh", "z"), "abc", {"rev": 1}, {"a": Stage.OUT, "b": Stage.AGAIN, "c": Stage.AGAIN}, "share of the fleet"),
