--- a/benchmarks/audit.py
+++ b/benchmarks/audit.py
@@ -19,7 +19,7 @@
 
 from benchmarks import conclude
 from gladelane.fleet.ledger import Ledger
-from gladelane.fleet.service import steady_ms
+from gladelane.fleet.steady import steady_ms
 from gladelane.fleet.tenure import Stage, Tenure
 from gladelane.fleet.trail import Trail
 from gladelane.fleet.view import View, name_of
--- a/gladelane/__main__.py
+++ b/gladelane/__main__.py
@@ -19,6 +19,8 @@
 if TYPE_CHECKING:
     from .fleet.service import Service
     from .operations.door import Door
+    from .ownership.options import Options as OwnerOptions
+    from .ownership.owner import Owner
     from .purges.holder import Holder
     from .purges.holder import Options as HolderOptions
     from .recovery.service import Recovery
@@ -98,6 +100,9 @@
             )
             self.purges.turned = self.audit.turned
             self.director.more = self._lines
+        self.owner: Owner | None = None
+        if operator is not None and operator.owners is not None and self.purges is not None:
+            self.owner = open_owner(operator.owners, self.purges, config)
         self.port = 0
         self.folder = os.environ.get("TMPDIR", "")
         self.desk = Desk(self.director, self.front.drain, self.clock.now, self.front.empty, self._held)
@@ -131,6 +136,8 @@
 
             timeout = self.config.conn.dial_timeout_ms
             self.purges.start(Deliver(self.purges.orders, self.endpoints, self.upstream, timeout))
+            if self.owner is not None:
+                self.owner.start()
             await self.purges.ready()
         if self.audit is not None:
             await self.audit.start()
@@ -257,6 +264,8 @@
             await self.audit.close()
         if self.recovery is not None:
             await self.recovery.close()
+        if self.owner is not None:
+            await self.owner.close()
         if self.purges is not None:
             await self.purges.close()
         for task in [*self._tasks, self._board]:
@@ -299,6 +308,24 @@
         return opened()
 
 
+def open_owner(options: OwnerOptions, purges: Holder, config: Config) -> Owner:
+    """Orders to servers go out by shards, each from the one director that has it."""
+    from .fleet.steady import steady_ms
+    from .ownership.owner import Owner
+    from .ownership.shards import Sharded, works
+
+    settings = config.settings
+    owner = Owner(
+        works(options.shards, settings.me, settings.proxies), config.name, list(purges.options.feeds),
+        options.length_ms, purges.own_token, steady_ms, random.Random(),
+    )
+    sharded = Sharded(
+        purges.orders, options.shards, owner.holds, owner.alone, purges.standing.positions.vector
+    )
+    owner.progress, owner.resume, purges.orders.owned = sharded.progress, sharded.resume, sharded.owned
+    return owner
+
+
 def watch_gc() -> None:
     began = 0.0
 
--- a/gladelane/cli/audit.py
+++ b/gladelane/cli/audit.py
@@ -186,4 +186,19 @@
         raise typer.Exit(1)
 
 
-COMMANDS = (versions, audit, stragglers, explain, expect, verify)
+def owners(feed: FeedAt, tokens: TokenFile, json_: Json = False, tls_ca: CaFile = None) -> None:
+    """Who has which piece of the fleet's work, as this keeper knows it."""
+    told = ask_feed(feed, tokens, tls_ca, "GET", "/leases")
+    if json_:
+        print(json.dumps(told))
+        return
+    if not told["ready"]:
+        print(f"{told['keeper']}: grants nothing yet: it has just started", file=sys.stderr)
+    table = Table("work", "owner", "number", "for s", "ends in s", box=None, pad_edge=False)
+    for one in told["owners"]:
+        since, left = f"{one['since_ms'] / 1000.0:.1f}", f"{one['left_ms'] / 1000.0:.1f}"
+        table.add_row(one["work"], one["holder"] or "nobody", str(one["number"]), since, left)
+    out.print(table)
+
+
+COMMANDS = (versions, audit, stragglers, explain, expect, verify, owners)
--- a/gladelane/cli/purge.py
+++ b/gladelane/cli/purge.py
@@ -83,6 +83,12 @@
         float, typer.Option(help="How long behind until shut out; the steps before it are parts of this.")
     ] = 8000.0,
     share: Annotated[float, typer.Option(help="Of the fleet, that may be held back at once.")] = 0.25,
+    keeper: Annotated[
+        Path | None, typer.Option(help="Grant leases with the other feeds; where numbers are stored.")
+    ] = None,
+    lease_ms: Annotated[
+        float, typer.Option(help="The longest lease; a start grants none for so long.")
+    ] = 3000.0,
     retention_s: Annotated[float, typer.Option(help="For which a purge stands.")] = 604_800.0,
     tls_cert: Annotated[Path | None, typer.Option(help="Serve TLS.")] = None,
     tls_key: Annotated[Path | None, typer.Option(help="Its key.")] = None,
@@ -118,6 +124,14 @@
             )
             for place in peers:
                 feed.audit.hand_to(*place, tls=_trust(tls_ca))
+        if keeper is not None:
+            from ..fleet.steady import steady_ms
+            from ..ownership.desk import Desk
+
+            feed.keeper = Desk(
+                name, Folder(keeper), feed.tokens.own, steady_ms, lease_ms, peers, _trust(tls_ca), first,
+                feed.clock(),
+            )
         stop = asyncio.Event()
         for number in (signal.SIGTERM, signal.SIGINT):
             asyncio.get_running_loop().add_signal_handler(number, stop.set)
--- a/gladelane/fleet/service.py
+++ b/gladelane/fleet/service.py
@@ -7,7 +7,6 @@
 import asyncio
 import logging
 import random
-import time
 from collections.abc import Callable
 from hashlib import blake2b
 from pathlib import Path
@@ -24,6 +23,7 @@
 from ..structures.backoff import Backoff
 from .book import Book, Page
 from .options import Options
+from .steady import steady_ms
 from .tenure import Stage, Tenure
 from .trail import Span, Totals, Trail
 from .view import DIGEST_BYTES, View, list_digest, name_of
@@ -52,11 +52,6 @@
     def forward(self) -> bool: ...
 
 
-def steady_ms() -> float:
-    """Milliseconds that do not step and go on while the machine sleeps."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME) * 1000.0
-
-
 def program_digest() -> str:
     """Of the program's own files."""
     root, found = Path(__file__).parent.parent, blake2b(digest_size=DIGEST_BYTES)
--- a/gladelane/lab/fleet/fleet.py
+++ b/gladelane/lab/fleet/fleet.py
@@ -60,6 +60,9 @@
     share: float = 0.25
     trail: bool = True  # each director has a folder for its trail
     enforce: bool = True
+    owners: bool = False  # feeds are keepers, directors own shards of orders
+    lease_ms: float = 1500.0
+    shards: int = 8
 
 
 class Pool:
@@ -218,6 +221,8 @@
         if self.shape.audit:
             command += ["--audit", str(one.folder / "audit"), "--tenure-ms", str(self.shape.tenure_ms),
                         "--behind-ms", str(self.shape.behind_ms), "--share", str(self.shape.share)]
+        if self.shape.owners:
+            command += ["--keeper", str(one.folder / "keeper"), "--lease-ms", str(self.shape.lease_ms)]
         return command, dict(os.environ)
 
     def _director(self, one: Life) -> tuple[list[str], dict[str, str]]:
@@ -244,6 +249,8 @@
                 "alone": shape.alone, "board_ms": shape.board_ms, "report_ms": 400, "enforce": shape.enforce
             }
             operator["fleet"] |= {"dir": str(one.folder / "trail")} if shape.trail else {}
+        if shape.owners:
+            operator["owners"] = {"length_ms": shape.lease_ms, "shards": shape.shards}
         operator |= self.changes.get(one.name, {})
         config, file = self.folder / f"{one.name}.json", self.folder / f"{one.name}.json5"
         config.write_text(json.dumps(raw))
--- a/gladelane/lab/fleet/world.py
+++ b/gladelane/lab/fleet/world.py
@@ -6,6 +6,7 @@
 import asyncio
 from collections import Counter
 from collections.abc import Awaitable, Callable
+from functools import partial
 from typing import Any
 
 from ...endpoints.address import Family
@@ -48,6 +49,7 @@
         self.drained_ms: dict[str, float] = {}
         self.after_drain = 0  # requests to a drained cache past the second that directors have
         self.board_port = 0
+        self.orders: list[tuple[str, float, str]] = []  # to drop copies: to whom, when, what
         self.watch: Callable[[str, Seen], None] = lambda name, seen: None  # hears of each attempt
         self._late: list[dict[str, Any]] = []
         self._holding = False
@@ -57,13 +59,17 @@
         for name, shelf in self.shelves.items():
             self.standins[name] = standin = Standin(name, lambda seen, name=name: self._answer(name, seen))  # type: ignore[misc]
             shelf.groups = groups
-            standin.drop = shelf.drop
+            standin.drop = partial(self._drop, name)
             self.addresses[name] = await standin.listen(Family.V4)
         self.board_port = int((await self.board.start()).rpartition(":")[2])
         self.board.tell({"pool": {"generation": 1, "reset": True, "instances": [
             self.instance(name) for name in self.shelves
         ]}})
 
+    def _drop(self, name: str, order: str) -> None:
+        self.orders.append((name, now_ms(), order))
+        self.shelves[name].drop(order)
+
     def instance(self, name: str) -> dict[str, Any]:
         kind = {"depot": "parent", "bank": "origin"}.get(name, "standard")
         return {"instanceId": name, "hostPort": self.addresses[name], "machineType": kind, "cell": 0,
--- a/gladelane/purges/feed.py
+++ b/gladelane/purges/feed.py
@@ -8,6 +8,7 @@
     POST /events              from a director that knows what this feed lacks: the events of the stream
     POST /vouch               an operator's word on what was lost (`horizon`)
     /reports, /handed, /fleet/...   the audit, where it is on (`fleet.collector`)
+    /leases, /leases/numbers        leases, where this feed is a keeper (`ownership.desk`)
 
 Feeds that name one another follow one another: what one took reaches the followers of all, and one that comes
 back gets from its peers what it missed, also of its own earlier epochs. Only the committer changes the state,
@@ -48,6 +49,7 @@
 
 if TYPE_CHECKING:
     from ..fleet.collector import Collector
+    from ..ownership.desk import Desk
 
 log = logging.getLogger(__name__)
 
@@ -59,7 +61,7 @@
 FORGET_S = 60.0
 SETTLE_S = 1.0  # for peers to make good what a start finds lost, before followers are told of it
 COPY_S = 2.0  # for other feeds to store a purge that is answered once they have
-LARGE = ("/events", "/reports", "/handed")  # bodies of up to MOST_EVENT bytes
+LARGE = ("/events", "/reports", "/handed", "/leases")  # bodies of up to MOST_EVENT bytes
 OWN = b"\xc1"  # before a record that is no purge; msgpack never begins so
 TAIL = 10_000  # purges kept as they came; a follower further behind is served from what stands
 
@@ -141,6 +143,7 @@
         self._owed: deque[_Owed] = deque()
         self._settled = asyncio.Event()
         self._server: asyncio.Server | None = None
+        self.keeper: Desk | None = None  # of leases, likewise
         self.audit: Collector | None = None  # of what directors report, where an option asks for it
         self.port = 0
         if lost:
@@ -189,6 +192,8 @@
         self.port = self._server.sockets[0].getsockname()[1]
         self._tasks += [asyncio.create_task(self._commit_all()), asyncio.create_task(self._forget_all()),
                         asyncio.create_task(self._settle())]
+        if self.keeper is not None:
+            self.keeper.start()
         if self.audit is not None:
             self.audit.start()
             self._tell_audit()
@@ -227,6 +232,8 @@
         for task in (*self._tasks, *self._open):
             task.cancel()
         await asyncio.gather(*self._tasks, *self._open, return_exceptions=True)
+        if self.keeper is not None:
+            await self.keeper.close()
         if self.audit is not None:
             await self.audit.close()
         self.log.close()
@@ -536,6 +543,8 @@
                 return encode_json(self.status())
             case "GET", "/explain":
                 return encode_json(self.explain(asked.query))
+        if self.keeper is not None and asked.path.startswith("/leases"):
+            return await self.keeper.answer(asked)
         if self.audit is not None:
             return await self.audit.answer(asked, caller)
         raise Refused(404, f"{asked.method} {asked.path}: no such thing here")
--- a/gladelane/purges/orders.py
+++ b/gladelane/purges/orders.py
@@ -8,10 +8,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import NamedTuple
 
-from .order import Purge
+from .order import Purge, Vector
 
 A_BATCH = 200  # purges in one order
 RETRY_FIRST_MS, RETRY_MOST_MS = 200.0, 10_000.0
@@ -28,7 +28,7 @@
 
 
 class _Server:
-    __slots__ = ("run", "place", "out", "due_ms", "fails")
+    __slots__ = ("run", "place", "out", "due_ms", "fails", "done")
 
     def __init__(self, run: float) -> None:
         self.run = run
@@ -36,6 +36,7 @@
         self.out = False
         self.due_ms = 0.0
         self.fails = 0
+        self.done: Vector = {}  # what another director has had acknowledged
 
 
 class Orders:
@@ -48,6 +49,7 @@
         self._out = 0
         self._tokens, self._at_ms = per_s, now_ms
         self._turn = 0
+        self.owned: Callable[[str], bool] = lambda server: True  # whether its orders are this director's
 
     def servers(self, runs: Mapping[str, float]) -> None:
         """The servers that take orders, each with the start of its process; others are forgotten."""
@@ -93,16 +95,38 @@
                 break
             name = names[(self._turn + step) % len(names)]
             server = self._servers[name]
-            if server.out or server.due_ms > now_ms or server.place >= len(self._all):
+            if server.out or server.due_ms > now_ms or server.place >= len(self._all) or not self.owned(name):
                 continue
             upto = min(server.place + A_BATCH, len(self._all))
-            made.append(Order(name, server.run, upto, tuple(self._all[server.place : upto])))
+            owed = tuple(
+                purge for purge in self._all[server.place : upto]
+                if purge.seq > server.done.get((purge.issuer, purge.epoch), 0)
+            )
+            if not owed:
+                server.place = upto
+                continue
+            made.append(Order(name, server.run, upto, owed))
             server.out = True
             self._out += 1
             self._tokens -= 1.0
         self._turn += 1
         return made
 
+    def resume(self, server: str, run: float, vector: Vector) -> None:
+        """Another director has had so much acknowledged by this process of a server."""
+        known = self._servers.get(server)
+        if known is not None and known.run == run:
+            streams = known.done.keys() | vector.keys()
+            known.done = {s: max(known.done.get(s, 0), vector.get(s, 0)) for s in streams}
+
+    def acknowledged_by(self, reached: Vector) -> dict[str, tuple[float, Vector]]:
+        """Each server's process, and up to where it is known to have acknowledged; reached: all that the list
+        has."""
+        return {
+            name: (server.run, reached if server.place >= len(self._all) else server.done)
+            for name, server in self._servers.items()
+        }
+
     def acknowledged(self, order: Order) -> None:
         server = self._over(order)
         if server is not None:
--- a/gladelane/settings/operator.py
+++ b/gladelane/settings/operator.py
@@ -17,6 +17,7 @@
 from ..endpoints.plan import Options
 from ..endpoints.rules import Network, Preference, Rule, Rules, check_template
 from ..fleet.options import Options as FleetOptions
+from ..ownership.options import Options as OwnerOptions
 from ..purges.holder import Options as HolderOptions
 from ..recovery.options import Options as RecoveryOptions
 
@@ -117,11 +118,19 @@
     trail_mb: float = 4.0
 
 
+class OwnersText(msgspec.Struct, forbid_unknown_fields=True):
+    """One owner at a time for the fleet's work: orders to servers, by shards."""
+
+    length_ms: float = 3_000.0
+    shards: int = 16
+
+
 class OperatorText(msgspec.Struct, forbid_unknown_fields=True):
     endpoints: EndpointsText = msgspec.field(default_factory=EndpointsText)
     purges: PurgesText | None = None
     recovery: RecoveryText | None = None
     fleet: FleetText | None = None
+    owners: OwnersText | None = None
     logs: LogsText = msgspec.field(default_factory=LogsText)
 
 
@@ -134,6 +143,7 @@
     purges: HolderOptions | None = None
     recovery: RecoveryOptions | None = None
     fleet: FleetOptions | None = None
+    owners: OwnerOptions | None = None
 
 
 def read_operator(data: bytes) -> Operator:
@@ -153,7 +163,8 @@
         raise _worded(str(error)) from None
     purges = None if text.purges is None else _purges(text.purges)
     rules = _rules(text.endpoints.rules)
-    return Operator(_options(text.endpoints), rules, text.logs, purges, _recovery(text), _fleet(text))
+    return Operator(_options(text.endpoints), rules, text.logs, purges, _recovery(text), _fleet(text),
+                    _owners(text))
 
 
 def _recovery(text: OperatorText) -> RecoveryOptions | None:
@@ -184,6 +195,20 @@
     )
 
 
+def _owners(text: OperatorText) -> OwnerOptions | None:
+    if text.owners is None:
+        return None
+    if text.purges is None or not text.purges.order_kinds:
+        why = "needs purges.order_kinds; expected kinds of servers that take orders"
+        raise BadOperatorFile("owners", why)
+    if not len(text.purges.feeds) % 2:
+        count = len(text.purges.feeds)
+        raise BadOperatorFile("owners", f"{count} feeds; expected an odd number, of which a majority decides")
+    _bounded("owners.length_ms", text.owners.length_ms, 500, 60_000)
+    _bounded("owners.shards", text.owners.shards, 1, 256)
+    return OwnerOptions(text.owners.length_ms, text.owners.shards)
+
+
 def _digest(text: OperatorText) -> str:
     """Of what the file decides: places and tokens differ from director to director."""
     raw = msgspec.to_builtins(text)
--- a/tests/fleet/test_audit.py
+++ b/tests/fleet/test_audit.py
@@ -20,7 +20,8 @@
 from test_coming_back import fleet_of, said, struck
 
 from gladelane.fleet.options import Options
-from gladelane.fleet.service import Service, steady_ms
+from gladelane.fleet.service import Service
+from gladelane.fleet.steady import steady_ms
 from gladelane.fleet.trail import Trail
 from gladelane.fleet.view import View, name_of
 from gladelane.fleet.wire import Answer, Report
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -25,7 +25,7 @@
 
 @pytest.mark.parametrize("text,says", [
     ("{\n\nendpoints: {,}}", "line 3: .*expected JSON5"), ("[]", "the whole file: expected object"),
-    ("{endpoint: {}}", "endpoint: unknown key; expected one of endpoints, purges, recovery, fleet, logs"),
+    ("{endpoint: {}}", "endpoint: unknown key; expected one of endpoints, purges, recovery, fleet, owners, logs"),
     (RULE % "match: {zon: 'a'}", r"endpoints.rules\[0\].match.zon: unknown key; expected one of id, zone"),
     (RULE % "add: 'x'", r"endpoints.rules\[0\].add: expected array, got str"),
     (RULE % "", r"endpoints.rules\[0\]: expected exactly one of add, replace, order"),
@@ -38,6 +38,7 @@
     ("{endpoints: {delay: {least_ms: 5}}}", "endpoints.delay.least_ms: 5; expected a number from 10 to 2000"),
     ("{endpoints: {delay: {first_ms: NaN}}}", "endpoints.delay.first_ms: nan; expected a number"),
     ("{endpoints: {pause: {most_ms: 1}}}", "endpoints.pause.most_ms: 1; expected a number from 500"),
+    ("{owners: {}}", "owners: needs purges.order_kinds; expected kinds"),
     ("{fleet: {}}", "fleet: needs purges.feeds; expected feeds that take reports"),
     ("{fleet: {alone: 'no'}}", "fleet.alone: 'no'; expected one of out, strict"),
     (FEEDS % "board_ms: 500", "fleet.board_ms: 500; expected a number from 2000"),
@@ -92,7 +93,8 @@
 def test_the_platforms_start_imports_none_of_the_heavy_parts() -> None:
     code = "import sys, gladelane.__main__; print(sorted(m for m in sys.modules if '.' not in m or 'gladelane' in m))"
     done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, cwd=ROOT, check=True)
-    for heavy in ("typer", "rich", "structlog", "pyjson5", "netaddr", "gladelane.lab", "gladelane.cli", "gladelane.settings", "gladelane.fleet"):
+    for heavy in ("typer", "rich", "structlog", "pyjson5", "netaddr", "gladelane.lab", "gladelane.cli", "gladelane.settings", "gladelane.fleet",
+                  "gladelane.ownership"):
         assert f"'{heavy}'" not in done.stdout
 
 
