--- a/gladelane/lab/fleet/owned.py
+++ b/gladelane/lab/fleet/owned.py
@@ -68,6 +68,12 @@
                     found[work].append((look.at, holder, number))
         return found
 
+    def held_now(self) -> int:
+        """Works that a majority of keepers says are held, by what each said last."""
+        latest = {look.keeper: look for look in sorted(self.looks)}
+        votes = Counter((work, grant) for look in latest.values() for work, grant in look.held.items())
+        return sum(2 * count > len(self.fleet.feeds) for count in votes.values())
+
     def reused(self) -> list[str]:
         """Numbers that two had, and numbers of a keeper that fell."""
         wrong: list[str] = []
@@ -103,6 +109,13 @@
     return total / max(len(wanted), 1), sum(not counts[pair] for pair in wanted)
 
 
+async def ordered(fleet: Fleet, load: Load, within_s: float = 12.0) -> None:
+    """Until every purge was ordered at every server; an owner that comes late is no owner that loses."""
+    until = time.monotonic() + within_s
+    while orders(fleet, load)[1] and time.monotonic() < until:
+        await asyncio.sleep(0.2)
+
+
 async def settled(watch: Watch, shards: int, within_s: float = 8.0) -> bool:
     """Whether every shard has an owner."""
     until = time.monotonic() + within_s
