--- a/gladelane/lab/fleet/owned.py
+++ b/gladelane/lab/fleet/owned.py
@@ -82,7 +82,7 @@
             for work, (holder, number) in look.held.items():
                 by[work, number][holder].add(look.keeper)
         for (work, number), holders in by.items():
-            # candidates that claim one number at once part the keepers; a majority, or one keeper twice, is wrong
+            # candidates that claim one number at once part the keepers: that is no fault
             many = [keepers for keepers in holders.values() if 2 * len(keepers) > len(self.fleet.feeds)]
             granted = [keeper for keepers in holders.values() for keeper in keepers]
             if len(many) > 1 or len(granted) > len(set(granted)):
