Look at window, client and unread bytes just before a send, and end answers that trickle

Director.recheck looked at lists, purges and the clock, not at the window nor at whether anybody still waits, and with cancels not allowed nothing took a waiting attempt back.

Ruled out: an abort lost with an idle close (closing abandons all that is open there), a send into an idle close of the same tick (retired is set first).

The tests of keys are as strict: what is bounded now refuses where it forgot.

--- a/gladelane/__main__.py
+++ b/gladelane/__main__.py
@@ -39,6 +39,7 @@
 from .operations.calls import Call
 from .operations.desk import Desk
 from .operations.retune import BOTH_MS, applied, between
+from .routes.keys import KEY_BYTES
 
 log = logging.getLogger("gladelane")
 endpoints_log = logging.getLogger("gladelane.endpoints")
@@ -48,6 +49,7 @@
 OWN_SOCKETS = 16  # of a process: its loops, listeners, the board's stream, the channel, files for a moment
 CALLERS_LEAST = 4  # at the door, however few descriptors there are
 HELD_SHARE = 0.25  # of the memory, for bodies and answers not yet taken
+KEYS_SHARE = 0.04  # of the memory, for keys that may have run: 4,500 of them where it is 80 MB
 GC_THRESHOLDS = (50_000, 10, 10)  # nearly all is freed by its last reference; cycles are few
 GC_LONG_MS = 10.0  # a collection this long is logged
 ENDPOINTS_SEED = 0x656E6473
@@ -67,8 +69,11 @@
         self.wheel = Wheel(self.clock.now)
         # randomness of its own: the module's decisions must not hang on what was dialled
         self.endpoints = Endpoints(random.Random(config.seed ^ ENDPOINTS_SEED), told=endpoints_log.warning)
-        self.director = Director(config.settings, config.seed, self.clock.now, self.wheel, self.endpoints)
         limits = config.limits
+        self.director = Director(
+            config.settings, config.seed, self.clock.now, self.wheel, self.endpoints,
+            int(limits.memory_mb * 1_000_000 * KEYS_SHARE / KEY_BYTES),
+        )
         most = int(limits.sockets * UPSTREAM_SHARE)
         self.upstream = Upstream(config.conn, most, self.clock.now, self.wheel, self.endpoints)
         self.director.sender, self.upstream.owner = self.upstream, self.director
--- a/gladelane/net/director.py
+++ b/gladelane/net/director.py
@@ -19,7 +19,7 @@
 from ..interface import Status, Timer
 from ..operations.figures import Figures
 from ..operations.maintenance import Register
-from ..routes.keys import KeyWindows
+from ..routes.keys import KeyWindows, kept_for
 from .config import Instance, Notice, Pool
 from .ends import STATUS, End
 from .exchange import Ask, Attempt, Code, Exchange, Final
@@ -78,7 +78,8 @@
 
 class Director:
     def __init__(
-        self, settings: Settings, seed: int, clock: Callable[[], float], wheel: Wheel, endpoints: Endpoints
+        self, settings: Settings, seed: int, clock: Callable[[], float], wheel: Wheel, endpoints: Endpoints,
+        keys_most: int,
     ) -> None:
         self.endpoints = endpoints
         self.settings = settings
@@ -95,7 +96,7 @@
         self.figures = Figures()
         self.figures.know(settings.classes)
         self.register = Register()
-        self.keys = KeyWindows()
+        self.keys = KeyWindows(kept_for(settings.classes.values()), keys_most)
         self._told: dict[str, tuple[Instance, Member]] = {}  # the list's own words
         self._seen: set[str] = set()  # ids that were ever listed
         self._flushes: deque[Notice] = deque()  # purges that still bind, for a process that comes after
@@ -124,6 +125,9 @@
         if self.audit is not None and (back := self.audit.admits(ask.cls)):
             exchange.finish(Final(Code.REFUSED, come_back_ms=min(back, self.settings.max_retry_after_ms)))
             return exchange
+        if keyed and self.keys.full(ask.key, now):
+            exchange.finish(Final(Code.REFUSED))  # it never was sent
+            return exchange
         if self.guard is not None and spec.cacheable:
             earns = spec.worth / max((one.worth for one in self.settings.classes.values()), default=1.0)
             back = self.guard.admits(ask.cls, (request.object, request.part), earns)
@@ -143,10 +147,14 @@
         return (other.ask.cls, other.ask.object, other.ask.part) != (ask.cls, ask.object, ask.part)
 
     def gone(self, exchange: Exchange) -> None:
-        """Nobody waits for this exchange any more."""
+        """Nobody waits for this exchange any more. What waits for a dial is not sent on, also where the
+        module may cancel nothing: there is nothing to cancel yet."""
         if not exchange.done:
             exchange.finish(None)
             self.post(ClientGone(exchange.request.id))
+            for attempt in list(exchange.open.values()):
+                if not attempt.written_ms:
+                    self._give_up(attempt, End.SURPLUS)
 
     def owed(self) -> bool:
         return any(not exchange.done for exchange in self.live.values())
@@ -280,6 +288,8 @@
     def retune(self, settings: Settings) -> None:
         """For requests that come from now on; those that are open keep what they came with."""
         self.settings = settings
+        # a try under the old settings may still be out: never less than was stated for it
+        self.keys.kept_ms = max(self.keys.kept_ms, kept_for(settings.classes.values()))
         self.figures.know(settings.classes)
         self._turned()
         self.router.retune(settings)
@@ -298,13 +308,18 @@
     # --- from the upstream side
 
     def recheck(self, attempt: Attempt) -> End | None:
-        """Just before the first byte: a dial takes time, and lists, purges and the clock go on meanwhile."""
+        """Just before the first byte: a dial takes time, and clients, lists, purges, windows and the clock go
+        on meanwhile."""
         now = self.clock()
+        if attempt.exchange.done:
+            return End.SURPLUS
         if attempt.due_ms - now < 1.0:
             return End.EXPIRED
         if not self._ready(attempt.store) or (attempt.source and not self._ready(attempt.source)):
             return End.WITHDRAWN
         request, spec = attempt.exchange.request, attempt.exchange.spec
+        if self._past_window(attempt, now):
+            return End.EXPIRED
         if self.audit is not None:
             if not self.audit.may(request.cls):
                 return End.SHUT_OUT
@@ -328,6 +343,19 @@
             attempt.bound_ms = max(attempt.bound_ms, now - oldest)
         return None
 
+    def _past_window(self, attempt: Attempt, now: float) -> bool:
+        """Whether it would repeat a keyed request that may have run, later than its window allows. The module
+        has looked when it decided; a dial may take longer than a window lasts."""
+        exchange = attempt.exchange
+        if exchange.spec.effect is not Effect.KEYED:
+            return False
+        ran = [other.written_ms for other in exchange.open.values() if other.written_ms]
+        if exchange.ran_ms:
+            ran.append(exchange.ran_ms)
+        if exchange.ask.key and (first := self.keys.first(exchange.ask.key, now)[0]):
+            ran.append(first)
+        return bool(ran) and now - min(ran) >= exchange.spec.window_ms - self.settings.tick_ms - TICK_MS
+
     def _ready(self, store: str) -> bool:
         # the register itself: what operators took out holds before this loop has come to lay it over the list
         if store in self.register.out:
@@ -354,8 +382,11 @@
             if not self.audit.may_answer(exchange.ask.cls):
                 end = End.WITHHELD
         status = STATUS[end]
-        if attempt.ran_ms and status in NEVER_RAN:
-            self.keys.never_ran(exchange.ask.key, attempt.ran_ms, attempt.store)
+        if status in NEVER_RAN:
+            if attempt.ran_ms:
+                self.keys.never_ran(exchange.ask.key, attempt.ran_ms, attempt.store)
+        elif attempt.written_ms:
+            exchange.ran_ms = min(exchange.ran_ms or attempt.written_ms, attempt.written_ms)
         if status is Status.OK and reply is not None:
             if self.audit is not None and not exchange.done:
                 self.audit.served(exchange.ask.cls, attempt.span)
--- a/gladelane/net/exchange.py
+++ b/gladelane/net/exchange.py
@@ -51,6 +51,7 @@
     sends: int = 0  # as the module counts them, moot ones too
     open: dict[int, Attempt] = field(default_factory=dict)
     done: bool = False
+    ran_ms: float = 0.0  # when the first of its ended attempts that may have run was written, 0: none did
     figures: Figures | None = None
 
     def finish(self, final: Final | None) -> None:
--- a/gladelane/net/lines.py
+++ b/gladelane/net/lines.py
@@ -47,6 +47,12 @@
         """Whether an answer has begun and not ended."""
         return self._head is not None or bool(self._held)
 
+    def under_way(self) -> tuple[str, float]:
+        """The id of the answer that has begun, '' while that is not known, and the part that has come."""
+        if self._head is None:
+            return "", 0.0
+        return self._head.id, len(self._held) / (self._length + 2)
+
     def feed(self, data: bytes) -> Iterator[Reply]:
         held = self._held
         held += data
--- a/gladelane/net/upstream.py
+++ b/gladelane/net/upstream.py
@@ -22,6 +22,7 @@
 from .ends import DIAL_END, End
 from .exchange import Attempt
 from .lines import Garbled, Reply, ReplyDecoder, encode_abort, encode_fetch
+from .sockets import Reader, has_ended, has_unread
 from .wheel import Entry, Wheel
 
 log = logging.getLogger(__name__)
@@ -37,9 +38,10 @@
 DEAD_MS, DEAD_OPEN = 400.0, 3  # likewise, past their aims, while later ones are answered elsewhere
 MUTE_AFTER = 2  # attempts that time out in a row without a byte from the peer: one may just be slow
 SPENT = 256  # ids aborted or answered on a connection that are kept off it
+STRAYS_MOST = 256  # answers in a row that nobody waits for: more than can cross aborts, or come twice
 #: a connection that ends so under requests, and answered none before, has an address better passed over
 UNANSWERED = frozenset({End.RESET, End.CLOSED, End.GARBLED, End.CUT_SHORT})
-STUCK_BYTES = 262_144  # a connection with this much unsent takes no more
+STUCK_MS = 50.0  # a connection with bytes unsent for so long takes no more: its peer reads nothing
 
 
 class Owner(Protocol):
@@ -65,7 +67,12 @@
         self.spent: dict[str, None] = {}  # the latest, oldest first
         self.leaving = 0  # attempts handed to the transport, some of whose bytes may still be there
         self.decoder = ReplyDecoder()
+        self.reader: Reader | None = None
         self.writer: asyncio.StreamWriter | None = None
+        self.sock: socket.socket | None = None  # the transport's, for looks beside it
+        self.begun_ms = 0.0  # since when an answer has been under way, 0: none is
+        self.backed_ms = 0.0  # since when bytes have waited to leave, 0: none do
+        self.strays = 0  # answers in a row that nobody waited for
         self.finished = False
         self.retired = False  # carries on with what is open, takes nothing new
         self.heard_ms = 0.0
@@ -89,7 +96,25 @@
             return False
         if id_ in self.open or id_ in self.spent:
             return False
-        return self.writer is None or self.writer.transport.get_write_buffer_size() < STUCK_BYTES
+        if self.sock is not None and not self.open and has_ended(self.sock):
+            return False  # its close has come, unread: what is written into it is lost and counts as run
+        return not self._stuck()
+
+    def _stuck(self) -> bool:
+        """Whether bytes written a while ago have not left: what is written after them waits too, and would
+        go out when its client has left or its window has passed."""
+        if self.writer is None or not self.writer.transport.get_write_buffer_size():
+            self.backed_ms = 0.0
+            return False
+        now = self.pool.clock()
+        self.backed_ms = self.backed_ms or now
+        return now - self.backed_ms > STUCK_MS + self.pool.wheel.lag()
+
+    def unread(self) -> bool:
+        """Whether something has come that was not read yet: an answer that is read late is not lost."""
+        return (self.reader is not None and self.reader.waiting > 0) or (
+            self.sock is not None and has_unread(self.sock)
+        )
 
     def carry(self, attempt: Attempt) -> None:
         self.open[attempt.exchange.ask.id] = attempt
@@ -108,6 +133,7 @@
         attempt.written_ms = self.used_ms = now
         self.writer.write(encode_fetch(ask.id, attempt.fields(now), ask.body))
         self.leaving += 1
+        self._stuck()  # from here on it counts
 
     def count_written(self) -> None:
         """The transport writes in the order it was given, so an empty buffer means that all has left."""
@@ -124,7 +150,14 @@
         self.count_written()
         if attempt.written_ms and self.writer is not None:
             self._spend(id_)
-            if not self.writer.is_closing():  # the peer's end may not have been read yet
+            if self._stuck():
+                # the abort would wait behind what does not leave, and the attempt be out until then: it is
+                # given up with the connection, whose other attempts wait in vain too
+                log.warning("stuck peer=%s open=%d", self.peer, len(self.open))
+                self.end = End.RESET
+                self.writer.transport.abort()
+                self.close()
+            elif not self.writer.is_closing():  # the peer's end may not have been read yet
                 self.writer.write(encode_abort(id_))
             if end is End.TIMED_OUT and self.heard_ms <= attempt.written_ms:
                 self.mute += 1
@@ -196,7 +229,9 @@
         quiet = now - max(self.heard_ms, self.used_ms)
         if not self.open and quiet > self.pool.limits.conn_idle_ms * IDLE_SHARE:
             self.close()
-        elif self.decoder.pending() and now - self.heard_ms > STALLED_MS + self.pool.wheel.lag():
+        elif self.unread():
+            return  # read first: it may be all that is waited for
+        elif self.decoder.pending() and self._hopeless(now):
             log.warning("cut short peer=%s open=%d", self.peer, len(self.open))
             self.end = End.CUT_SHORT
             self.close()
@@ -206,6 +241,23 @@
             self._stalled(End.SILENT.name)
             self.close()
 
+    def _hopeless(self, now: float) -> bool:
+        """Whether the answer under way brings nothing more, or, at the pace it comes at, will not be whole in
+        time: all others on the connection wait behind it."""
+        stalled = STALLED_MS + self.pool.wheel.lag()
+        took = now - self.begun_ms
+        if now - self.heard_ms > stalled:
+            return True
+        if took <= stalled:
+            return False
+        id_, part = self.decoder.under_way()
+        attempt = self.open.get(id_)
+        if attempt is not None:
+            left = attempt.due_ms - now
+        else:  # given up: it is waited for as long as what waits behind it was to take
+            left = max(min((a.aim_ms for a in self.open.values()), default=0.0), STALLED_MS)
+        return not part or took / part - took > left
+
     async def _run(self) -> None:
         try:
             self.end = await self._dial() or await self._read()
@@ -240,7 +292,7 @@
             dialling.written()
         finally:
             dialling.close()
-        self.reader, self.writer, self.address = reader, writer, address
+        self.reader, self.writer, self.address, self.sock = reader, writer, address, sock
         for attempt in list(self.open.values()):
             if self.open.get(attempt.exchange.ask.id) is attempt:
                 self._write(attempt)
@@ -248,6 +300,7 @@
         return None
 
     async def _read(self) -> End:
+        assert self.reader is not None
         try:
             while data := await self.reader.read(READ_BYTES):
                 if not self.heard_ms and self.address is not None:
@@ -256,7 +309,12 @@
                 self.mute = 0
                 self.count_written()
                 for reply in self.decoder.feed(data):
+                    self.begun_ms = 0.0
                     self._answered(reply)
+                if not self.decoder.pending():
+                    self.begun_ms = 0.0
+                elif not self.begun_ms:
+                    self.begun_ms = self.heard_ms
                 self._close_if_done()
         except Garbled as error:
             log.warning("garbled peer=%s: %s", self.peer, error)
@@ -268,10 +326,16 @@
     def _answered(self, reply: Reply) -> None:
         attempt = self.open.get(reply.id)
         if attempt is None or not attempt.written_ms:
-            return  # its answer crossed our abort
+            self.strays += 1
+            if self.strays > STRAYS_MOST:  # nothing else bounds what they cost
+                raise Garbled("answers that nobody waits for, without end")
+            if reply.id not in self.spent:  # else it crossed our abort, or is a second one
+                log.warning("answer to nothing asked peer=%s id=%.32s", self.peer, reply.id)
+            return
         if reply.end is End.STILL_GOOD and (not attempt.exchange.ask.known or reply.body):
             raise Garbled("still_good for a copy that no client holds")
         del self.open[reply.id]
+        self.strays = 0
         self.answered_ms = max(self.answered_ms, attempt.written_ms)
         self._spend(reply.id)
         self.pool.owner.ended(attempt, reply.end, reply)
@@ -295,15 +359,19 @@
             self.pool.owner.ended(attempt, End.LOST_UNSENT if unsent else end)
 
 
-async def open_stream(sock: socket.socket) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+async def open_stream(sock: socket.socket) -> tuple[Reader, asyncio.StreamWriter]:
     """Takes the socket over: it is closed with the stream, or here if there is none."""
+    loop, reader = asyncio.get_running_loop(), Reader(READ_BYTES)
+    protocol = asyncio.StreamReaderProtocol(reader)
     try:
         if sock.family == socket.AF_UNIX:
-            return await asyncio.open_unix_connection(sock=sock)
-        return await asyncio.open_connection(sock=sock)
+            transport, _ = await loop.create_unix_connection(lambda: protocol, sock=sock)
+        else:
+            transport, _ = await loop.create_connection(lambda: protocol, sock=sock)
     except BaseException:
         sock.close()
         raise
+    return reader, asyncio.StreamWriter(transport, protocol, reader, loop)
 
 
 class Upstream:
@@ -407,7 +475,8 @@
 
     def _spare_one(self) -> bool:
         """At the cap an idle connection makes room for one that is needed."""
-        idle = next((c for conns in self._pool.values() for c in conns if c.writer and not c.open), None)
+        every = (c for conns in self._pool.values() for c in conns)
+        idle = next((c for c in every if c.writer and not c.open and not c.retired), None)
         if idle is not None:
             idle.close()
             self.remove(idle)
--- a/gladelane/recovery/keeper.py
+++ b/gladelane/recovery/keeper.py
@@ -18,13 +18,12 @@
 from ..choice import Router
 from ..durable.files import Disk, Folder, set_aside
 from ..durable.log import MOST_RECORD, Damaged, Log, encode_record, record_at, recover
-from ..routes.keys import KEPT_MS, KeyWindows
+from ..routes.keys import KeyWindows, kept_for
 from ..upgrade.learnt import look
 from .warm import FORMAT, Warm, apply, digest, unfit
 
 log = logging.getLogger(__name__)
 
-TURN_MS = 2 * KEPT_MS  # after which the other file is begun anew
 KEY_FILES = ("keys-0", "keys-1")
 
 
@@ -35,10 +34,11 @@
 
 
 class KeyBook:
-    """Which keys may have run, where and when."""
+    """Which keys may have run, where and when. `kept_ms`: as in KeyWindows."""
 
-    def __init__(self, disk: Disk, now_ms: float) -> None:
+    def __init__(self, disk: Disk, now_ms: float, kept_ms: float) -> None:
         """Reads what is there. Raises OSError."""
+        self._kept_ms = kept_ms
         self._disk = disk
         self.found: dict[str, list[tuple[float, str]]] = {}
         self._number = 0
@@ -58,11 +58,11 @@
         while (record := record_at(data, at)) is not None:  # ends before a torn one, whose byte never left
             at += len(encode_record(record[0], record[1]))
             tried: Tried = msgspec.msgpack.decode(record[1], type=Tried)
-            if now_ms - KEPT_MS <= tried.at_ms <= now_ms + KEPT_MS:
+            if now_ms - self._kept_ms <= tried.at_ms <= now_ms + self._kept_ms:
                 self.found.setdefault(tried.key, []).append((tried.at_ms, tried.store))
 
     def write(self, key: str, at_ms: float, store: str) -> None:
-        if at_ms - self._turned_ms >= TURN_MS:
+        if at_ms - self._turned_ms >= 2 * self._kept_ms:  # the other file is begun anew
             self._turned_ms = at_ms
             self._number = 1 - self._number
             self._whole = 0
@@ -110,14 +110,15 @@
             log.warning("warm start: passed over, folder set aside as %s: %s", aside, error)
             self._open(path)
         self._keys_disk = Folder(path / "keys")
+        kept_ms = kept_for(router.settings.classes.values())
         try:
-            self.keys = KeyBook(self._keys_disk, clock())
+            self.keys = KeyBook(self._keys_disk, clock(), kept_ms)
         except (OSError, msgspec.MsgspecError) as error:
             self._keys_disk.close()
             aside = set_aside(path / "keys")
             log.warning("warm start: keys passed over, folder set aside as %s: %s", aside, error)
             self._keys_disk = Folder(path / "keys")
-            self.keys = KeyBook(self._keys_disk, clock())
+            self.keys = KeyBook(self._keys_disk, clock(), kept_ms)
 
     def _open(self, path: Path) -> None:
         self._disk = Folder(path / "learnt")
--- a/gladelane/routes/keys.py
+++ b/gladelane/routes/keys.py
@@ -3,31 +3,47 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
-KEPT_MS = 10_000.0  # longer than a window of a class and the time a client goes on asking
-MOST = 4096  # keys; beyond, the oldest is forgotten, and its next try counts as a first
+from ..interface import ClassSpec, Effect
+
+KEY_BYTES = 700  # of the memory, for a key with its tries
+
+
+def kept_for(classes: Iterable[ClassSpec]) -> float:
+    """How long after its latest try a key still matters, ms: its client asks on for as long as the class
+    allows, and what is sent then must be known to be past the window."""
+    keyed = (spec for spec in classes if spec.effect is Effect.KEYED)
+    return max((spec.window_ms + spec.deadline_ms for spec in keyed), default=0.0)
 
 
 class KeyWindows:
     """Times are Unix ms. All attempts that may have run are kept, not the first alone: while two tries of a
-    key are out, the proof that one never ran must not hide the other."""
+    key are out, the proof that one never ran must not hide the other. Nothing that counts is ever forgotten
+    for want of room: where it is `full`, new keys must be turned away, or a later try of a forgotten one
+    would pass for its first."""
 
-    def __init__(self) -> None:
+    def __init__(self, kept_ms: float, most: int) -> None:
+        self.kept_ms, self.most = kept_ms, most
         self._ran: OrderedDict[str, list[tuple[float, str]]] = OrderedDict()  # by their latest, oldest first
         self.told: Callable[[str, float, str], None] | None = None  # hears of each try before it is made
 
     def __len__(self) -> int:
         return len(self._ran)
 
+    def full(self, key: str, now: float) -> bool:
+        """Whether there is no room for this key."""
+        if len(self._ran) < self.most or key in self._ran:
+            return False
+        self._expire(now)
+        return len(self._ran) >= self.most
+
     def may_have_run(self, key: str, at_ms: float, store: str) -> None:
         if self.told is not None:
             self.told(key, at_ms, store)
         self._expire(at_ms)
         self._ran[key] = [*self._live(key, at_ms), (at_ms, store)]
         self._ran.move_to_end(key)
-        if len(self._ran) > MOST:
-            self._ran.popitem(last=False)
 
     def never_ran(self, key: str, at_ms: float, store: str) -> None:
         """The attempt that began there and then is proven not to have run."""
@@ -53,8 +69,8 @@
 
     def _live(self, key: str, now: float) -> list[tuple[float, str]]:
         ran = self._ran.get(key, [])
-        return ran if ran and max(ran)[0] >= now - KEPT_MS else []
+        return ran if ran and max(ran)[0] >= now - self.kept_ms else []
 
     def _expire(self, now: float) -> None:
-        while self._ran and max(next(iter(self._ran.values())))[0] < now - KEPT_MS:
+        while self._ran and max(next(iter(self._ran.values())))[0] < now - self.kept_ms:
             self._ran.popitem(last=False)
--- /dev/null
+++ b/tests/net/test_cache_crossings.py
@@ -0,0 +1,282 @@
+"""Two events that cross on a connection to a cache, each brought into the bad order by the peer or a barrier."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import socket
+from typing import Any
+
+import pytest
+from harness import Cache, Client, config, hit, mute, running, trial, until
+
+import gladelane.net.upstream as upstream_module
+from gladelane.__main__ import Node
+from gladelane.net.ends import End
+from gladelane.net.exchange import Ask, Attempt, Final
+from gladelane.net.upstream import Connection
+
+REFUSED = "127.0.0.1:1"
+OK = b"%s served digest=aa,dated=1,remark=h %d\r\n%s\r\n"
+
+
+class Peer:
+    """A cache whose every byte the test sends, at once and not in a turn of the loop."""
+
+    def __init__(self, takes: int = 0) -> None:
+        self.listener = socket.socket()
+        if takes:
+            self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, takes)
+        self.listener.bind(("127.0.0.1", 0))
+        self.listener.listen()
+        self.listener.setblocking(False)
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+
+    async def accepted(self) -> socket.socket:
+        sock, _ = await asyncio.wait_for(asyncio.get_running_loop().sock_accept(self.listener), 5.0)
+        sock.setblocking(False)
+        return sock
+
+
+async def heard(sock: socket.socket, of: bytes) -> bytes:
+    """What came, once it holds that."""
+    data = b""
+    while of not in data:
+        data += await asyncio.wait_for(asyncio.get_running_loop().sock_recv(sock, 65_536), 5.0)
+    return data
+
+
+def only(node: Node, store: str) -> Connection:
+    (conn,) = node.upstream._pool[store]
+    return conn
+
+
+def ask(number: int, **fields: Any) -> Ask:
+    plain = {"cls": "film", "wait_ms": 2000.0, "object": "7f3a9c21e0b4d655", "part": 3, "group": 17}
+    return Ask(id=f"{number:016x}", **{**plain, **fields})
+
+
+@trial
+async def test_a_request_does_not_go_into_a_close_of_the_cache_that_was_not_read_yet() -> None:
+    # it counted as run: a keyed one could be answered no better than by a failure
+    peer = Peer()
+    async with running(config({"c0": peer.address, "r0": REFUSED})) as (node, client):
+        client.ask(1)
+        first = await peer.accepted()
+        await heard(first, b"\r\n")
+        first.send(OK % (b"%016x" % 1, 2, b"ok"))
+        assert (await client.next())[:3] == (17, 1, 0)
+        finals: list[Final] = []
+        first.close()
+        node.director.admit(ask(2), finals.append)  # in the same turn
+        second = await peer.accepted()
+        await heard(second, b"\r\n")
+        second.send(OK % (b"%016x" % 2, 2, b"ok"))
+        await until(lambda: [final.code for final in finals] == [0])
+        assert node.director.figures.backend_calls == 2
+        second.close()
+
+
+@trial
+async def test_an_answer_that_has_come_is_read_before_its_connection_is_cut() -> None:
+    # the sweep cancelled the reading task, and what lay in its reader or the system went with it
+    peer = Peer()
+    async with running(config({"c0": peer.address, "r0": REFUSED})) as (node, client):
+        client.ask(1)
+        sock = await peer.accepted()
+        await heard(sock, b"\r\n")
+        whole = OK % (b"%016x" % 1, 2, b"ok")
+        sock.send(whole[:20])
+        conn = only(node, "c0")
+        await until(lambda: conn.decoder.pending())
+        sock.send(whole[20:])
+        conn.sweep(node.clock.now() + 2000.0, 0.0)
+        assert (await client.next())[:3] == (17, 1, 0) and not conn.finished
+        sock.close()
+
+
+@pytest.mark.parametrize("what", ["answer", "line", "answer to a request given up"])
+def test_an_answer_that_trickles_without_end_costs_its_connection_in_time(what: str, caplog: pytest.LogCaptureFixture) -> None:
+    # each byte counted as life, and all others on the connection waited behind it until their time was over
+    @trial
+    async def scene() -> None:
+        peer = Peer()
+        async with running(config({"c0": peer.address, "r0": REFUSED})) as (node, client):
+            client.ask(1)
+            sock = await peer.accepted()
+            await heard(sock, b"\r\n")
+            if what == "answer to a request given up":
+                client.send(18, 1)
+                await heard(sock, b"abort")
+            sock.send((b"%016x served - 200000\r\n" % 1)[: None if what != "line" else 8])
+            ended = False
+            for _ in range(40):  # 2 s at the most: the request's own time
+                try:
+                    sock.send(b"x")
+                    await asyncio.wait_for(asyncio.get_running_loop().sock_recv(sock, 65_536), 0.05)
+                    ended = True
+                except TimeoutError:
+                    continue
+                except ConnectionError:
+                    ended = True
+                break
+            assert ended and "cut short" in caplog.text
+            sock.close()
+
+    with caplog.at_level(logging.INFO):
+        scene()
+
+
+@trial
+async def test_an_answer_that_is_slow_and_will_be_whole_in_time_is_waited_for() -> None:
+    peer = Peer()
+    async with running(config({"c0": peer.address, "r0": REFUSED})) as (node, client):
+        client.ask(1)
+        sock = await peer.accepted()
+        await heard(sock, b"\r\n")
+        conn = only(node, "c0")
+        sock.send(b"%016x served - 8\r\nxxxx" % 1)
+        await until(lambda: conn.decoder.under_way()[1] == 0.4)
+        conn.begun_ms -= 400.0  # half of it in 0.4 s, and 2 s to go
+        conn.sweep(conn.heard_ms + 1.0, 0.0)
+        sock.send(b"xxxx\r\n")
+        assert (await client.next())[:3] == (17, 1, 0)
+        sock.close()
+
+
+@pytest.mark.parametrize("late", [False, True])
+def test_a_keyed_repeat_whose_dial_comes_up_past_the_window_is_not_written(late: bool) -> None:
+    # the window was looked at when the module decided, and a dial may take longer than it lasts
+    @trial
+    async def scene() -> None:
+        origin = Cache(hit)
+        async with running(config({"c0": REFUSED, "r0": await origin.start()})) as (node, client):
+            node.director.keys.take_over({"aa": [(node.clock.now() - 1000.0, "r0")]})
+            send, clock = node.upstream.send, node.director.clock
+
+            def sends(attempt: Attempt) -> None:
+                send(attempt)
+                if late:
+                    node.director.clock = lambda: clock() + 1100.0
+
+            node.upstream.send = sends  # type: ignore[method-assign]
+            client.ask(1, c="sheet", k="aa", d="3000")
+            assert (await client.next())[:3] == (17, 1, 1 if late else 0)
+            assert len(origin.seen) == (0 if late else 1)
+
+    scene()
+
+
+@trial
+async def test_a_repeat_of_the_same_request_past_the_window_is_not_written_either() -> None:
+    # without a key of the client's nothing but the exchange knows of its first attempt
+    async with running(config({"c0": REFUSED, "r0": REFUSED})) as (node, _):
+        node.director.admit(ask(1, cls="sheet", key="bb"), lambda final: None)
+        exchange = next(iter(node.director.live.values()))
+        now = node.clock.now()
+        exchange.ran_ms = now - 1500.0
+        attempt = Attempt(exchange, 5, "r0", now, now + 2000.0)
+        assert node.director.recheck(attempt) is None
+        exchange.ran_ms = now - 2000.0
+        assert node.director.recheck(attempt) is End.EXPIRED
+
+
+@trial
+async def test_a_second_copy_that_waits_for_a_dial_is_not_sent_once_the_first_was_answered() -> None:
+    # with no cancels allowed nothing took it back
+    cache = Cache(mute)
+    async with running(config({"c0": await cache.start(), "r0": REFUSED}, cancel=False)) as (node, client):
+        client.ask(1)
+        await until(lambda: cache.seen)
+        exchange = next(iter(node.director.live.values()))
+        now = node.clock.now()
+        second = Attempt(exchange, 1, "c0", now, now + 1000.0)
+        exchange.sends, exchange.open[1] = 2, second
+        node.upstream.send(second)  # its id is open there: a further connection is dialled
+        cache.conns[0].write(OK % (b"%016x" % 1, 2, b"ok"))
+        await cache.conns[0].drain()
+        assert (await client.next())[:3] == (17, 1, 0)
+        await until(lambda: not exchange.open)
+        assert len(cache.seen) == 1
+
+
+@trial
+async def test_a_request_given_up_behind_bytes_that_a_cache_does_not_take_goes_out_no_more() -> None:
+    peer = Peer(takes=4096)
+    async with running(config({"c0": peer.address, "r0": REFUSED})) as (node, client):
+        client.ask(1)
+        sock = await peer.accepted()
+        await heard(sock, b"\r\n")
+        conn = only(node, "c0")
+        assert conn.writer is not None and conn.sock is not None
+        conn.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        conn.writer.write(b"x" * 4_000_000)  # the peer reads no more: what is written from here on waits
+        await until(conn._stuck)
+        client.ask(2)
+        fresh = await peer.accepted()  # and is sent elsewhere
+        assert f"{2:016x}".encode() in await heard(fresh, b"\r\n")
+        client.send(18, 1)
+        await until(lambda: conn.finished)
+        fresh.close()
+        sock.close()
+
+
+@trial
+async def test_an_answer_under_an_id_that_was_never_asked_harms_no_other_request() -> None:
+    cache = Cache(lambda command: hit(command) if command[1]["nth"] == "7" else None)
+    async with running(config({"c0": await cache.start(), "r0": REFUSED})) as (_, client):
+        client.ask(1)
+        await until(lambda: cache.seen)
+        cache.conns[0].write(OK % (b"%016x" % 99, 2, b"no") + OK % (b"%016x" % 1, 2, b"ok") + OK % (b"%016x" % 1, 2, b"no"))
+        assert (await client.next())[4] == b"ok"
+        client.ask(2, chunk="7")
+        assert (await client.next())[:3] == (17, 2, 0) and len(cache.conns) == 1
+
+
+@trial
+async def test_a_reset_long_after_an_answer_has_begun_ends_the_attempt_once() -> None:
+    peer = Peer()
+    async with running(config({"c0": peer.address, "r0": REFUSED}, max_attempts=1)) as (node, client):
+        client.ask(1)
+        sock = await peer.accepted()
+        await heard(sock, b"\r\n")
+        sock.send(b"%016x served - 8\r\nxxxx" % 1)
+        await until(lambda: only(node, "c0").decoder.pending())
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+        sock.close()
+        assert (await client.next())[:3] == (17, 1, 1)
+        assert await client.silent() and not node.director.live
+
+
+@trial
+async def test_a_new_key_is_refused_where_no_further_one_can_be_kept() -> None:
+    origin = Cache(mute)
+    async with running(config({"c0": REFUSED, "r0": await origin.start()})) as (node, _):
+        node.director.keys.most = 1
+        clients = [await Client.to(node.port) for _ in range(2)]
+        clients[0].ask(1, c="sheet", k="aa")
+        await until(lambda: origin.seen)
+        clients[1].ask(2, c="sheet", k="bb")
+        assert (await clients[1].next())[:3] == (17, 2, 1) and len(origin.seen) == 1
+        for one in clients:
+            one.writer.close()
+
+
+@trial
+async def test_answers_that_nobody_waits_for_end_their_connection_where_they_do_not_end() -> None:
+    # each was parsed and passed over, as many as the peer cared to send
+    peer = Peer()
+    async with running(config({"c0": peer.address, "r0": REFUSED})) as (node, client):
+        client.ask(1)
+        sock = await peer.accepted()
+        await heard(sock, b"\r\n")
+        conn = only(node, "c0")
+        answer, second = OK % (b"%016x" % 1, 2, b"ok"), b"%016x served - 0\r\n\r\n" % 1
+        sock.send(answer + second * upstream_module.STRAYS_MOST)
+        assert (await client.next())[:3] == (17, 1, 0)
+        await until(lambda: conn.strays == upstream_module.STRAYS_MOST)
+        assert not conn.finished
+        sock.send(second)
+        await until(lambda: conn.finished)
+        assert conn.end is End.GARBLED
+        sock.close()
--- a/tests/operations/test_keys.py
+++ b/tests/operations/test_keys.py
@@ -2,44 +2,60 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from conftest import Driver, some
 from harness import Cache, config, hit, mute, running, trial
 from hypothesis import given
 from hypothesis import strategies as st
 
 from gladelane.interface import Fail, Fetch, Refuse
-from gladelane.routes.keys import KEPT_MS, MOST, KeyWindows
+from gladelane.routes.keys import KeyWindows, kept_for
 
 REFUSED = "127.0.0.1:1"
+KEPT_MS, MOST = 10_000.0, 40
 STEPS = st.lists(st.tuples(st.sampled_from(["run", "never"]), st.sampled_from("ab"), st.integers(1, 4000), st.integers(0, 9)), max_size=30)
 
 
 @given(STEPS)
 def test_the_first_of_all_that_are_not_disproved_counts(steps: list[tuple[str, str, int, int]]) -> None:
     # two tries of a key may be out at once: proof that one never ran must not hide that the other may have
-    keys, ran, now = KeyWindows(), {"a": list[float](), "b": list[float]()}, 0.0
+    keys, ran, now = KeyWindows(KEPT_MS, MOST), {"a": list[float](), "b": list[float]()}, 0.0
     for word, key, after, which in steps:
         now += after
+        for name, times in ran.items():  # before the step: what is over counts for no later try
+            ran[name] = times if times and max(times) >= now - KEPT_MS else []
         if word == "run":
             ran[key].append(now)
             keys.may_have_run(key, now, "s")
         elif ran[key]:
             keys.never_ran(key, ran[key].pop(which % len(ran[key])), "s")
-        for name, times in ran.items():
-            ran[name] = times if times and max(times) >= now - KEPT_MS else []
+        for name in ran:
             assert keys.first(name, now)[0] == min(ran[name], default=0.0)
 
 
-def test_it_is_bounded_and_goes_over_whole() -> None:
-    old, new = KeyWindows(), KeyWindows()
-    for number in range(MOST + 5):
+def test_it_is_bounded_forgets_nothing_that_counts_and_goes_over_whole() -> None:
+    old, new = KeyWindows(KEPT_MS, MOST), KeyWindows(KEPT_MS, MOST)
+    for number in range(MOST):
+        assert not old.full(str(number), 1.0)
         old.may_have_run(str(number), 1.0 + number / 1000.0, "s")
-    assert len(old) == MOST and old.first("0", 2.0) == (0.0, "")
+    # a key that were forgotten for want of room would pass for a new one, and run twice
+    assert old.full("new", 2.0) and not old.full("0", 2.0) and old.first("0", 2.0) == (1.0, "s")
     new.may_have_run("own", 0.5, "t")
     new.may_have_run("9", 3.0, "t")
     new.take_over(old.known(6.0))
     assert new.first("9", 6.0) == old.first("9", 6.0) and new.first("own", 6.0) == (0.5, "t")
     assert new.first("own", 0.6 + KEPT_MS) == (0.0, "")
+    assert not old.full("new", 1.0 + KEPT_MS + 0.5) and old.first("0", 1.5 + KEPT_MS) == (0.0, "")
+
+
+def test_keys_are_kept_for_as_long_as_the_settings_make_them_matter() -> None:
+    # 10 s and 4,096 keys, as it was, forget a window of 15 s before it has passed
+    classes = Driver().router.settings.classes
+    sale = classes["sale"]
+    assert kept_for(classes.values()) == sale.window_ms + sale.deadline_ms
+    longer = replace(sale, window_ms=15_000.0, deadline_ms=20_000.0)
+    assert kept_for([longer, classes["film"]]) == 35_000.0 and kept_for([classes["film"]]) == 0.0
 
 
 def test_a_repeat_after_the_window_of_the_first_try_is_not_sent() -> None:
