Close clients orderly, read on while they take nothing, and end no drain over unread requests

Ruled out: a newcomer between the last accept and the close of the listener (0.4 s after the last one the protocol lets come), a write that waits for a further try (its client's leave takes the timer's request away).

--- a/gladelane/__main__.py
+++ b/gladelane/__main__.py
@@ -55,9 +55,11 @@
 ENDPOINTS_SEED = 0x656E6473
 LINGER_S = 0.8  # after SIGTERM clients go on arriving for up to 0.6 s
 SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-LAST_S, LAST_MOST_S = 0.5, 3.5  # from SIGTERM, beyond the longest deadline and at most: then all is answered
+# From SIGTERM, beyond the longest deadline and at most: then all is answered. With the time to flush and to
+# close it stays under the 0.7 s beyond a deadline, of 3 s at most, after which the protocol's SIGKILL comes.
+LAST_S, LAST_MOST_S = 0.4, 3.4
 STEER_S = 0.02  # for what the system had under way to this process's queue
-FLUSH_S = 0.15  # and after so long more, a client that takes nothing is left behind
+FLUSH_S = 0.1  # and after so long more, a client that takes nothing is left behind
 
 
 class Node:
@@ -252,6 +254,7 @@
                 # beside another process there is no hurry: clients go, or are closed when they hold nothing
                 while self.director.owed() or not self.front.quiet() or (beside and self.front.connections):
                     await asyncio.sleep(0.02)
+        self.front.over = True
         self.director.end_all()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(FLUSH_S):
--- a/gladelane/net/front.py
+++ b/gladelane/net/front.py
@@ -3,41 +3,46 @@
 from __future__ import annotations
 
 import asyncio
-import fcntl
 import logging
-import os
 import socket
 import struct
 import sys
-import termios
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from contextlib import suppress
-from typing import SupportsIndex
 
 from ..operations.drain import Drain
 from .director import Director
 from .exchange import Code, Exchange, Final
 from .frames import BadRequest, Frame, FrameDecoder, FramingLost, Type, decode_request, encode_answer
 from .frames import encode_frame, encode_ready, peek_class
+from .sockets import Reader, has_ended, has_unread, shut_write_side
 from .wheel import Wheel
 
 log = logging.getLogger(__name__)
 
+# The figures below are the protocol's, or the system's, or bounds on what a client may cost; none follows
+# from a deployment's settings, so they hold for any customer.
 READ_BYTES = 65_536
-MOST_OPEN = 32
-UNSENT_BYTES = 524_288  # unsent answers on one connection above which nothing more is read from it
+FRAMES_AT_ONCE = 64  # of one client in a turn of the loop, so that a flood holds up nobody else
+MOST_OPEN = 32  # the protocol's
+UNSENT_BYTES = 524_288  # unsent answers on one connection above which it is given no further work
+OVER_MOST = 256  # frames in a row above that: a client that knows of its answers has 32 open at the most
 STALLED_MS = 10_000.0  # a client that takes no byte of its answers for so long is cut off
-IDLE_MS = 4_200.0  # clients close after 4 s without a request; one that does not is cut off
+IDLE_MS = 4_200.0  # clients close after 4 s without a request, by the protocol; one that does not is closed
+LINGER_MS = 500.0  # for a client's own close after ours: many round trips; a request crosses within 50 ms
+LINGERING_SHARE = 0.1  # lingering connections, as a part of the cap, that may be held beside it
+CROSSING_MS = 50.0  # the protocol's: a request that crosses a close by no more is sent once more
 SPARE_MS = 100.0  # at the cap, a client idle for less is not closed for another
+PAUSED_MS = 300.0  # half a frame that has brought no byte for so long holds up no end of the process
 SO_ATTACH_REUSEPORT_CBPF = 51  # asm-generic/socket.h; the socket module has no name for it
 ACCEPT_AT_ONCE = 1100  # connections in one turn of the loop: more than the queue holds
 BACKLOG = 512  # connections that the system holds until there is room for them
-CLOSE_S = 0.2  # for the last connections to end
+CLOSE_S = 0.15  # for the last connections to end, at the end of the process
 ROOM_S = 0.005  # how often room is looked for then
 FIRST_MS = 2_000.0  # a client that has sent no usable frame so long after connecting is cut off
 FRAME_MS = 2_000.0  # and so is one whose frame does not end; 3 s after connecting it is owed some end
 SWEEP_MS = 250.0
-SHED_MS = 150.0  # a loop this far behind cannot keep its deadlines: it must catch up first
+SHED_MS = 150.0  # a loop this far behind serves late whatever it takes: it must catch up first
 OUT_OF_ORDER = 1024  # stream numbers seen ahead of their turn on one connection
 
 FAILED = Final(Code.FAILED)
@@ -61,33 +66,28 @@
         return True
 
 
-class Reader(asyncio.StreamReader):
-    """Knows how much it holds that has not been read: a connection with a request in there is not idle."""
-
-    def __init__(self) -> None:
-        super().__init__(limit=READ_BYTES)
-        self.waiting = 0
-
-    def feed_data(self, data: Iterable[SupportsIndex]) -> None:
-        self.waiting += len(bytes(data))
-        super().feed_data(data)
-
-    async def read(self, n: int = -1) -> bytes:
-        data = await super().read(n)
-        self.waiting -= len(data)
-        return data
-
-
 class ClientConnection:
-    def __init__(self, front: Front, reader: Reader, writer: asyncio.StreamWriter) -> None:
+    """One client's connection. It ends in one of two ways: the client leaves, and nobody waits for what it
+    had open; or it is closed from here, orderly: what is open is answered, the write side is shut down, what
+    still comes is read and thrown away until the client closes too (a lingering close, RFC 9112 section 9.6).
+    A plain close over unread bytes would be a reset, which takes answers under way along."""
+
+    def __init__(
+        self, front: Front, reader: Reader, writer: asyncio.StreamWriter, sock: socket.socket
+    ) -> None:
         self.front = front
         self.reader = reader
         self.writer = writer
+        self.sock = sock  # the transport's, for looks beside it
         self.open: dict[int, Exchange] = {}
         self.told_ms = 0.0  # when it was told to send no more requests
         self.active_ms = self.born_ms = front.clock()
         self.proven = False  # has sent a frame that could be used
         self.partial_ms = 0.0  # since when a frame has been under way, 0: none is
+        self.deaf = False  # nothing that comes is taken any more
+        self.shut_ms = 0.0  # when the write side was shut down, 0: it is open
+        self._taking = False  # in the middle of what it sent
+        self._over = 0  # requests since it last took enough of its answers
         self._decoder = FrameDecoder()
         self._streams = Streams()
         self._unsent = 0
@@ -102,34 +102,37 @@
 
     def unread(self) -> bool:
         """Whether the reader or the system holds bytes: a request that has come must not meet a close."""
-        if self.reader.waiting:
-            return True
-        fd = self.writer.get_extra_info("socket").fileno()
-        return bool(struct.unpack("i", fcntl.ioctl(fd, termios.FIONREAD, b"\0\0\0\0"))[0])
-
-    def close_spare(self) -> None:
-        """At once after spare() has looked: the transport closes a round of the loop later, and a request
-        that came by then would be lost with it."""
-        fd = os.dup(self.writer.get_extra_info("socket").fileno())
-        with suppress(OSError), socket.socket(fileno=fd) as same:
-            same.shutdown(socket.SHUT_RDWR)
-        self.writer.close()
+        return bool(self.reader.waiting) or has_unread(self.sock)
+
+    def arriving(self, now: float) -> bool:
+        """Whether something that it sent may still be a request: bytes unread, or a frame half read."""
+        if self.deaf:
+            return False
+        paused = now - self.active_ms > PAUSED_MS
+        return self._taking or self.unread() or (bool(self.partial_ms) and not paused)
+
+    def stop_taking(self) -> None:
+        """What comes from here on is thrown away; what is open is answered before the close."""
+        self.deaf = True
+        self._shut_if_done()
+
+    def _shut_if_done(self) -> None:
+        if self.deaf and not self.open and not self.shut_ms and not self.writer.is_closing():
+            self.shut_ms = self.front.clock()
+            self.front.lingering += 1
+            if self.unsent():
+                self.writer.write_eof()  # once all has left
+            else:
+                # at once: the transport would do it a turn of the loop later
+                shut_write_side(self.sock)
 
     async def serve(self) -> None:
+        """Reads on whatever the client does with its answers: that it has left, or given a request up, must
+        not lie behind bytes that nobody reads."""
         try:
             while data := await self.reader.read(READ_BYTES):
-                self.active_ms = self.front.clock()
-                for frame in self._decoder.feed(data):
-                    self.partial_ms = 0.0
-                    self._handle(frame)
-                if not self._decoder.pending():
-                    self.partial_ms = 0.0
-                elif not self.partial_ms:
-                    self.partial_ms = self.active_ms
-                await self.writer.drain()
-        except FramingLost as error:
-            log.warning("framing lost: %s", error)
-            self._send(encode_answer(0, FAILED))
+                if not self.deaf:
+                    await self._take(data)
         except OSError:
             pass  # the client has gone; what it had open is given up below
         for exchange in list(self.open.values()):
@@ -137,13 +140,52 @@
         self.open.clear()
         self.writer.close()
 
+    async def _take(self, data: bytes) -> None:
+        self.active_ms = self.front.clock()
+        self._taking = True
+        frames: list[Frame] = []
+        try:
+            for frame in self._decoder.feed(data):
+                self.partial_ms = 0.0
+                frames.append(frame)
+                if len(frames) == FRAMES_AT_ONCE:
+                    self._handle_all(frames)
+                    await asyncio.sleep(0)
+                    if self.deaf:
+                        return
+            self._handle_all(frames)
+        except FramingLost as error:
+            self._handle_all(frames)  # what stood before is whole
+            log.warning("framing lost: %s", error)
+            self._send(encode_answer(0, FAILED))
+            self.stop_taking()
+        finally:
+            self._taking = False
+        if not self._decoder.pending():
+            self.partial_ms = 0.0
+        elif not self.partial_ms:
+            self.partial_ms = self.active_ms
+
+    def _handle_all(self, frames: list[Frame]) -> None:
+        """Nobody waits for a request that its client gave up, or left behind, right after it was sent."""
+        left = has_ended(self.sock)
+        given_up = {frame.stream for frame in frames if frame.type == Type.GONE}
+        for frame in frames:
+            if frame.type == Type.REQUEST and (left or frame.stream in given_up):
+                self._streams.use(frame.stream)
+            elif not self.deaf:
+                self._handle(frame)
+        frames.clear()
+
     def _handle(self, frame: Frame) -> None:
-        if frame.type == Type.REQUEST and frame.stream:
-            self._request(frame)
-        elif frame.type == Type.GONE:
+        if frame.type == Type.GONE:
             exchange = self.open.pop(frame.stream, None)
             if exchange is not None:
                 self.front.director.gone(exchange)
+            return
+        slow = self._too_slow()
+        if frame.type == Type.REQUEST and frame.stream:
+            self._request(frame, slow)
         elif frame.type == Type.ASK_READY:
             self.proven = True
             self._send(encode_ready(frame.stream, self.front.drain.ready))
@@ -151,7 +193,7 @@
             log.warning("unexpected frame type=%d stream=%d", frame.type, frame.stream)
             self._send(encode_answer(0, FAILED))
 
-    def _request(self, frame: Frame) -> None:
+    def _request(self, frame: Frame, slow: bool) -> None:
         stream = frame.stream
         if not self._streams.use(stream):
             log.warning("stream used twice stream=%d", stream)
@@ -161,7 +203,8 @@
             log.warning("more than %d requests open", MOST_OPEN)
             self._answer_unread(frame, FAILED)
             return
-        if self.front.overloaded() or self.front.drain.turns_away(self.told_ms, self.active_ms):
+        drain = self.front.drain
+        if slow or self.front.turns_away() or drain.turns_away(self.told_ms, self.active_ms):
             self._answer_unread(frame, Final(Code.REFUSED))
             return
         try:
@@ -187,6 +230,19 @@
         if not answered:
             self.open[stream] = exchange
 
+    def _too_slow(self) -> bool:
+        """Whether it has not taken what it was answered: more work for it would only lie here. One that sends
+        on and on all the same, whatever it is that has to be answered, is cut off."""
+        if self.unsent() <= UNSENT_BYTES:
+            self._over = 0
+            return False
+        self._over += 1
+        if self._over > OVER_MOST:
+            log.warning("client cut off: sends on, takes nothing unsent=%d", self.unsent())
+            self.deaf = True
+            self.writer.transport.abort()
+        return True
+
     def _answer(self, stream: int, final: Final, answered: list[Final]) -> None:
         """`answered` may be filled before `admit` returns; nothing is answered twice."""
         if answered:
@@ -196,6 +252,7 @@
         self._send(encode_answer(stream, final))
         if self.front.drain.on:
             self.no_more()  # a newcomer, let in while the director empties
+        self._shut_if_done()
 
     def _answer_unread(self, frame: Frame, final: Final) -> None:
         """Without the module: it has not heard of this request."""
@@ -204,7 +261,7 @@
         self._send(encode_answer(frame.stream, final))
 
     def _send(self, data: bytes) -> None:
-        if not self.writer.is_closing():
+        if not self.writer.is_closing() and not self.shut_ms:
             self.writer.write(data)
             self.front.held += len(data)
 
@@ -220,26 +277,34 @@
             if unsent:
                 self.active_ms = now
         idle = now - self.active_ms
+        if unsent and self.shut_ms:
+            self.shut_ms = now  # the client's own close is waited for from when all has left
         if unsent and idle > STALLED_MS:
             log.info("client cut off unsent=%d", unsent)
             self.writer.transport.abort()
         elif self.writer.is_closing():
             return  # its last answers are on their way
-        elif self.partial_ms and now - self.partial_ms > FRAME_MS:
+        elif self.shut_ms:
+            if now - self.shut_ms > LINGER_MS:
+                self.writer.close()
+        elif self.deaf:
+            return  # what is open is waited for
+        elif self.partial_ms and now - self.partial_ms > FRAME_MS and not self._taking and not self.unread():
             log.warning("frame never ended")
             self._send(encode_answer(0, FAILED))
-            self.writer.close()
+            self.stop_taking()
         elif not self.told_ms and self.front.drain.tells(self.born_ms, now):
             self.no_more()
         elif self.spare() and (
             idle > IDLE_MS or (not self.proven and now - self.born_ms > FIRST_MS)
             or self.front.drain.closes(self.told_ms, now)
         ):
-            self.close_spare()
+            self.stop_taking()
 
     def spare(self) -> bool:
         """May be closed at any time: nothing is owed here, nor under way as far as can be seen."""
-        return not self.open and not self.partial_ms and not self.unsent() and not self.unread()
+        busy = self.deaf or self.open or self._taking or self.partial_ms or self.unsent()
+        return not busy and not self.unread()
 
 
 def open_listener(host: str, port: int, shared: bool) -> socket.socket:
@@ -272,6 +337,8 @@
         self.held_bytes = held_bytes
         self.drain = Drain()
         self.held = 0  # counted up as bytes come, counted anew each sweep
+        self.lingering = 0  # connections that are shut and wait for the client's close
+        self.over = False  # the process ends: whatever comes is refused, which it still can be
         self.connections: dict[ClientConnection, asyncio.Task[None]] = {}
         self._listener: socket.socket | None = None
         self._shared = False
@@ -311,7 +378,7 @@
         for _ in range(ACCEPT_AT_ONCE):
             if self._listener is None:
                 return
-            if len(self.connections) + self._arriving >= self.cap and not self._spare_one():
+            if self._connected() >= self.cap and not self._spare_one():
                 log.warning("clients wait for room open=%d", len(self.connections))
                 return self._accept_later()
             try:
@@ -326,6 +393,11 @@
             self._welcomes.add(task)
             task.add_done_callback(self._welcomes.discard)
 
+    def _connected(self) -> int:
+        """Those that are shut give their descriptors back soon and count above a bound only."""
+        beside = min(self.lingering, max(int(self.cap * LINGERING_SHARE), 1))
+        return len(self.connections) + self._arriving - beside
+
     async def _welcome(self, accepted: socket.socket) -> None:
         try:
             reader, writer = await self._streams(accepted)
@@ -335,14 +407,16 @@
             return
         finally:
             self._arriving -= 1
-        conn = ClientConnection(self, reader, writer)
+        conn = ClientConnection(self, reader, writer, accepted)
         self.connections[conn] = asyncio.create_task(self._serve(conn))
 
     @staticmethod
     async def _streams(accepted: socket.socket) -> tuple[Reader, asyncio.StreamWriter]:
-        loop, reader = asyncio.get_running_loop(), Reader()
+        loop, reader = asyncio.get_running_loop(), Reader(READ_BYTES)
         protocol = asyncio.StreamReaderProtocol(reader)
         accepted.setblocking(False)
+        with suppress(OSError):  # else small answers wait in the system, and go with a reset
+            accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         transport, _ = await loop.connect_accepted_socket(lambda: protocol, accepted)
         return reader, asyncio.StreamWriter(transport, protocol, reader, loop)
 
@@ -356,6 +430,7 @@
             conn.writer.transport.abort()
         finally:
             self.connections.pop(conn, None)
+            self.lingering -= bool(conn.shut_ms)
 
     def _spare_one(self) -> bool:
         """At the cap those who never asked for anything make room first, then who has been idle for longest:
@@ -364,14 +439,19 @@
         idle = [c for c in self.connections if c.active_ms < latest]
         idle.sort(key=lambda c: (c.proven, c.active_ms))
         spare = next((c for c in idle if not c.writer.is_closing() and c.spare()), None)
-        if spare is not None:
-            spare.close_spare()
-            self.connections.pop(spare)
-        return spare is not None
-
-    def overloaded(self) -> bool:
-        """Past these bounds a request is turned away at sight, before it costs memory or much of the core."""
-        return self.held > self.held_bytes or self.wheel.lag() > SHED_MS
+        if spare is None:
+            return False
+        spare.stop_taking()
+        if self._connected() >= self.cap:  # too many linger: who has had the time that a crossing takes goes
+            for conn in self.connections:
+                if conn.shut_ms and self.clock() - conn.shut_ms > CROSSING_MS:
+                    conn.writer.transport.abort()
+        return self._connected() < self.cap
+
+    def turns_away(self) -> bool:
+        """Past these bounds a request is turned away at sight, before it costs memory or much of the core;
+        and once the process ends, while that can still be answered."""
+        return self.over or self.held > self.held_bytes or self.wheel.lag() > SHED_MS
 
     def empty(self) -> None:
         """Tells clients to go elsewhere; what still arrives is served all the same. Who has not come to its
@@ -398,15 +478,21 @@
             listener.close()
 
     async def close(self) -> None:
-        """Ends what is still connected, and waits for it: a task cancelled half-way leaves a trace."""
+        """Ends what is still connected, orderly, and waits: a task cancelled half-way leaves a trace."""
         self.stop_listening()
-        for conn in self.connections:
-            conn.writer.close()
+        for conn in list(self.connections):
+            conn.stop_taking()
         if self.connections:
             await asyncio.wait(self.connections.values(), timeout=CLOSE_S)
+        for conn in self.connections:
+            conn.writer.close()
 
     def quiet(self) -> bool:
-        return not self._arriving and not any(c.open or c.unsent() for c in self.connections)
+        """Whether nothing is owed to any client, nor can be, as far as is seen."""
+        now = self.clock()
+        return not self._arriving and not any(
+            c.open or c.unsent() or c.arriving(now) for c in self.connections
+        )
 
     def _sweep(self) -> None:
         now = self.clock()
