--- a/tests/net/test_cache_crossings.py
+++ b/tests/net/test_cache_crossings.py
@@ -46,6 +46,14 @@
     return data
 
 
+async def asked(peer: Peer, client: Client) -> socket.socket:
+    """The cache's side of the connection on which it was asked the first request."""
+    client.ask(1)
+    sock = await peer.accepted()
+    await heard(sock, b"\r\n")
+    return sock
+
+
 def only(node: Node, store: str) -> Connection:
     (conn,) = node.upstream._pool[store]
     return conn
@@ -82,9 +90,7 @@
     # the sweep cancelled the reading task, and what lay in its reader or the system went with it
     peer = Peer()
     async with running(config({"c0": peer.address, "r0": REFUSED})) as (node, client):
-        client.ask(1)
-        sock = await peer.accepted()
-        await heard(sock, b"\r\n")
+        sock = await asked(peer, client)
         whole = OK % (b"%016x" % 1, 2, b"ok")
         sock.send(whole[:20])
         conn = only(node, "c0")
@@ -102,9 +108,7 @@
     async def scene() -> None:
         peer = Peer()
         async with running(config({"c0": peer.address, "r0": REFUSED})) as (node, client):
-            client.ask(1)
-            sock = await peer.accepted()
-            await heard(sock, b"\r\n")
+            sock = await asked(peer, client)
             if what == "answer to a request given up":
                 client.send(18, 1)
                 await heard(sock, b"abort")
@@ -131,9 +135,7 @@
 async def test_an_answer_that_is_slow_and_will_be_whole_in_time_is_waited_for() -> None:
     peer = Peer()
     async with running(config({"c0": peer.address, "r0": REFUSED})) as (node, client):
-        client.ask(1)
-        sock = await peer.accepted()
-        await heard(sock, b"\r\n")
+        sock = await asked(peer, client)
         conn = only(node, "c0")
         sock.send(b"%016x served - 8\r\nxxxx" % 1)
         await until(lambda: conn.decoder.under_way()[1] == 0.4)
@@ -204,9 +206,7 @@
 async def test_a_request_given_up_behind_bytes_that_a_cache_does_not_take_goes_out_no_more() -> None:
     peer = Peer(takes=4096)
     async with running(config({"c0": peer.address, "r0": REFUSED})) as (node, client):
-        client.ask(1)
-        sock = await peer.accepted()
-        await heard(sock, b"\r\n")
+        sock = await asked(peer, client)
         conn = only(node, "c0")
         assert conn.writer is not None and conn.sock is not None
         conn.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
@@ -237,9 +237,7 @@
 async def test_a_reset_long_after_an_answer_has_begun_ends_the_attempt_once() -> None:
     peer = Peer()
     async with running(config({"c0": peer.address, "r0": REFUSED}, max_attempts=1)) as (node, client):
-        client.ask(1)
-        sock = await peer.accepted()
-        await heard(sock, b"\r\n")
+        sock = await asked(peer, client)
         sock.send(b"%016x served - 8\r\nxxxx" % 1)
         await until(lambda: only(node, "c0").decoder.pending())
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
@@ -267,9 +265,7 @@
     # each was parsed and passed over, as many as the peer cared to send
     peer = Peer()
     async with running(config({"c0": peer.address, "r0": REFUSED})) as (node, client):
-        client.ask(1)
-        sock = await peer.accepted()
-        await heard(sock, b"\r\n")
+        sock = await asked(peer, client)
         conn = only(node, "c0")
         answer, second = OK % (b"%016x" % 1, 2, b"ok"), b"%016x served - 0\r\n\r\n" % 1
         sock.send(answer + second * upstream_module.STRAYS_MOST)
