--- a/tests/net/test_client_crossings.py
+++ b/tests/net/test_client_crossings.py
@@ -72,6 +72,14 @@
     return found[0]
 
 
+async def narrow(node: Node) -> tuple[Raw, ClientConnection]:
+    """A client that takes nothing, on a connection on which the system holds little: answers wait here."""
+    raw = Raw(node, takes=4096)
+    conn = await connected(node, raw)
+    conn.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    return raw, conn
+
+
 def big(command: Any) -> tuple[str, bytes]:
     return "served digest=aa,dated=1,remark=h", b"x" * BIG
 
@@ -295,9 +303,7 @@
         with pytest.MonkeyPatch.context() as patch:
             patch.setattr(front_module, "UNSENT_BYTES", 50_000)
             async with running(config({"c0": await cache.start(), "r0": REFUSED})) as (node, _):
-                raw = Raw(node, takes=4096)
-                conn = await connected(node, raw)
-                conn.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+                raw, conn = await narrow(node)
                 raw.send(request(1, d="20000"))
                 await until(lambda: cache.seen)
                 raw.send(request(2, chunk="7"))
@@ -323,9 +329,7 @@
         patch.setattr(front_module, "UNSENT_BYTES", 50_000)
         patch.setattr(front_module, "OVER_MOST", 40)
         async with running(config({"c0": await cache.start(), "r0": REFUSED})) as (node, client):
-            raw = Raw(node, takes=4096)
-            conn = await connected(node, raw)
-            conn.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+            raw, conn = await narrow(node)
             raw.send(request(1))
             await until(lambda: conn.unsent() > 50_000)
             for stream in range(2, 60):
@@ -397,9 +401,7 @@
     with pytest.MonkeyPatch.context() as patch:
         patch.setattr(front_module, "UNSENT_BYTES", 50_000)
         async with running(config({"c0": await cache.start(), "r0": REFUSED})) as (node, client):
-            raw = Raw(node, takes=4096)
-            conn = await connected(node, raw)
-            conn.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+            raw, conn = await narrow(node)
             raw.send(request(1))
             await until(lambda: conn.unsent() > 50_000)
             raw.send(struct.pack(">IBI", 5, 32, 0) * (front_module.OVER_MOST + 1))
