Move the AIMD concurrency limit out of the decision module into routes/concurrency.py

The limit knows nothing of requests, stores or settings: a mechanism that the module uses, as it uses the budgets of routes/cold.py. Text moved as it was, no behaviour changed.

--- a/gladelane/choice.py
+++ b/gladelane/choice.py
@@ -2,7 +2,6 @@
 
 Map, top to bottom:
   constants       each tuned value, with its unit and reason
-  ConcurrencyLimit  AIMD on what is out: at a cache, its fills, a source, all fills of the location
   Store           a cache, parent or origin as this router knows it: list state, circuit breaker, cold budget
   Object, Pending an entry of the object table; a request that is owed its answer, with its attempts
   Router          handle() -> one method an event; then the ordinary path (admission, rank, cache, source),
@@ -15,7 +14,6 @@
 
 import random
 from collections import OrderedDict
-from collections.abc import Callable
 from dataclasses import dataclass, field
 from hashlib import blake2b
 from math import log
@@ -25,6 +23,7 @@
 from .interface import Started, State, Status, Subscribe, Timer
 from .purges.index import Index
 from .routes.cold import ColdBudgets, Tokens
+from .routes.concurrency import LATE_STEP, LIMIT_LEAST, LIMIT_MOST, ConcurrencyLimit
 
 # Shares, steps and counts carry no unit. Tables bound this process's memory, whatever comes.
 # Times are the machines' and the network's, not a class's: a process that died is back after seconds, answers
@@ -56,19 +55,14 @@
 HEDGE_SHARE, HEDGE_MOST = 0.05, 5.0  # second copies, likewise
 FLAW_STEP, FLAWED = 0.2, 0.6  # aged share of a source's fills that end in an error at once; where it rests
 RECENT_MS = 1000.0  # a source that filled so lately is in use
-LIMIT_LEAST, LIMIT_MOST = 2.0, 64.0  # attempts out at one cache, least and most; by weight it may be more
 START_BY_LINK = 2.5  # a store's limit at first, in answers that its link carries at full pace
 START_SHARED = 1.2  # a hub's, for all proxies together where they are many; the origin's, by all hubs' links
-GROW_NEAR = 0.7  # part of the limit that must be in use for a timely answer to raise it
-GROW_MOST = 0.25  # most by which one timely answer raises it, as a part of it
 SPILL_SHARE = 0.8  # part of its room that a cache gives to what the one before it had no room for
 DEAR_SHARE = 0.7  # part of a cache's room open to the class that earns least for its work
-LATE_STEP, LATE_SHARE = 0.1, 0.15  # aged share of late answers that tells of a crowd: one does not
 INLET_SHARE = 0.2  # the same for the fills of all caches of the location together
 INLET_LEAST = 1.0  # fills a cache of the location always let through, by all its proxies together
 ALONE_OVER, ALONE_BY = 2.0, 0.1  # a source is late alone where it is so much more than each other in use
 ALONE_CUT = 0.5  # its lateness from which it is asked for less: one that is far off is late now and then
-LIMIT_CUT, LIMIT_CUT_MS = 0.8, 500.0  # what a late answer leaves of the limit, once a crowd or in so long
 COME_BACK_MS = 400.0  # advice to a refused client
 MASK = (1 << 64) - 1
 
@@ -81,43 +75,6 @@
     return x ^ (x >> 31)
 
 
-class ConcurrencyLimit:
-    """AIMD on the attempts out: cut by a fifth on late answers, raised a little by timely ones."""
-
-    def __init__(
-        self, share: float = LATE_SHARE, chance: Callable[[], float] = lambda: 0.0, most: float = LIMIT_MOST
-    ) -> None:
-        self.share, self.chance, self.most = share, chance, most
-        self.least = LIMIT_LEAST
-        self.out = 0
-        self.limit = most
-        self.cut_ms = -1.0
-        self.lateness = 0.0
-
-    def room(self, part: float = 1.0) -> bool:
-        """A limit under one, where many proxies share what is behind it, is the chance to let one through."""
-        room = self.limit * part
-        return self.out < room if room >= 1.0 else not self.out and self.chance() < room
-
-    def widen(self, most: float) -> None:
-        if most > self.most:
-            self.most = self.limit = most
-
-    def release(self) -> None:
-        self.out = max(self.out - 1, 0)
-
-    def learn(self, now: float, sent_ms: float, late: bool) -> None:
-        """What was sent before the last cut tells of the same crowd, unless that stays late for long."""
-        self.lateness += LATE_STEP * (late - self.lateness)
-        fresh = sent_ms > self.cut_ms or now - self.cut_ms > LIMIT_CUT_MS
-        if late and fresh and self.lateness > self.share:
-            self.limit = max(min(self.limit, self.out + 1.0) * LIMIT_CUT, self.least)
-            self.cut_ms = now
-        elif not late and self.out + 1.0 >= self.limit * GROW_NEAR:
-            step = self.most / LIMIT_MOST / self.limit  # a wide limit comes back in as many answers
-            self.limit = min(self.limit + min(step, self.limit * GROW_MOST), self.most)
-
-
 class Store:
     """One member of the list, what its outcomes told, and its cold budget."""
 
--- a/tests/test_failure.py
+++ b/tests/test_failure.py
@@ -6,7 +6,8 @@
 
 from conftest import Driver, members, only, some
 
-from gladelane.choice import LIMIT_LEAST, LINGERING, SENT_TABLE, TABLE
+from gladelane.choice import LINGERING, SENT_TABLE, TABLE
+from gladelane.routes.concurrency import LIMIT_LEAST
 from gladelane.interface import Fetch, ListKind, Lookup, Member, Note, Outcome, Purge, Refuse, SetTimer, Status, Timer
 
 
