--- a/benchmarks/addresses.py
+++ b/benchmarks/addresses.py
@@ -66,10 +66,17 @@
         for name, standin in self.standins.items():
             listed = self.addresses[name] = [await standin.listen(family) for family in ORDER]
             kind = {"depot": "parent", "bank": "origin"}.get(name, "standard")
-            instances.append({
-                "instanceId": name, "hostPort": listed[-1], "addresses": listed, "machineType": kind,
-                "zone": "branch" if kind == "standard" else "hub", "lifecycle": "in_service", "weight": 5,
-            })
+            instances.append(
+                {
+                    "instanceId": name,
+                    "hostPort": listed[-1],
+                    "addresses": listed,
+                    "machineType": kind,
+                    "zone": "branch" if kind == "standard" else "hub",
+                    "lifecycle": "in_service",
+                    "weight": 5,
+                }
+            )
         raw["known"]["notices"][0]["pool"]["instances"] = instances
         node = Node(read_config(json.dumps(raw).encode()))
         send = node.upstream.send
@@ -97,8 +104,11 @@
     def doubles(self) -> int:
         """Arrivals at a server beyond the attempts that the module ordered there."""
         arrived = Counter(
-            {(name, seen): standin.times(seen) for name, standin in self.standins.items()
-             for seen in {s.id for s in standin.seen}}
+            {
+                (name, seen): standin.times(seen)
+                for name, standin in self.standins.items()
+                for seen in {s.id for s in standin.seen}
+            }
         )
         return sum(max(count - self.sent[key], 0) for key, count in arrived.items())
 
@@ -124,8 +134,15 @@
         nonlocal lost, asked
         for _ in range(turns):
             asked += 1
-            fields = {"i": f"{rng.getrandbits(64):016x}", "d": "1400", "o": f"{rng.getrandbits(64):016x}",
-                      "chunk": "0", "tag": "3", "m": "4", "c": rng.choice(["video-part", "question-item"])}
+            fields = {
+                "i": f"{rng.getrandbits(64):016x}",
+                "d": "1400",
+                "o": f"{rng.getrandbits(64):016x}",
+                "chunk": "0",
+                "tag": "3",
+                "m": "4",
+                "c": rng.choice(["video-part", "question-item"]),
+            }
             if asked % 2:
                 fields |= {"c": "answer-submit", "k": f"{rng.getrandbits(64):016x}", "d": "2500"}
             answer = await client.ask(fields, b"answers" if "k" in fields else b"", 5.0)
@@ -152,11 +169,20 @@
     for standin in fleet.standins.values():
         await standin.close()
     return {
-        "requests": asked, "doubles": fleet.doubles(), "lost": lost, "answered_twice": many,
-        "late_repeats": late, "unfinished": live, "sockets_left": left, "fault_kinds": len(FAULTS),
-        "served": codes[0], "refused": codes[1], "failed": codes[2], "arrivals": sum(
-            len(standin.seen) for standin in fleet.standins.values()
-        ), "ordered": sum(fleet.sent.values()), "requests_per_s": round(asked / took),
+        "requests": asked,
+        "doubles": fleet.doubles(),
+        "lost": lost,
+        "answered_twice": many,
+        "late_repeats": late,
+        "unfinished": live,
+        "sockets_left": left,
+        "fault_kinds": len(FAULTS),
+        "served": codes[0],
+        "refused": codes[1],
+        "failed": codes[2],
+        "arrivals": sum(len(standin.seen) for standin in fleet.standins.values()),
+        "ordered": sum(fleet.sent.values()),
+        "requests_per_s": round(asked / took),
     }
 
 
@@ -247,9 +273,11 @@
     baseline = await crowd([lambda: plain(listed) for _ in range(many)], 50)
     await standin.close()
     return {
-        "dial_ms_p50": round(base, 3), "first_dial_added_ms_p99": p99([v - base for v in first]),
+        "dial_ms_p50": round(base, 3),
+        "first_dial_added_ms_p99": p99([v - base for v in first]),
         "learnt_added_ms_p99": p99([v - base for v in learnt]),
-        "plain_added_ms_p99": p99([v - base for v in baseline]), "dial_sockets_left": budget.held,
+        "plain_added_ms_p99": p99([v - base for v in baseline]),
+        "dial_sockets_left": budget.held,
     }
 
 
@@ -271,7 +299,8 @@
     for standin in standins:
         await standin.close()
     return {
-        "family_servers": servers, "family_paid": sum(v > pays for v in took),
+        "family_servers": servers,
+        "family_paid": sum(v > pays for v in took),
         "family_paid_plain": sum(v > pays for v in base),
         "family_paid_race_without_memory": sum(v > pays for v in bare),
     }
@@ -284,10 +313,15 @@
     """Picks over a large list, one in twenty after something was learnt."""
     rng = random.Random(11)
     listings = [
-        Listing(f"s{n}", f"10.{n >> 8}.{n & 255}.1:80", addresses=(
-            *(f"10.{n >> 8}.{n & 255}.{k}:80" for k in range(2, each // 2 + 1)),
-            *(f"[2001:db8:{n:x}::{k}]:80" for k in range(1, each // 2 + 1)),
-        )) for n in range(servers)
+        Listing(
+            f"s{n}",
+            f"10.{n >> 8}.{n & 255}.1:80",
+            addresses=(
+                *(f"10.{n >> 8}.{n & 255}.{k}:80" for k in range(2, each // 2 + 1)),
+                *(f"[2001:db8:{n:x}::{k}]:80" for k in range(1, each // 2 + 1)),
+            ),
+        )
+        for n in range(servers)
     ]
     tracemalloc.start()
     endpoints = Endpoints(rng, Options())
@@ -319,7 +353,8 @@
         endpoints.plan(server, float(count))
     fresh = time.perf_counter() - began
     return {
-        "pick_us": round(mixed / count * 1e6, 2), "pick_anew_us": round(fresh / len(names) / 5 * 1e6, 1),
+        "pick_us": round(mixed / count * 1e6, 2),
+        "pick_anew_us": round(fresh / len(names) / 5 * 1e6, 1),
         "bytes_per_address": round(held / servers / each),
     }
 
@@ -335,8 +370,17 @@
     figures |= uvloop.run(family(servers))
     figures |= picks()
     broken = [
-        name for name in ("doubles", "lost", "answered_twice", "late_repeats", "unfinished", "sockets_left",
-                          "dial_sockets_left") if figures[name]
+        name
+        for name in (
+            "doubles",
+            "lost",
+            "answered_twice",
+            "late_repeats",
+            "unfinished",
+            "sockets_left",
+            "dial_sockets_left",
+        )
+        if figures[name]
     ]
     if figures["family_paid"] > FAMILY_MOST:
         broken.append("family_paid")
--- a/benchmarks/audit.py
+++ b/benchmarks/audit.py
@@ -52,31 +52,61 @@
     n = 8 if quick else 24
     shape = Shape(n, tenure_ms=2000.0, behind_ms=4000.0)
     found = [
-        Day("a sleeper, a straggler, a kill, a feed killed",
+        Day(
+            "a sleeper, a straggler, a kill, a feed killed",
             "0.5 stop directors:0 for 4; 1 drain caches:0 out; 1.2 purges 20 for 1; "
             "2 cut directors:1>board silent for 6; 2.5 drain caches:1 out; 4.5 kill directors:3; "
-            "6 kill feeds:0; 7 drain caches:1 in; 8 cut directors:4>feeds:* oneway for 3", shape, 14.0),
+            "6 kill feeds:0; 7 drain caches:1 in; 8 cut directors:4>feeds:* oneway for 3",
+            shape,
+            14.0,
+        ),
     ]
     if quick:
         return found
     half = n // 2 - 1
     return [
         *found,
-        Day("half on either side of a cut",
+        Day(
+            "half on either side of a cut",
             f"1 cut directors:0-{half}>feeds:0 closed for 6; "
             f"1 cut directors:{half + 1}-{n - 1}>feeds:1 closed for 6; "
             "1 cut feeds:0>feeds:1 closed for 6; 1 cut feeds:1>feeds:0 closed for 6; 2 purges 20 for 2; "
-            "3 drain caches:0 out", shape, 12.0),
-        Day("waves of kills", "; ".join(
-            f"{0.5 + turn} kill directors:{(turn * 3) % n}-{(turn * 3) % n + 2} {how}"
-            for turn, how in enumerate(("kept", "empty", "older", "torn", "kept", "empty", "kept", "kept"))
-        ) + "; 0 save directors:*; 2 purges 40 for 4; 3 drain caches:2 out", shape, 14.0),
-        Day("feeds lose disks in turn", "0 save feeds:*; 1 purges 20 for 3; 2 kill feeds:0 empty; "
-            "5 kill feeds:1 older; 8 kill feeds:0 kept; 3 drain caches:0 out", shape, 13.0),
-        Day("sleepers through everything", f"1 stop directors:0-{half} for 5; 2 drain caches:0 out; "
-            "2 purges 40 for 2; 3 kill feeds:0; 8 stop feeds:* for 4", shape, 16.0),
-        Day("many stragglers", f"1 cut directors:0-{n // 3}>board silent for 9; 2 drain caches:0 out; "
-            "5 drain caches:0 in", shape, 16.0),
+            "3 drain caches:0 out",
+            shape,
+            12.0,
+        ),
+        Day(
+            "waves of kills",
+            "; ".join(
+                f"{0.5 + turn} kill directors:{(turn * 3) % n}-{(turn * 3) % n + 2} {how}"
+                for turn, how in enumerate(
+                    ("kept", "empty", "older", "torn", "kept", "empty", "kept", "kept")
+                )
+            )
+            + "; 0 save directors:*; 2 purges 40 for 4; 3 drain caches:2 out",
+            shape,
+            14.0,
+        ),
+        Day(
+            "feeds lose disks in turn",
+            "0 save feeds:*; 1 purges 20 for 3; 2 kill feeds:0 empty; "
+            "5 kill feeds:1 older; 8 kill feeds:0 kept; 3 drain caches:0 out",
+            shape,
+            13.0,
+        ),
+        Day(
+            "sleepers through everything",
+            f"1 stop directors:0-{half} for 5; 2 drain caches:0 out; "
+            "2 purges 40 for 2; 3 kill feeds:0; 8 stop feeds:* for 4",
+            shape,
+            16.0,
+        ),
+        Day(
+            "many stragglers",
+            f"1 cut directors:0-{n // 3}>board silent for 9; 2 drain caches:0 out; " "5 drain caches:0 in",
+            shape,
+            16.0,
+        ),
         Day(MOST, f"1 cut directors:0-{n - 3}>board silent for 8; 2 drain caches:0 out", shape, 14.0),
     ]
 
@@ -84,7 +114,8 @@
 BEFORE = Day(
     "not enforced",
     "0.3 stop directors:0 for 3; 0.5 drain caches:0 out; 0.8 cut directors:1>feeds:* oneway for 5",
-    Shape(4, tenure_ms=1500.0, behind_ms=2000.0, enforce=False), 6.0,
+    Shape(4, tenure_ms=1500.0, behind_ms=2000.0, enforce=False),
+    6.0,
 )
 
 
@@ -181,8 +212,19 @@
                 trail.sent(cls)
                 row[0] += 1
             trail.turn(names[turn], totals, turn * step)
-        ledger.take(Report(trail.director, 1, "branch", 0.0, views[-1], trail.kept(),
-                           dict(zip(names, views, strict=True)), taken_ms=WEEK_MS, by="feed"))
+        ledger.take(
+            Report(
+                trail.director,
+                1,
+                "branch",
+                0.0,
+                views[-1],
+                trail.kept(),
+                dict(zip(names, views, strict=True)),
+                taken_ms=WEEK_MS,
+                by="feed",
+            )
+        )
         totals = {cls: [0, 0, 0] for cls in totals}
     took = []
     rng = Random(7)
@@ -202,9 +244,11 @@
     again.restore(payload)
     assert again.spans == ledger.spans
     return {
-        "week_spans": ledger.spans, "query_ms": round(max(took), 1),
+        "week_spans": ledger.spans,
+        "query_ms": round(max(took), 1),
         "week_bytes_per_director_hour": round(len(payload) / directors / (WEEK_MS / 3_600_000.0)),
-        "snapshot_ms": round((stored - began) * 1000.0), "recover_s": round(time.perf_counter() - stored, 2),
+        "snapshot_ms": round((stored - began) * 1000.0),
+        "recover_s": round(time.perf_counter() - stored, 2),
     }
 
 
@@ -252,9 +296,13 @@
     print(f"not enforced: attempts {before['attempts']}, after out {before['acted_after_out']}", flush=True)
     first = runs[days(quick)[0].name]
     rigged = {
-        name: caught(ledger) or bool(contradictions(
-            ledger, first["load"].attempts, first["load"].made, first["load"].purges, first["lists"]
-        )) for name, ledger in planted(first["ledger"], Random(seed)).items()
+        name: caught(ledger)
+        or bool(
+            contradictions(
+                ledger, first["load"].attempts, first["load"].made, first["load"].purges, first["lists"]
+            )
+        )
+        for name, ledger in planted(first["ledger"], Random(seed)).items()
     }
     clean, sought = cleanly.result(), {name: found.result() for name, found in seeking.items()}
     searches.shutdown()
@@ -265,38 +313,55 @@
 
     hours = sum(day.shape.directors * (day.seconds + 3.0) for day in days(quick)) / 3600.0
     told: dict[str, Any] = {
-        "quick": quick, "directors": days(quick)[0].shape.directors, "runs": len(runs) + 1,
-        "faults": sum(day.line.count(";") + 1 for day in days(quick)), "attempts": total("attempts"),
-        "answers": total("answers"), "spans": total("spans"),
+        "quick": quick,
+        "directors": days(quick)[0].shape.directors,
+        "runs": len(runs) + 1,
+        "faults": sum(day.line.count(";") + 1 for day in days(quick)),
+        "attempts": total("attempts"),
+        "answers": total("answers"),
+        "spans": total("spans"),
         "contradictions": sum(len(run["contradictions"]) for run in runs.values()),
         "wrong": sum(len(run["wrong"]) for run in runs.values()),
         "feeds_the_same": all(run["same"] for run in runs.values()),
-        "planted": len(rigged), "planted_caught": sum(rigged.values()),
+        "planted": len(rigged),
+        "planted_caught": sum(rigged.values()),
         "unknown_share": round(max(run["unknown_share"] for run in runs.values()), 4),
-        "acted_after_out": total("acted_after_out"), "acted_after_out_before": before["acted_after_out"],
-        "detect_ms_p99": round(p99(detect)), "caught_up_ms_p99": round(p99(back)), "stragglers": len(detect),
+        "acted_after_out": total("acted_after_out"),
+        "acted_after_out_before": before["acted_after_out"],
+        "detect_ms_p99": round(p99(detect)),
+        "caught_up_ms_p99": round(p99(back)),
+        "stragglers": len(detect),
         "shut_out_wrongly": len(wrong_out),
         "most_out_at_once": max(run["most_out_at_once"] for run in runs.values()),
-        "branch_emptied": sum(emptied(run, day.shape.directors) for day, run in
-                              zip(days(quick), runs.values(), strict=True)),
-        "stale": total("stale_strict"), "rules_broken": total("rules_broken"), "lost": total("lost"),
+        "branch_emptied": sum(
+            emptied(run, day.shape.directors) for day, run in zip(days(quick), runs.values(), strict=True)
+        ),
+        "stale": total("stale_strict"),
+        "rules_broken": total("rules_broken"),
+        "lost": total("lost"),
         "recheck_us": round(recheck_us(), 2),
         "bytes_per_director_hour": round(total("stored_bytes") / hours),
         "report_bytes_per_director_hour": round(total("report_bytes") / hours),
         **asked,
-        "search_states": clean, "search_planted": len(sought),
+        "search_states": clean,
+        "search_planted": len(sought),
         "search_caught": [name for name, found in sought.items() if isinstance(found, str)],
     }
     broken = {
-        "contradictions": told["contradictions"] > 0, "what was reported does not fit": told["wrong"] > 0,
+        "contradictions": told["contradictions"] > 0,
+        "what was reported does not fit": told["wrong"] > 0,
         "feeds differ": not told["feeds_the_same"],
         "planted reports not caught": told["planted_caught"] < told["planted"],
         "acted after out": told["acted_after_out"] > 0,
         "the check proves nothing": told["acted_after_out_before"] == 0,
-        "shut out wrongly": told["shut_out_wrongly"] > 0, "a branch emptied": told["branch_emptied"] > 0,
+        "shut out wrongly": told["shut_out_wrongly"] > 0,
+        "a branch emptied": told["branch_emptied"] > 0,
         "detected late": not told["stragglers"] or told["detect_ms_p99"] > 1_000,
-        "stale": told["stale"] > 0, "rules": told["rules_broken"] > 0, "lost": told["lost"] > 0,
-        "recheck": told["recheck_us"] > 4.0, "query": told["query_ms"] > 200.0,
+        "stale": told["stale"] > 0,
+        "rules": told["rules_broken"] > 0,
+        "lost": told["lost"] > 0,
+        "recheck": told["recheck_us"] > 4.0,
+        "query": told["query_ms"] > 200.0,
         "search": "violation" in clean or len(told["search_caught"]) < len(sought),
     }
     for name in wrong_out[:5]:
--- a/benchmarks/comeback.py
+++ b/benchmarks/comeback.py
@@ -44,8 +44,12 @@
     shape = Shape(n)
     found = [
         Day(KILLED, f"0.5 {WARM}; 4 {COLD}", shape, 8.0),
-        Day("both empty, one director lives",
-            SAVED + f"2 kill feeds:* empty; 2 kill directors:1-{n - 1} empty" + BACK, shape, 8.0),
+        Day(
+            "both empty, one director lives",
+            SAVED + f"2 kill feeds:* empty; 2 kill directors:1-{n - 1} empty" + BACK,
+            shape,
+            8.0,
+        ),
     ]
     if quick:
         return found
@@ -54,23 +58,54 @@
         *found,
         Day("all lost", SAVED + "2 kill feeds:* empty; 2 kill directors:* empty" + BACK, shape, 9.0),
         Day("all directors, cold", "1 kill directors:* empty", shape, 9.0),
-        Day("a wave that overtakes itself", "; ".join(
-            f"{0.5 + 0.15 * turn} kill directors:{turn * 4}-{min(turn * 4 + 7, n - 1)}" for turn in range(9)
-        ), shape, 9.0),
+        Day(
+            "a wave that overtakes itself",
+            "; ".join(
+                f"{0.5 + 0.15 * turn} kill directors:{turn * 4}-{min(turn * 4 + 7, n - 1)}"
+                for turn in range(9)
+            ),
+            shape,
+            9.0,
+        ),
         Day("ten kills in 20 s", loop, shape, 24.0),
         Day("one feed empty", SAVED + "2 kill feeds:0 empty; 2 kill directors:90% empty" + BACK, shape, 9.0),
-        Day("one empty, one older", "0 save feeds:1; " + SAVED +
-            "2 kill feeds:0 empty; 2 kill feeds:1 older; 2 kill directors:* empty" + BACK,
-            Shape(n, marks=True), 9.0),
-        Day("in a flood, origin slow, hub new", SAVED + "2 purges 120 for 3; 2.2 kill feeds:* empty; "
+        Day(
+            "one empty, one older",
+            "0 save feeds:1; "
+            + SAVED
+            + "2 kill feeds:0 empty; 2 kill feeds:1 older; 2 kill directors:* empty"
+            + BACK,
+            Shape(n, marks=True),
+            9.0,
+        ),
+        Day(
+            "in a flood, origin slow, hub new",
+            SAVED + "2 purges 120 for 3; 2.2 kill feeds:* empty; "
             "2.2 kill directors:* empty; 2.4 store origin slow for 2; 2.4 store hub renew" + BACK,
-            shape, 20.0),
-        Day("half cut off", SAVED + "2 kill feeds:* empty; " +
-            f"2 cut directors:0-{n // 2}>feeds:* for 4" + BACK, shape, 11.0),
-        Day("full disks", "0.2 full feeds:* for 3; 0.2 full directors:* for 3; 0.5 purges 40 for 2; "
-            "4 kill directors:90%; 4 kill feeds:*", shape, 9.0, 20),
-        Day("board late, old folders", "0 save directors:*; 0.5 drain caches:0 out; 1 board late for 3; "
-            "2 kill directors:90% older; 3 drain caches:1 out", shape, 8.0),
+            shape,
+            20.0,
+        ),
+        Day(
+            "half cut off",
+            SAVED + "2 kill feeds:* empty; " + f"2 cut directors:0-{n // 2}>feeds:* for 4" + BACK,
+            shape,
+            11.0,
+        ),
+        Day(
+            "full disks",
+            "0.2 full feeds:* for 3; 0.2 full directors:* for 3; 0.5 purges 40 for 2; "
+            "4 kill directors:90%; 4 kill feeds:*",
+            shape,
+            9.0,
+            20,
+        ),
+        Day(
+            "board late, old folders",
+            "0 save directors:*; 0.5 drain caches:0 out; 1 board late for 3; "
+            "2 kill directors:90% older; 3 drain caches:1 out",
+            shape,
+            8.0,
+        ),
         Day("sleepers", f"1 stop directors:1-{n // 2} for 3; 1.5 purges 40 for 1", shape, 12.0),
     ]
 
@@ -100,9 +135,9 @@
     parser.add_argument("--table", type=Path)
     asked = parser.parse_args(argv)
     shape = Shape(asked.directors, asked.feeds, asked.copies)
-    figures = uvloop.run(play(
-        asked.line, shape, asked.seed, asked.seconds, purges=asked.purges, table=asked.table
-    ))
+    figures = uvloop.run(
+        play(asked.line, shape, asked.seed, asked.seconds, purges=asked.purges, table=asked.table)
+    )
     wrong = [name for name in ("stale_strict", "doubles", "lost", "rules_broken") if figures[name]]
     return conclude(figures, wrong)
 
@@ -115,15 +150,21 @@
     runs: dict[str, dict[str, Any]] = {}
     for day in days(quick):
         path = Path(table) / f"{day.name.replace(' ', '-')}.jsonl" if table else None
-        runs[day.name] = uvloop.run(play(
-            day.line, day.shape, 11, day.seconds, purges=day.purges, table=path, per_s=250.0
-        ))
+        runs[day.name] = uvloop.run(
+            play(day.line, day.shape, 11, day.seconds, purges=day.purges, table=path, per_s=250.0)
+        )
         figures = {name: value for name, value in runs[day.name].items() if name not in ("line", "phases")}
         print(f"{day.name}: {figures}", flush=True)
     shape = days(quick)[1].shape
     before = uvloop.run(play(LOST, Shape(6, lost="serve"), 11, 5.5))
-    plants = {Plant.TOLD_ALL: (1, 5), Plant.SNAPSHOT_FORGETS: (1, 5), Plant.NEWER: (2, 5),
-              Plant.SEED_LOWERS: (1, 5), Plant.ONE_COPY: (1, 5), Plant.EACH_OTHER: (2, 4)}
+    plants = {
+        Plant.TOLD_ALL: (1, 5),
+        Plant.SNAPSHOT_FORGETS: (1, 5),
+        Plant.NEWER: (2, 5),
+        Plant.SEED_LOWERS: (1, 5),
+        Plant.ONE_COPY: (1, 5),
+        Plant.EACH_OTHER: (2, 4),
+    }
     sought = {plant.name: searched(copies, plant, most) for plant, (copies, most) in plants.items()}
     caught = [name for name, found in sought.items() if isinstance(found, str)]
     states = [searched(copies, Plant.NONE, 3 if quick else 4) for copies in (1, 2)]
@@ -136,25 +177,42 @@
     cold = [runs[KILLED]["full_by_fault"][f"4 {COLD}"]]
     cold += [full[name] for name in ("all directors, cold",) if name in full]
     told: dict[str, Any] = {
-        "quick": quick, "directors": shape.directors, "runs": len(runs) + 1, "killed": total("killed"),
-        "kills": total("kills"), "disk_faults": total("disk_faults"), "answers": total("answers"),
-        "purges": total("purges"), "stale_after_loss": total("stale_strict"),
-        "stale_after_loss_before": before["stale_strict"], "stale_of_other_classes": total("stale_other"),
-        "doubles": total("doubles"), "late_repeats": total("late_repeats"),
-        "lost_by_kill": total("lost_by_kill"), "lost_beyond_kill": total("lost"),
+        "quick": quick,
+        "directors": shape.directors,
+        "runs": len(runs) + 1,
+        "killed": total("killed"),
+        "kills": total("kills"),
+        "disk_faults": total("disk_faults"),
+        "answers": total("answers"),
+        "purges": total("purges"),
+        "stale_after_loss": total("stale_strict"),
+        "stale_after_loss_before": before["stale_strict"],
+        "stale_of_other_classes": total("stale_other"),
+        "doubles": total("doubles"),
+        "late_repeats": total("late_repeats"),
+        "lost_by_kill": total("lost_by_kill"),
+        "lost_beyond_kill": total("lost"),
         "rules_broken": total("rules_broken"),
         "full_service_s": {name: told_s(s) for name, s in full.items()},
-        "full_service_warm_s": told_s(warm), "full_service_cold_s": told_s(max(cold)),
+        "full_service_warm_s": told_s(warm),
+        "full_service_cold_s": told_s(max(cold)),
         "origin_peak_over_usual": runs[KILLED]["origin_peak_over_usual"],
-        "origin_peak": max(run["origin_peak"] for run in runs.values()), "origin_limit": 900,
+        "origin_peak": max(run["origin_peak"] for run in runs.values()),
+        "origin_limit": 900,
         "pushed_over": sorted({name for run in runs.values() for name in run["pushed_over"]}),
-        "after_drain": total("after_drain"), "reseeded": total("reseeded"),
-        "search_states": states, "planted": len(plants), "planted_caught": caught,
+        "after_drain": total("after_drain"),
+        "reseeded": total("reseeded"),
+        "search_states": states,
+        "planted": len(plants),
+        "planted_caught": caught,
     }
     wrong = {
-        "stale": told["stale_after_loss"] > 0, "the check proves nothing": before["stale_strict"] == 0,
-        "doubles": told["doubles"] > 0, "lost beyond the kill": told["lost_beyond_kill"] > 0,
-        "rules": told["rules_broken"] > 0, "pushed over": bool(told["pushed_over"]),
+        "stale": told["stale_after_loss"] > 0,
+        "the check proves nothing": before["stale_strict"] == 0,
+        "doubles": told["doubles"] > 0,
+        "lost beyond the kill": told["lost_beyond_kill"] > 0,
+        "rules": told["rules_broken"] > 0,
+        "pushed over": bool(told["pushed_over"]),
         "sent to a drained cache": told["after_drain"] > 0,
         "search": len(caught) < len(plants) or any(isinstance(found, str) for found in states),
         "nobody filled a feed again": told["reseeded"] == 0,
--- a/benchmarks/fuzz.py
+++ b/benchmarks/fuzz.py
@@ -31,7 +31,10 @@
 
 SEEDS = {
     "scope": [
-        b"objects:7f3a* & class:page | group:3", b"parts:0-7 & objects:?a*1", b"tag:a | all", b"objects:7..8",
+        b"objects:7f3a* & class:page | group:3",
+        b"parts:0-7 & objects:?a*1",
+        b"tag:a | all",
+        b"objects:7..8",
     ],
     "vector": [b"a:5=3,b:9=1", b"feed-1:1764576000000=12"],
     "event": [b'{"purges":[["a",1,2,3.5,"group:1","k"]],"mark":"a:1=2"}', b'{"mark":""}'],
--- a/benchmarks/lab.py
+++ b/benchmarks/lab.py
@@ -28,20 +28,35 @@
     raw = json.loads((ROOT / "example" / "config.json").read_text())["settings"]
     zones = ["hub", *(f"z{n}" for n in range(locations))]
     family = {
-        **raw["family_info"], "hub_of": [0] * len(zones), "inlet_kb_per_s": [0.0] * len(zones),
+        **raw["family_info"],
+        "hub_of": [0] * len(zones),
+        "inlet_kb_per_s": [0.0] * len(zones),
         "seats_by_zone": [0, *([directors] * locations)],
     }
-    return settings_from_wire({
-        **raw, "areas": zones, "zone": "z0", "balancers": locations * directors, "family_info": family,
-    })
+    return settings_from_wire(
+        {
+            **raw,
+            "areas": zones,
+            "zone": "z0",
+            "balancers": locations * directors,
+            "family_info": family,
+        }
+    )
 
 
 def fleet(locations: int, caches: int, directors: int, seed: int) -> Fleet:
     parents = max(2, locations // 2)
     plan = Plan(
-        settings(locations, directors), caches=caches, locations=locations, parents=parents,
-        directors=directors, rate=RATE * caches * locations, objects=500 * locations,
-        origin_workers=8 * locations, origin_room=150 * locations, origin_link=30.0 * locations,
+        settings(locations, directors),
+        caches=caches,
+        locations=locations,
+        parents=parents,
+        directors=directors,
+        rate=RATE * caches * locations,
+        objects=500 * locations,
+        origin_workers=8 * locations,
+        origin_room=150 * locations,
+        origin_link=30.0 * locations,
     )
     return Fleet(plan, seed)
 
@@ -58,8 +73,12 @@
     """Of one seed in three processes with hash seeds of their own."""
     return {
         subprocess.run(
-            [sys.executable, "-m", "benchmarks.lab", "--digest"], cwd=ROOT, capture_output=True, text=True,
-            check=True, env={**os.environ, "PYTHONHASHSEED": seed},
+            [sys.executable, "-m", "benchmarks.lab", "--digest"],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+            check=True,
+            env={**os.environ, "PYTHONHASHSEED": seed},
         ).stdout.strip()
         for seed in ("0", "1", "2")
     }
@@ -71,9 +90,13 @@
     run.run(virtual_ms)
     took = time.process_time() - began
     return {
-        "servers": len(run.members), "directors": len(run.directors), "rps": round(run.plan.rate),
-        "requests": run.counts["asked"], "worth": round(run.worth / run.worth_asked, 3),
-        "hits": round(run.counts["hits"] / max(run.counts["ok"], 1), 3), "broken": len(run.broken),
+        "servers": len(run.members),
+        "directors": len(run.directors),
+        "rps": round(run.plan.rate),
+        "requests": run.counts["asked"],
+        "worth": round(run.worth / run.worth_asked, 3),
+        "hits": round(run.counts["hits"] / max(run.counts["ok"], 1), 3),
+        "broken": len(run.broken),
         "events_per_s": round(run.line.passed / took),
         "s_per_virtual_s": round(took / virtual_ms * 1000.0, 3),
         "us_per_request": round(took / max(run.counts["asked"], 1) * 1e6, 1),
@@ -93,10 +116,14 @@
     cost = log(last["s_per_virtual_s"] / first["s_per_virtual_s"])
     same = digests()
     figures: dict[str, Any] = {
-        "quick": quick, "events_per_s": first["events_per_s"],
-        "requests": sum(row["requests"] for row in table), "digest_same": len(same) == 1,
+        "quick": quick,
+        "events_per_s": first["events_per_s"],
+        "requests": sum(row["requests"] for row in table),
+        "digest_same": len(same) == 1,
         "rules_broken": sum(row["broken"] for row in table),
-        "large_servers": last["servers"], "large_directors": last["directors"], "large_rps": last["rps"],
+        "large_servers": last["servers"],
+        "large_directors": last["directors"],
+        "large_rps": last["rps"],
         "large_s_per_virtual_s": last["s_per_virtual_s"],
         "growth_exponent": round(cost / log(last["rps"] / first["rps"]), 3),
     }
--- a/benchmarks/operations.py
+++ b/benchmarks/operations.py
@@ -49,9 +49,14 @@
         raw["board"], raw["limits"] = "127.0.0.1:1", {"cores": 1, "memory_mb": MEMORY_MB, "sockets": SOCKETS}
         kinds = {"depot": "parent", "bank": "origin"}
         raw["known"]["notices"][0]["pool"]["instances"] = [
-            {"instanceId": s.name, "hostPort": await s.listen(Family.V4), "weight": 64,
-             "lifecycle": "in_service", "machineType": kinds.get(s.name, "standard"),
-             "zone": "hub" if s.name in kinds else "branch"}
+            {
+                "instanceId": s.name,
+                "hostPort": await s.listen(Family.V4),
+                "weight": 64,
+                "lifecycle": "in_service",
+                "machineType": kinds.get(s.name, "standard"),
+                "zone": "hub" if s.name in kinds else "branch",
+            }
             for s in self.standins
         ]
         self.classes = tuple(row["name"] for row in raw["settings"]["classes"])
@@ -73,8 +78,12 @@
 async def calls(director: Processes, count: int, wrong: list[str]) -> dict[str, float]:
     """Questions and orders in turn, each answered as it should be."""
     asked = [
-        ("GET", "/healthcheck", 200), ("GET", "/stats", 200), ("POST", "/caches/cache-0/maint", 200),
-        ("POST", "/caches/cache-0/ready", 200), ("POST", "/caches/nobody/maint", 404), ("PUT", "/stats", 405),
+        ("GET", "/healthcheck", 200),
+        ("GET", "/stats", 200),
+        ("POST", "/caches/cache-0/maint", 200),
+        ("POST", "/caches/cache-0/ready", 200),
+        ("POST", "/caches/nobody/maint", 404),
+        ("PUT", "/stats", 405),
     ]
     times = []
     for number in range(count):
@@ -96,8 +105,20 @@
         client = await Client.to("127.0.0.1", port)
         while True:
             number += 32
-            waves = (client.ask({"c": "video-part", "i": f"{number + n:016x}", "d": "1000", "o": f"{n:016x}",
-                                 "chunk": "0", "tag": "1", "m": "1"}) for n in range(32))
+            waves = (
+                client.ask(
+                    {
+                        "c": "video-part",
+                        "i": f"{number + n:016x}",
+                        "d": "1000",
+                        "o": f"{n:016x}",
+                        "chunk": "0",
+                        "tag": "1",
+                        "m": "1",
+                    }
+                )
+                for n in range(32)
+            )
             await asyncio.gather(*waves)
 
     await asyncio.gather(*(one(place) for place in range(clients)))
@@ -126,8 +147,13 @@
         finally:
             await director.end()
             await world.close()
-    return {"door_rest": rest, "door_saturated": saturated, "door_beside_slow_callers": beside,
-            "door_wrong": wrong, "loop_late_lines": late}
+    return {
+        "door_rest": rest,
+        "door_saturated": saturated,
+        "door_beside_slow_callers": beside,
+        "door_wrong": wrong,
+        "loop_late_lines": late,
+    }
 
 
 async def upgrades(times: int) -> dict[str, Any]:
@@ -155,11 +181,17 @@
         finally:
             await director.end()
             await world.close()
-    return {"upgrades": times, "served_meanwhile": load.served, "lost": load.lost,
-            "refused_meanwhile": load.refused,
-            "crossed": load.crossed, "last_took_over": handed, "ready_most_s": round(max(ready), 2),
-            "both_memory_mb": round(memory, 1),
-            "both_descriptors": descriptors}
+    return {
+        "upgrades": times,
+        "served_meanwhile": load.served,
+        "lost": load.lost,
+        "refused_meanwhile": load.refused,
+        "crossed": load.crossed,
+        "last_took_over": handed,
+        "ready_most_s": round(max(ready), 2),
+        "both_memory_mb": round(memory, 1),
+        "both_descriptors": descriptors,
+    }
 
 
 def varied(words: list[str], place: int, seen: Seen) -> tuple[str, bytes]:
@@ -179,10 +211,18 @@
         try:
             for number in range(1, count + 1):
                 cls = world.classes[number % len(world.classes)]
-                answer = await client.ask({
-                    "c": cls, "i": f"{number:016x}", "d": "2000", "o": f"{number % 40:016x}", "chunk": "0",
-                    "tag": "1", "m": "x" if number % 50 == 0 else "1", "k": f"{number:032x}",
-                })
+                answer = await client.ask(
+                    {
+                        "c": cls,
+                        "i": f"{number:016x}",
+                        "d": "2000",
+                        "o": f"{number % 40:016x}",
+                        "chunk": "0",
+                        "tag": "1",
+                        "m": "x" if number % 50 == 0 else "1",
+                        "k": f"{number:032x}",
+                    }
+                )
                 word = ("success", "busy", "failure")[answer.code] if answer is not None else "none"
                 counted[f"calls.{cls}.{word}"] += 1
             await asyncio.sleep(0.3)
@@ -265,7 +305,11 @@
     for how in ("handed_over", "steered", "plain"):
         told[f"newcomers_lost_{how}"], told[f"newcomers_{how}"] = listeners(how, 5 if quick else 60)
     must_be_none = (
-        "door_wrong", "lost", "figures_apart", "newcomers_lost_handed_over", "newcomers_lost_steered",
+        "door_wrong",
+        "lost",
+        "figures_apart",
+        "newcomers_lost_handed_over",
+        "newcomers_lost_steered",
     )
     broken = [name for name in must_be_none if told[name]]
     if told["both_memory_mb"] > MEMORY_MB or told["both_descriptors"] > SOCKETS:
--- a/benchmarks/ownership.py
+++ b/benchmarks/ownership.py
@@ -75,8 +75,13 @@
             await fleet.close()
             await world.close()
     return {
-        "changes": sum(len(one) for one in told.values()), "faults": faults, "gaps": gaps, "mean": mean,
-        "missing": missing, "reused": reused, "effects": len(world.orders),
+        "changes": sum(len(one) for one in told.values()),
+        "faults": faults,
+        "gaps": gaps,
+        "mean": mean,
+        "missing": missing,
+        "reused": reused,
+        "effects": len(world.orders),
     }
 
 
@@ -92,17 +97,25 @@
     searches.shutdown()
     gaps: list[float] = run["gaps"]
     told: dict[str, Any] = {
-        "quick": quick, "lease_ms": LEASE_MS, "changes": run["changes"], "faults": run["faults"],
-        "effects": run["effects"], "numbers_reused": len(run["reused"]), "steps_lost": run["missing"],
-        "gaps": len(gaps), "gap_ms_p99": round(p99(gaps) * 1000.0),
+        "quick": quick,
+        "lease_ms": LEASE_MS,
+        "changes": run["changes"],
+        "faults": run["faults"],
+        "effects": run["effects"],
+        "numbers_reused": len(run["reused"]),
+        "steps_lost": run["missing"],
+        "gaps": len(gaps),
+        "gap_ms_p99": round(p99(gaps) * 1000.0),
         "gap_ms_max": round(max(gaps, default=0.0) * 1000.0),
         "orders_per_purge_and_server": round(run["mean"], 2),
-        "orders_per_purge_and_server_before": round(before["mean"], 2), "states_explored": clean,
+        "orders_per_purge_and_server_before": round(before["mean"], 2),
+        "states_explored": clean,
         "planted": len(plants),
         "planted_caught": [name for name, found in sought.items() if isinstance(found, str)],
     }
     broken = {
-        "numbers reused": bool(run["reused"]), "steps lost": run["missing"] > 0,
+        "numbers reused": bool(run["reused"]),
+        "steps lost": run["missing"] > 0,
         "a successor came late": not gaps or told["gap_ms_p99"] > LEASE_MS + 1_000.0,
         "orders": run["mean"] > 2.0 or before["mean"] < 3.0,
         "search": isinstance(clean, str) or len(told["planted_caught"]) < len(plants),
--- a/benchmarks/purges.py
+++ b/benchmarks/purges.py
@@ -92,9 +92,15 @@
             standin.drop = shelf.drop
             self.addresses[name] = await standin.listen(Family.V4)
         board = await self.board.start()
-        self.board.tell({"pool": {"generation": 1, "reset": True, "instances": [
-            self._instance(name, 0.0) for name in shelves
-        ]}})
+        self.board.tell(
+            {
+                "pool": {
+                    "generation": 1,
+                    "reset": True,
+                    "instances": [self._instance(name, 0.0) for name in shelves],
+                }
+            }
+        )
         (self.folder / "tokens").write_text(f"bench {TOKEN}\n")
         if with_feeds:
             self.feed_ports = [free_port() for _ in range(self.counts[1])]
@@ -105,28 +111,57 @@
             self.ports.append(free_port())
             raw |= {"name": f"n{n}", "listen": f"127.0.0.1:{self.ports[n]}", "board": board}
             (self.folder / f"director-{n}.json").write_text(json.dumps(raw))
-            operator = {"purges": {
-                "feeds": [f"127.0.0.1:{port}" for port in self.feed_ports], "delay_ms": DELAY_MS,
-                "token_file": str(self.folder / "tokens"), "dir": str(self.folder / f"kept-{n}"),
-                "strict": [STRICT], "cut_off_per_s": CUT_OFF_PER_S, "order_kinds": ["standard", "parent"],
-            }} if with_feeds else {}
+            operator = (
+                {
+                    "purges": {
+                        "feeds": [f"127.0.0.1:{port}" for port in self.feed_ports],
+                        "delay_ms": DELAY_MS,
+                        "token_file": str(self.folder / "tokens"),
+                        "dir": str(self.folder / f"kept-{n}"),
+                        "strict": [STRICT],
+                        "cut_off_per_s": CUT_OFF_PER_S,
+                        "order_kinds": ["standard", "parent"],
+                    }
+                }
+                if with_feeds
+                else {}
+            )
             (self.folder / f"operator-{n}.json5").write_text(json.dumps(operator))
             self.directors.append(self._director(n))
         await asyncio.gather(*(self._director_ready(n) for n in range(self.counts[0])))
 
     def _instance(self, name: str, started: float) -> dict[str, Any]:
         kind = {"depot": "parent", "bank": "origin"}.get(name, "standard")
-        return {"instanceId": name, "hostPort": self.addresses[name], "machineType": kind,
-                "zone": "branch" if kind == "standard" else "hub", "lifecycle": "in_service", "weight": 20,
-                "startedAtMs": started}
+        return {
+            "instanceId": name,
+            "hostPort": self.addresses[name],
+            "machineType": kind,
+            "zone": "branch" if kind == "standard" else "hub",
+            "lifecycle": "in_service",
+            "weight": 20,
+            "startedAtMs": started,
+        }
 
     def _feed(self, n: int) -> subprocess.Popen[bytes]:
         others = [f"127.0.0.1:{port}" for k, port in enumerate(self.feed_ports) if k != n]
         peers = [word for other in others for word in ("--peer", other)]
-        command = [sys.executable, "-c", "from gladelane.cli import main; main()", "purge", "serve",
-                   "--first", "--dir", str(self.folder / f"feed-{n}"),
-                   "--tokens", str(self.folder / "tokens"), "--listen",
-                   f"127.0.0.1:{self.feed_ports[n]}", "--name", f"feed-{n}", *peers]
+        command = [
+            sys.executable,
+            "-c",
+            "from gladelane.cli import main; main()",
+            "purge",
+            "serve",
+            "--first",
+            "--dir",
+            str(self.folder / f"feed-{n}"),
+            "--tokens",
+            str(self.folder / "tokens"),
+            "--listen",
+            f"127.0.0.1:{self.feed_ports[n]}",
+            "--name",
+            f"feed-{n}",
+            *peers,
+        ]
         return subprocess.Popen(command, cwd=ROOT, stderr=subprocess.DEVNULL)
 
     async def _feed_ready(self, n: int) -> None:
@@ -228,8 +263,15 @@
                 await asyncio.sleep(0.01)
                 continue
             cls, part = (STRICT if n % 2 else LOOSE), self.rng.randrange(2)
-            fields = {"c": cls, "i": f"{self.rng.getrandbits(64):016x}", "d": "1500", "o": object_id(n),
-                      "chunk": str(part), "tag": str(group_of(n)), "m": "4"}
+            fields = {
+                "c": cls,
+                "i": f"{self.rng.getrandbits(64):016x}",
+                "d": "1500",
+                "o": object_id(n),
+                "chunk": str(part),
+                "tag": str(group_of(n)),
+                "m": "4",
+            }
             self.asked += 1
             sent = now_ms()
             answer = await client.ask(fields, patience_s=4.0)
@@ -266,9 +308,11 @@
             while True:
                 port = self.rng.choice(self.world.feed_ports)
                 try:
-                    told = json.loads(await fetch(
-                        "127.0.0.1", port, "POST", "/purges", TOKEN, body, {"Idempotency-Key": f"k{turn}"}
-                    ))
+                    told = json.loads(
+                        await fetch(
+                            "127.0.0.1", port, "POST", "/purges", TOKEN, body, {"Idempotency-Key": f"k{turn}"}
+                        )
+                    )
                     break
                 except (OSError, Refused, TimeoutError):
                     await asyncio.sleep(0.02)
@@ -280,8 +324,12 @@
     """The same by the plainest scan over some of the answers: the index must not vouch for itself."""
     step = max(len(made) // most, 1)
     return sum(
-        any(at + delay_ms <= a.sent_ms and a.dated_ms + SLACK_MS < at and scope.covers(
-            a.cls, a.group, a.object, a.part) for at, scope, *_ in purges)
+        any(
+            at + delay_ms <= a.sent_ms
+            and a.dated_ms + SLACK_MS < at
+            and scope.covers(a.cls, a.group, a.object, a.part)
+            for at, scope, *_ in purges
+        )
         for a in made[::step]
     )
 
@@ -350,14 +398,23 @@
             load.running = False
             await asyncio.gather(*workers)
             twice = sum(
-                1 for client in world.clients if client is not None
-                for times in client.answers.values() if times != 1
+                1
+                for client in world.clients
+                if client is not None
+                for times in client.answers.values()
+                if times != 1
             )
             late = delays(load.made, load.purges)
             return figures | {
-                "purges": len(load.purges), "answers": len(load.made), "asked": load.asked,
-                "refused": load.refused, "failed": load.failed, "lost": load.lost, "answered_twice": twice,
-                "stale": len(stale(load.made, load.purges, DELAY_MS)), "restarts": dict(world.restarts),
+                "purges": len(load.purges),
+                "answers": len(load.made),
+                "asked": load.asked,
+                "refused": load.refused,
+                "failed": load.failed,
+                "lost": load.lost,
+                "answered_twice": twice,
+                "stale": len(stale(load.made, load.purges, DELAY_MS)),
+                "restarts": dict(world.restarts),
                 "stale_by_scan": stale_by_scan(load.made, load.purges, DELAY_MS, 2000),
                 "delay_ms_p99": round(statistics.quantiles(late, n=100, method="inclusive")[98], 1),
                 "delay_ms_most": round(max(late), 1),
@@ -436,8 +493,11 @@
         rebuilt = (time.perf_counter() - began) * 1000.0
     assert len(found.records) == count and isinstance(purges[0], Purge)
     return {
-        "standing": count, "lookup_us": round(min(took), 2), "lookup_us_scan": round(scanned),
-        "bytes_per_purge": round(held), "recovery_ms": round(recovery + rebuilt),
+        "standing": count,
+        "lookup_us": round(min(took), 2),
+        "lookup_us_scan": round(scanned),
+        "bytes_per_purge": round(held),
+        "recovery_ms": round(recovery + rebuilt),
         "recovery_log_ms": round(recovery),
     }
 
--- a/example/ask.py
+++ b/example/ask.py
@@ -1,6 +1,6 @@
 """Asks the director of example/config.json for one part of one object, and prints the answer.
 
-    python example/ask.py [CLASS] [OBJECT] [PART]
+python example/ask.py [CLASS] [OBJECT] [PART]
 """
 
 from __future__ import annotations
--- a/gladelane/__main__.py
+++ b/gladelane/__main__.py
@@ -73,14 +73,21 @@
         self.endpoints = Endpoints(random.Random(config.seed ^ ENDPOINTS_SEED), told=endpoints_log.warning)
         limits = config.limits
         self.director = Director(
-            config.settings, config.seed, self.clock.now, self.wheel, self.endpoints,
+            config.settings,
+            config.seed,
+            self.clock.now,
+            self.wheel,
+            self.endpoints,
             int(limits.memory_mb * 1_000_000 * KEYS_SHARE / KEY_BYTES),
         )
         most = int(limits.sockets * UPSTREAM_SHARE)
         self.upstream = Upstream(config.conn, most, self.clock.now, self.wheel, self.endpoints)
         self.director.sender, self.upstream.owner = self.upstream, self.director
         self.front = Front(
-            self.director, self.clock.now, self.wheel, int(limits.sockets * CLIENT_SHARE),
+            self.director,
+            self.clock.now,
+            self.wheel,
+            int(limits.sockets * CLIENT_SHARE),
             limits.memory_mb * 1_000_000 * HELD_SHARE,
         )
         self.audit: Service | None = None
@@ -94,7 +101,11 @@
 
             host, port = config.listen
             self.recovery = Recovery(
-                operator.recovery, f"{config.name} {host}:{port}", self.director, self.purges, self.clock.now,
+                operator.recovery,
+                f"{config.name} {host}:{port}",
+                self.director,
+                self.purges,
+                self.clock.now,
                 lambda: self.desk.takes_clients,
             )
             self.director.more = self.recovery.lines
@@ -102,8 +113,14 @@
             from .fleet.service import Service
 
             self.audit = self.director.audit = Service(
-                operator.fleet, config.name, self.director, self.purges, self.clock.now, self.front.drain,
-                self.front.empty, self._follow,
+                operator.fleet,
+                config.name,
+                self.director,
+                self.purges,
+                self.clock.now,
+                self.front.drain,
+                self.front.empty,
+                self._follow,
             )
             self.purges.turned = self.audit.turned
             self.director.more = self._lines
@@ -173,8 +190,13 @@
 
         host, port = self.config.listen
         self.succession = Succession(
-            self.folder, f"{self.config.name} {host}:{port}", self.clock.now, self.director, self.upstream,
-            self.front, self.desk,
+            self.folder,
+            f"{self.config.name} {host}:{port}",
+            self.clock.now,
+            self.director,
+            self.upstream,
+            self.front,
+            self.desk,
         )
         return self.succession.meet()
 
@@ -324,8 +346,13 @@
 
     settings = config.settings
     owner = Owner(
-        works(options.shards, settings.me, settings.proxies), config.name, list(purges.options.feeds),
-        options.length_ms, purges.own_token, steady_ms, random.Random(),
+        works(options.shards, settings.me, settings.proxies),
+        config.name,
+        list(purges.options.feeds),
+        options.length_ms,
+        purges.own_token,
+        steady_ms,
+        random.Random(),
     )
     sharded = Sharded(
         purges.orders, options.shards, owner.holds, owner.alone, purges.standing.positions.vector
--- a/gladelane/choice.py
+++ b/gladelane/choice.py
@@ -18,9 +18,33 @@
 from hashlib import blake2b
 from math import log
 
-from .interface import NEVER_RAN, Action, Cancel, ClassSpec, ClientGone, Effect, Event, Fail, Fetch, ListKind
-from .interface import Lookup, Member, Members, Note, Outcome, Purge, Refuse, Request, SetTimer, Settings
-from .interface import Started, State, Status, Subscribe, Timer
+from .interface import (
+    NEVER_RAN,
+    Action,
+    Cancel,
+    ClassSpec,
+    ClientGone,
+    Effect,
+    Event,
+    Fail,
+    Fetch,
+    ListKind,
+    Lookup,
+    Member,
+    Members,
+    Note,
+    Outcome,
+    Purge,
+    Refuse,
+    Request,
+    SetTimer,
+    Settings,
+    Started,
+    State,
+    Status,
+    Subscribe,
+    Timer,
+)
 from .purges.index import Index
 from .routes.cold import ColdBudgets, Tokens
 from .routes.concurrency import LATE_STEP, LIMIT_LEAST, LIMIT_MOST, ConcurrencyLimit
@@ -384,7 +408,8 @@
         source.lateness += LATE_STEP * (late - source.lateness)
         source.filled_ms = self.now
         others = [
-            s.lateness for s in (*self.parents, self.origin)
+            s.lateness
+            for s in (*self.parents, self.origin)
             if s and s is not source and self.now - s.filled_ms < RECENT_MS
         ]
         return late and bool(others) and source.lateness > ALONE_OVER * max(others) + ALONE_BY
@@ -574,8 +599,16 @@
         return self.fetch(owed, cache, source or cache, left, rank, age, not purged, renew, held_only)
 
     def fetch(
-        self, owed: Pending, store: Store, source: Store, timeout: float, rank: int, age: float,
-        join: bool, renew: bool, held_only: bool = False,
+        self,
+        owed: Pending,
+        store: Store,
+        source: Store,
+        timeout: float,
+        rank: int,
+        age: float,
+        join: bool,
+        renew: bool,
+        held_only: bool = False,
     ) -> bool:
         work = self.work_of.get(owed.spec.name, 0.0)
         for target in {store.member.store: store, source.member.store: source}.values():
@@ -583,10 +616,19 @@
                 self.cold.spend(target.member, target.tokens, self.now, work)
             if target.rest_ms > DOWN_MS:
                 target.trial_at = self.now + timeout
-        self.emit(Fetch(
-            owed.request.id, store.member.store, timeout, source.member.store, rank, age,
-            join and self.settings.joins, held_only, renew=renew,
-        ))
+        self.emit(
+            Fetch(
+                owed.request.id,
+                store.member.store,
+                timeout,
+                source.member.store,
+                rank,
+                age,
+                join and self.settings.joins,
+                held_only,
+                renew=renew,
+            )
+        )
         self.sent(owed, store, source, held_only)
         if owed.attempts == 1 and self.settings.second_copies and owed.spec.effect is Effect.SAFE:
             at = owed.came_ms + owed.aim_ms * HEDGE_AT
--- a/gladelane/cli/__init__.py
+++ b/gladelane/cli/__init__.py
@@ -12,9 +12,7 @@
 from rich.console import Console
 
 PIPED = 1_000  # columns: what goes into a pipe or a file is not cut to a screen's width
-out = Console(
-    soft_wrap=True, highlight=False, markup=False, width=None if sys.stdout.isatty() else PIPED
-)
+out = Console(soft_wrap=True, highlight=False, markup=False, width=None if sys.stdout.isatty() else PIPED)
 
 
 def fail(error: object) -> NoReturn:
@@ -27,7 +25,10 @@
     from . import addresses, audit, director, fleet, purge
 
     app = typer.Typer(
-        name="gladelane", no_args_is_help=True, add_completion=False, pretty_exceptions_enable=False,
+        name="gladelane",
+        no_args_is_help=True,
+        add_completion=False,
+        pretty_exceptions_enable=False,
         help="A director for a branch-wise cache fleet.",
     )
     app.command("serve")(director.serve)
--- a/gladelane/cli/addresses.py
+++ b/gladelane/cli/addresses.py
@@ -40,8 +40,14 @@
                 listed.pop(told.instance_id, None)
                 continue
             listed[told.instance_id] = Listing(
-                told.instance_id, told.host_port, told.zone, told.machine_type, told.cell,
-                state is State.READY, told.started_at_ms, tuple(told.addresses),
+                told.instance_id,
+                told.host_port,
+                told.zone,
+                told.machine_type,
+                told.cell,
+                state is State.READY,
+                told.started_at_ms,
+                tuple(told.addresses),
             )
     return list(listed.values())
 
@@ -96,9 +102,7 @@
             out.print(f"  {claim.address.text} belongs to {owner}, which also claims it")
     table = Table("dialled", "address", "prefer", "precedence", "scope", box=None, pad_edge=False)
     prefer = book.prefer(listing.server) or options.prefer
-    order = arrange(
-        book.addresses(listing.server), prefer, first_family_count=options.first_family_count
-    )
+    order = arrange(book.addresses(listing.server), prefer, first_family_count=options.first_family_count)
     for place, address in enumerate(order, 1):
         at = preference(address, prefer)
         preferred = str(at + 1) if at < len(prefer) else "-"
--- a/gladelane/cli/audit.py
+++ b/gladelane/cli/audit.py
@@ -48,8 +48,10 @@
 
 def _counts(row: dict[str, Any]) -> str:
     return " ".join(
-        f"{cls}:{sent}>{served}" + (f" refused {refused}" if refused else "") + (
-            f" failed {failed}" if failed else "") + (f" older {older}" if older else "")
+        f"{cls}:{sent}>{served}"
+        + (f" refused {refused}" if refused else "")
+        + (f" failed {failed}" if failed else "")
+        + (f" older {older}" if older else "")
         for cls, (sent, served, refused, failed, older) in sorted(row["counts"].items())
     )
 
@@ -63,14 +65,35 @@
     told = ask_feed(feed, tokens, tls_ca, "GET", "/fleet/versions")
     if not _said(told, json_):
         return
-    table = Table("director", "zone", "start", "span", "since", "rev", "purges", "settings", "operator",
-                  "program", "out", "stage", "clock ms", box=None, pad_edge=False)
+    table = Table(
+        "director",
+        "zone",
+        "start",
+        "span",
+        "since",
+        "rev",
+        "purges",
+        "settings",
+        "operator",
+        "program",
+        "out",
+        "stage",
+        "clock ms",
+        box=None,
+        pad_edge=False,
+    )
     for row in told["rows"]:
         view = told["views"].get(row["view"], {})
         table.add_row(
-            row["director"], row["zone"], str(row["start"]), str(row["number"]), _clock(row["from_ms"]),
+            row["director"],
+            row["zone"],
+            str(row["start"]),
+            str(row["number"]),
+            _clock(row["from_ms"]),
             *(str(view.get(key, "")) for key in ("rev", "purges", "settings", "operator", "program")),
-            ",".join(view.get("out", ())), row["why"] or "0", _offset(row),
+            ",".join(view.get("out", ())),
+            row["why"] or "0",
+            _offset(row),
         )
     out.print(table)
     for key in ("rev", "settings", "operator", "program"):
@@ -87,32 +110,57 @@
 
 
 def audit(
-    feed: FeedAt, tokens: TokenFile,
+    feed: FeedAt,
+    tokens: TokenFile,
     at: Annotated[
         str, typer.Option(help="What each director acted on then; Unix ms, now, or a moment.")
     ] = "",
     director: Annotated[str, typer.Option(help="One director's stretches instead.")] = "",
     from_: Annotated[str, typer.Option("--from", help="Their beginning.")] = "0",
     to: Annotated[str, typer.Option(help="Their end.")] = "now",
-    json_: Json = False, tls_ca: CaFile = None,
+    json_: Json = False,
+    tls_ca: CaFile = None,
 ) -> None:
     """What was done under which version. `unknown` is said where nobody can know."""
     if bool(at) == bool(director):
         fail("expected --at or --director")
-    target = f"/fleet/audit?at={_moment(at)}" if at else (
-        f"/fleet/audit?director={quote(director)}&from={_moment(from_)}&to={_moment(to)}"
+    target = (
+        f"/fleet/audit?at={_moment(at)}"
+        if at
+        else (f"/fleet/audit?director={quote(director)}&from={_moment(from_)}&to={_moment(to)}")
     )
     told = ask_feed(feed, tokens, tls_ca, "GET", target)
     if not _said(told, json_):
         return
-    table = Table("director", "start", "span", "from", "to", "known", "rev", "view", "sent>served", "worth",
-                  "clock ms", box=None, pad_edge=False)
+    table = Table(
+        "director",
+        "start",
+        "span",
+        "from",
+        "to",
+        "known",
+        "rev",
+        "view",
+        "sent>served",
+        "worth",
+        "clock ms",
+        box=None,
+        pad_edge=False,
+    )
     for row in told["rows"]:
         view = told["views"].get(row["view"], {})
         table.add_row(
-            row["director"], str(row["start"]), str(row["number"] or ""), _clock(row["from_ms"]),
-            _clock(row["to_ms"]), row["known"] + (f": {row['why']}" if row["why"] else ""),
-            str(view.get("rev", "")), row["view"], _counts(row), f"{row['worth']:g}", _offset(row),
+            row["director"],
+            str(row["start"]),
+            str(row["number"] or ""),
+            _clock(row["from_ms"]),
+            _clock(row["to_ms"]),
+            row["known"] + (f": {row['why']}" if row["why"] else ""),
+            str(view.get("rev", "")),
+            row["view"],
+            _counts(row),
+            f"{row['worth']:g}",
+            _offset(row),
         )
     out.print(table)
     for name, view in told["views"].items():
@@ -125,8 +173,9 @@
     """Who is behind or silent, as this feed judges. Exits with 1 if anybody is."""
     told = ask_feed(feed, tokens, tls_ca, "GET", "/fleet/stragglers")
     if _said(told, json_):
-        table = Table("director", "zone", "stage", "lacks", "heard s ago", "next", "why", box=None,
-                      pad_edge=False)
+        table = Table(
+            "director", "zone", "stage", "lacks", "heard s ago", "next", "why", box=None, pad_edge=False
+        )
         for one in told["stragglers"]:
             lacks = " ".join(f"{part}:{ms / 1000.0:.1f}s" for part, ms in one["behind_ms"].items())
             heard = f"{one['heard_ms'] / 1000.0:.1f}"
@@ -139,8 +188,11 @@
 
 
 def explain(
-    director: Annotated[str, typer.Argument(help="Its name.")], feed: FeedAt, tokens: TokenFile,
-    json_: Json = False, tls_ca: CaFile = None,
+    director: Annotated[str, typer.Argument(help="Its name.")],
+    feed: FeedAt,
+    tokens: TokenFile,
+    json_: Json = False,
+    tls_ca: CaFile = None,
 ) -> None:
     """Where a director stands on the ladder, why, and what comes next."""
     told = ask_feed(feed, tokens, tls_ca, "GET", f"/fleet/explain?director={quote(director)}")
@@ -157,13 +209,17 @@
     if one["lets_back_ms"]:
         out.print(f"  lacks nothing now; let back in {one['lets_back_ms'] / 1000.0:.1f} s")
     steps = ("lag", "again", "kept", "emptied", "out")
-    out.print("  ladder: " + ", ".join(f"{step} {ladder[f'{step}_ms'] / 1000.0:g} s" for step in steps)
-              + f"; at most {ladder['share']:.0%} at once")
+    out.print(
+        "  ladder: "
+        + ", ".join(f"{step} {ladder[f'{step}_ms'] / 1000.0:g} s" for step in steps)
+        + f"; at most {ladder['share']:.0%} at once"
+    )
 
 
 def expect(
     part: Annotated[str, typer.Argument(help="settings, operator or program.")],
-    feed: FeedAt, tokens: TokenFile,
+    feed: FeedAt,
+    tokens: TokenFile,
     digest: Annotated[list[str] | None, typer.Argument(help="Those that are right; none: any is.")] = None,
     since: Annotated[str, typer.Option(help="From when on; a rollout needs its time.")] = "now",
     tls_ca: CaFile = None,
--- a/gladelane/cli/fleet.py
+++ b/gladelane/cli/fleet.py
@@ -18,9 +18,19 @@
 
 AT_ONCE = 32  # doors asked side by side
 WITHIN_S = 3.0
-FIGURES = ("phase", "phase_reason", "phase_since_ms", "full_service_ms", "warm_start",
-           "purges_known_since_ms", "feeds_followed", "renewals", "renewals_refused", "renewals_bind",
-           "reseeded")
+FIGURES = (
+    "phase",
+    "phase_reason",
+    "phase_since_ms",
+    "full_service_ms",
+    "warm_start",
+    "purges_known_since_ms",
+    "feeds_followed",
+    "renewals",
+    "renewals_refused",
+    "renewals_bind",
+    "reseeded",
+)
 
 
 async def ask_all(doors: list[str]) -> dict[str, dict[str, int] | str]:
@@ -55,10 +65,14 @@
     full = told["full_service_ms"] / 1000.0
     since = told.get("purges_known_since_ms", 0)
     return [
-        door, phase.name.lower(), "" if reason is Reason.NONE else reason.name.lower(),
+        door,
+        phase.name.lower(),
+        "" if reason is Reason.NONE else reason.name.lower(),
         f"{full:.1f}" if full else f"not for {told['phase_since_ms'] / 1000.0:.0f}",
-        "yes" if told["warm_start"] else "no", str(since) if since else "all",
-        str(told.get("feeds_followed", "")), str(told.get("renewals_refused", "")),
+        "yes" if told["warm_start"] else "no",
+        str(since) if since else "all",
+        str(told.get("feeds_followed", "")),
+        str(told.get("renewals_refused", "")),
     ]
 
 
@@ -75,13 +89,21 @@
     if json_:
         print(json.dumps({at: told if isinstance(told, str) else chosen(told) for at, told in found.items()}))
     else:
-        table = Table("door", "phase", "reason", "full after s", "warm", "purges since", "feeds", "refused",
-                      box=None, pad_edge=False)
+        table = Table(
+            "door",
+            "phase",
+            "reason",
+            "full after s",
+            "warm",
+            "purges since",
+            "feeds",
+            "refused",
+            box=None,
+            pad_edge=False,
+        )
         for at, told in found.items():
             table.add_row(*row(at, told))
         out.print(table)
     full = (isinstance(told, dict) and told.get("phase") == Phase.FULL for told in found.values())
     if not all(full):
         raise typer.Exit(1)
-
-
--- a/gladelane/cli/purge.py
+++ b/gladelane/cli/purge.py
@@ -111,15 +111,25 @@
             tls = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
             tls.load_cert_chain(tls_cert, tls_key)
         feed = Feed(
-            name, Folder(dir), Tokens(tokens), lambda: known, retention_ms=retention_s * 1000.0, first=first,
-            copies=copies, mark=MarkFile(mark) if mark is not None else None,
+            name,
+            Folder(dir),
+            Tokens(tokens),
+            lambda: known,
+            retention_ms=retention_s * 1000.0,
+            first=first,
+            copies=copies,
+            mark=MarkFile(mark) if mark is not None else None,
         )
         if audit is not None:
             from ..fleet.collector import Collector
             from ..fleet.straggle import ladder_of
 
             feed.audit = Collector(
-                name, Folder(audit), feed.tokens.own, feed.clock, ladder_of(behind_ms, share, tenure_ms),
+                name,
+                Folder(audit),
+                feed.tokens.own,
+                feed.clock,
+                ladder_of(behind_ms, share, tenure_ms),
                 tenure_ms,
             )
             for place in peers:
@@ -129,7 +139,14 @@
             from ..ownership.desk import Desk
 
             feed.keeper = Desk(
-                name, Folder(keeper), feed.tokens.own, steady_ms, lease_ms, peers, _trust(tls_ca), first,
+                name,
+                Folder(keeper),
+                feed.tokens.own,
+                steady_ms,
+                lease_ms,
+                peers,
+                _trust(tls_ca),
+                first,
                 feed.clock(),
             )
         stop = asyncio.Event()
@@ -165,7 +182,8 @@
 @app.command()
 def send(
     scope: Annotated[str, typer.Argument(help="Such as 'tag:road-signs' or 'objects:7f3a* & group:17'.")],
-    feed: FeedAt, tokens: TokenFile,
+    feed: FeedAt,
+    tokens: TokenFile,
     key: Annotated[str, typer.Option(help="Makes a repeat harmless; give the same again.")] = "",
     tag: Annotated[list[str] | None, typer.Option(help="NAME=SCOPE, sent along.")] = None,
     tls_ca: CaFile = None,
@@ -200,7 +218,8 @@
 
 @app.command()
 def vouch(
-    feed: FeedAt, tokens: TokenFile,
+    feed: FeedAt,
+    tokens: TokenFile,
     all_: Annotated[bool, typer.Option("--all", help="Nothing is missing.")] = False,
     since: Annotated[
         str, typer.Option(help="Nothing from this moment on is missing; Unix ms, or 2026-12-01T09:30:00Z.")
@@ -230,7 +249,8 @@
 @app.command()
 def explain(
     object: Annotated[str, typer.Argument(help="16 hex digits.")],
-    feed: FeedAt, tokens: TokenFile,
+    feed: FeedAt,
+    tokens: TokenFile,
     cls: Annotated[str, typer.Option("--class", help="Of the request.")] = "",
     group: Annotated[int, typer.Option(help="Of the object.")] = -1,
     part: Annotated[int, typer.Option(help="Of the object.")] = 0,
--- a/gladelane/durable/files.py
+++ b/gladelane/durable/files.py
@@ -88,7 +88,7 @@
     def append(self, name: str, data: bytes) -> None:
         view = memoryview(data)
         while view:
-            view = view[os.write(self._file(name), view):]
+            view = view[os.write(self._file(name), view) :]
 
     def size(self, name: str) -> int:
         return (self.path / name).stat().st_size
--- a/gladelane/endpoints/address.py
+++ b/gladelane/endpoints/address.py
@@ -97,7 +97,7 @@
 
 
 def _unix(text: str) -> Address:
-    name = text[len("unix:"):]
+    name = text[len("unix:") :]
     if "\0" in name or not 1 < len(name.encode("utf-8", "surrogateescape")) <= UNIX_MOST:
         raise BadAddress(text, f"a socket's name holds 1 to {UNIX_MOST} bytes")
     if name.startswith("@"):
--- a/gladelane/endpoints/book.py
+++ b/gladelane/endpoints/book.py
@@ -98,7 +98,10 @@
         return self._settle(dict(self._listed), (), (), ())
 
     def _settle(
-        self, told: dict[str, Listing], leaving: Iterable[str], renewed: tuple[str, ...],
+        self,
+        told: dict[str, Listing],
+        leaving: Iterable[str],
+        renewed: tuple[str, ...],
         gone: tuple[str, ...],
     ) -> Change:
         before: dict[str, tuple[Address, ...]] = {}
--- a/gladelane/endpoints/health.py
+++ b/gladelane/endpoints/health.py
@@ -85,7 +85,10 @@
     __slots__ = ("first_ms", "most_ms", "stall_ms", "family_few")
 
     def __init__(
-        self, first_ms: float = 500.0, most_ms: float = 30_000.0, stall_ms: float = 5_000.0,
+        self,
+        first_ms: float = 500.0,
+        most_ms: float = 30_000.0,
+        stall_ms: float = 5_000.0,
         family_few: int = 3,
     ) -> None:
         self.first_ms, self.most_ms, self.stall_ms = first_ms, most_ms, stall_ms
--- a/gladelane/endpoints/order.py
+++ b/gladelane/endpoints/order.py
@@ -23,8 +23,13 @@
 _TABLE = tuple(
     (Network(bytes.fromhex(prefix).ljust(16, b"\0"), bits), precedence)
     for prefix, bits, precedence in (
-        ("00" * 15 + "01", 128, 50), ("", 96, 1), ("2002", 16, 30), ("20010000", 32, 5), ("fc00", 7, 3),
-        ("fec0", 10, 1), ("3ffe", 16, 1),
+        ("00" * 15 + "01", 128, 50),
+        ("", 96, 1),
+        ("2002", 16, 30),
+        ("20010000", 32, 5),
+        ("fc00", 7, 3),
+        ("fec0", 10, 1),
+        ("3ffe", 16, 1),
     )
 )  # the longest match first where two hold; ::/0 is 40
 GLOBAL, SITE, LINK = 14, 5, 2
@@ -58,8 +63,10 @@
 
 
 def arrange(
-    addresses: Sequence[Address], prefer: Sequence[Preference] = (),
-    connect_ms: Callable[[Address], float | None] = lambda _: None, first_family_count: int = 1,
+    addresses: Sequence[Address],
+    prefer: Sequence[Preference] = (),
+    connect_ms: Callable[[Address], float | None] = lambda _: None,
+    first_family_count: int = 1,
 ) -> list[Address]:
     """All addresses, best first: sorted, then the families interleaved. connect_ms: smoothed, None if
     unknown."""
--- a/gladelane/endpoints/plan.py
+++ b/gladelane/endpoints/plan.py
@@ -60,7 +60,10 @@
     """Book, health and plans of one director: all that is decided about addresses."""
 
     def __init__(
-        self, rng: random.Random, options: Options | None = None, rules: Rules | None = None,
+        self,
+        rng: random.Random,
+        options: Options | None = None,
+        rules: Rules | None = None,
         told: Told = lambda *_: None,
     ) -> None:
         self.options = options or Options()
@@ -103,8 +106,11 @@
         if len(addresses) < 2:
             return Plan(addresses, 0.0) if addresses else NOTHING
         if (
-            kept is not None and kept.settled and now < kept.until_ms
-            and kept.version == health.version(server) and kept.epoch == health.epoch
+            kept is not None
+            and kept.settled
+            and now < kept.until_ms
+            and kept.version == health.version(server)
+            and kept.epoch == health.epoch
         ):
             return kept.plan
         return self._make(server, addresses, now)
@@ -112,8 +118,10 @@
     def _make(self, server: str, addresses: tuple[Address, ...], now: float) -> Plan:
         health, options = self.health, self.options
         ordered = arrange(
-            addresses, self.book.prefer(server) or options.prefer,
-            lambda a: health.connect_ms(server, a), options.first_family_count,
+            addresses,
+            self.book.prefer(server) or options.prefer,
+            lambda a: health.connect_ms(server, a),
+            options.first_family_count,
         )
         families = {a.family for a in addresses}
         leads = {family: health.family_leads(family, server, now) for family in families}
--- a/gladelane/endpoints/race.py
+++ b/gladelane/endpoints/race.py
@@ -58,8 +58,17 @@
     wake_ms says when `wake` is due next, infinity: never. Every method returns the steps to carry out, in
     order."""
 
-    __slots__ = ("addresses", "dials", "phase", "delay_ms", "share_ms", "end_ms", "next_ms", "since",
-                 "replaced")
+    __slots__ = (
+        "addresses",
+        "dials",
+        "phase",
+        "delay_ms",
+        "share_ms",
+        "end_ms",
+        "next_ms",
+        "since",
+        "replaced",
+    )
 
     def __init__(self, addresses: int, now: float, delay_ms: float, timeout_ms: float) -> None:
         if addresses < 1 or delay_ms < 0 or timeout_ms <= 0:
--- a/gladelane/endpoints/rules.py
+++ b/gladelane/endpoints/rules.py
@@ -145,7 +145,8 @@
         steps, ranks = self._walk(listing)
         return Given(
             tuple(Claim(address, ranks[address]) for address in steps[-1].addresses),
-            steps[-1].prefer, tuple(line for step in steps for line in step.bad),
+            steps[-1].prefer,
+            tuple(line for step in steps for line in step.bad),
         )
 
     def explain(self, listing: Listing) -> list[Step]:
@@ -174,7 +175,12 @@
         return steps, ranks
 
     def _apply(
-        self, rule: Rule, listing: Listing, own: Address | None, before: Step, ranks: dict[Address, int],
+        self,
+        rule: Rule,
+        listing: Listing,
+        own: Address | None,
+        before: Step,
+        ranks: dict[Address, int],
     ) -> Step:
         if rule.order:
             return Step(rule.name, before.addresses, rule.order)
--- a/gladelane/fleet/collector.py
+++ b/gladelane/fleet/collector.py
@@ -31,8 +31,20 @@
 from .ledger import BadReport, Ledger, Row, Run
 from .straggle import EXPECTED, Judge, Ladder
 from .tenure import Stage
-from .wire import A_HANDING, Answer, Expect, Handed, Mark, Marks, Report, encode_json, expect_decoder
-from .wire import handed_decoder, marks_decoder, report_decoder
+from .wire import (
+    A_HANDING,
+    Answer,
+    Expect,
+    Handed,
+    Mark,
+    Marks,
+    Report,
+    encode_json,
+    expect_decoder,
+    handed_decoder,
+    marks_decoder,
+    report_decoder,
+)
 
 log = logging.getLogger(__name__)
 
@@ -73,8 +85,14 @@
 
 class Collector:
     def __init__(
-        self, name: str, disk: Disk, token: Callable[[], str], clock: Callable[[], float],
-        ladder: Ladder | None = None, tenure_ms: float = 3_000.0, retention_ms: float = 30 * 86_400_000.0,
+        self,
+        name: str,
+        disk: Disk,
+        token: Callable[[], str],
+        clock: Callable[[], float],
+        ladder: Ladder | None = None,
+        tenure_ms: float = 3_000.0,
+        retention_ms: float = 30 * 86_400_000.0,
     ) -> None:
         """Recovers from the disk. Raises Damaged, InUse and OSError."""
         self.name, self.clock, self.tenure_ms = name, clock, tenure_ms
@@ -106,8 +124,12 @@
     def start(self) -> None:
         self._tasks = [asyncio.create_task(self._commit_all()), asyncio.create_task(self._look_all())]
         self._tasks += [asyncio.create_task(self._hand_all(peer)) for peer in self._peers]
-        log.info("audit ready name=%s directors=%d spans=%d", self.name, len(self.ledger.directors()),
-                 self.ledger.spans)
+        log.info(
+            "audit ready name=%s directors=%d spans=%d",
+            self.name,
+            len(self.ledger.directors()),
+            self.ledger.spans,
+        )
 
     async def close(self) -> None:
         for task in self._tasks:
@@ -165,8 +187,13 @@
             was = Stage(min(report.stage, Stage.OUT))
             answer.verdict = self.judge.verdict(report.director, now)
             if answer.verdict.stage is not was and max(answer.verdict.stage, was) > Stage.TOLD:
-                log.warning("straggler director=%s stage=%s was=%s: %s", report.director,
-                            answer.verdict.stage.name.lower(), was.name.lower(), answer.verdict.why)
+                log.warning(
+                    "straggler director=%s stage=%s was=%s: %s",
+                    report.director,
+                    answer.verdict.stage.name.lower(),
+                    was.name.lower(),
+                    answer.verdict.why,
+                )
         return answer
 
     def _check(self, report: Report) -> None:
@@ -267,8 +294,13 @@
                 heard = await self._hand(peer)
             except LOST as error:
                 if peer.whole:
-                    log.warning("audit: feed did not take feed=%s:%d: %s %s", peer.host, peer.port,
-                                type(error).__name__, error)
+                    log.warning(
+                        "audit: feed did not take feed=%s:%d: %s %s",
+                        peer.host,
+                        peer.port,
+                        type(error).__name__,
+                        error,
+                    )
                 peer.whole = heard = False
             except Exception:
                 log.exception("audit: handing on failed")
@@ -297,9 +329,16 @@
         words = list(self.judge.told.expects.values())
         body = encode_json(Handed(self.name, self.epoch, reports, words))
         try:
-            told = await fetch(peer.host, peer.port, "POST", "/handed", self._token(), body, {
-                "Content-Type": "application/json"
-            }, tls=peer.tls)
+            told = await fetch(
+                peer.host,
+                peer.port,
+                "POST",
+                "/handed",
+                self._token(),
+                body,
+                {"Content-Type": "application/json"},
+                tls=peer.tls,
+            )
         except BaseException:
             peer.dirty.update(dict.fromkeys(runs))
             raise
@@ -339,7 +378,8 @@
         now = self.clock()
         lacks = [
             f"feed {peer.name or peer.host} at {peer.host}:{peer.port} is not heard"
-            for peer in self._peers if now - peer.heard_ms > HEARD_MS
+            for peer in self._peers
+            if now - peer.heard_ms > HEARD_MS
         ]
         lacks += [f"director {name}: two processes have this name" for name in self.ledger.twins(TWINS_MS)]
         if self._failed:
@@ -369,13 +409,15 @@
         rows = self.ledger.latest()
         views = {
             row.view: {field: getattr(view, field) for field in view.__struct_fields__}
-            for row in rows for view in [self.ledger.view_of(row.director, row.start)]
+            for row in rows
+            for view in [self.ledger.view_of(row.director, row.start)]
         }
         return self._said(rows=rows, views=views, expects=list(self.judge.told.expects.values()))
 
     def _stragglers(self) -> dict[str, Any]:
         return self._said(
-            stragglers=self.judge.stragglers(self.clock()), source=self.judge.source,
+            stragglers=self.judge.stragglers(self.clock()),
+            source=self.judge.source,
             held_back=self.judge.held_back(),
         )
 
@@ -405,7 +447,7 @@
     return log, words, len(found.records)
 
 
-_snapshot_decoder: msgspec.msgpack.Decoder[tuple[bytes, list[Expect]]] = (
-    msgspec.msgpack.Decoder(tuple[bytes, list[Expect]])
+_snapshot_decoder: msgspec.msgpack.Decoder[tuple[bytes, list[Expect]]] = msgspec.msgpack.Decoder(
+    tuple[bytes, list[Expect]]
 )
 _record_decoder: msgspec.msgpack.Decoder[_Record] = msgspec.msgpack.Decoder(_Record)
--- a/gladelane/fleet/ledger.py
+++ b/gladelane/fleet/ledger.py
@@ -83,8 +83,25 @@
 class _Started:
     """One start of a director."""
 
-    __slots__ = ("zone", "numbers", "froms", "tos", "ends", "views", "blobs", "lost", "open", "offset",
-                 "clock", "by", "taken_ms", "current", "stage", "view", "upto")
+    __slots__ = (
+        "zone",
+        "numbers",
+        "froms",
+        "tos",
+        "ends",
+        "views",
+        "blobs",
+        "lost",
+        "open",
+        "offset",
+        "clock",
+        "by",
+        "taken_ms",
+        "current",
+        "stage",
+        "view",
+        "upto",
+    )
 
     def __init__(self, zone: str) -> None:
         self.zone = zone
@@ -172,8 +189,14 @@
 def goes_on(one: Span, other: Span) -> bool:
     """Whether the other is the same span as a checkpoint, further on or closed."""
     same_span = (one.number, one.from_ms, one.view) == (other.number, other.from_ms, other.view)
-    return one.end == "open" and same_span and one != other and one.to_ms <= other.to_ms and all(
-        cls in other.counts and count.sent <= other.counts[cls].sent for cls, count in one.counts.items()
+    return (
+        one.end == "open"
+        and same_span
+        and one != other
+        and one.to_ms <= other.to_ms
+        and all(
+            cls in other.counts and count.sent <= other.counts[cls].sent for cls, count in one.counts.items()
+        )
     )
 
 
@@ -299,8 +322,20 @@
     def _report(self, key: Run, run: _Started, spans: list[Span]) -> Report:
         views = {span.view: self.views[span.view] for span in spans if span.view in self.views}
         return Report(
-            *key, run.zone, 0.0, run.view, spans, views, run.open, run.lost, run.offset, run.clock,
-            run.current, run.stage, run.taken_ms, run.by,
+            *key,
+            run.zone,
+            0.0,
+            run.view,
+            spans,
+            views,
+            run.open,
+            run.lost,
+            run.offset,
+            run.clock,
+            run.current,
+            run.stage,
+            run.taken_ms,
+            run.by,
         )
 
     # --- questions
@@ -317,8 +352,19 @@
                 if start != starts[-1] and not self._beside(director, start):
                     continue
                 known = Known.ACTED if self._lives(run) else Known.AWAY
-                row = Row(director, start, run.zone, 0.0, run.taken_ms, known.value, run.upto,
-                          name_of(run.view), why=str(run.stage or ""), offset=run.offset, by=run.by)
+                row = Row(
+                    director,
+                    start,
+                    run.zone,
+                    0.0,
+                    run.taken_ms,
+                    known.value,
+                    run.upto,
+                    name_of(run.view),
+                    why=str(run.stage or ""),
+                    offset=run.offset,
+                    by=run.by,
+                )
                 if run.open is not None:
                     row.from_ms, row.number = run.open.from_ms, run.open.number
                     row.counts, row.worth = run.open.counts, run.open.worth
@@ -385,16 +431,35 @@
             yield self._row(director, start, run, span)
         for gap in run.lost:
             if gap.from_ms <= high and gap.to_ms >= low and not run.has(gap.first):
-                yield Row(director, start, run.zone, gap.from_ms, gap.to_ms, Known.UNKNOWN.value,
-                          gap.first, why=f"{gap.last - gap.first + 1} spans are gone", offset=run.offset)
+                yield Row(
+                    director,
+                    start,
+                    run.zone,
+                    gap.from_ms,
+                    gap.to_ms,
+                    Known.UNKNOWN.value,
+                    gap.first,
+                    why=f"{gap.last - gap.first + 1} spans are gone",
+                    offset=run.offset,
+                )
         open_ = run.open
         if open_ is not None and not run.has(open_.number) and open_.from_ms <= high and open_.to_ms >= low:
             yield self._row(director, start, run, open_)
 
     def _row(self, director: str, start: int, run: _Started, span: Span) -> Row:
         return Row(
-            director, start, run.zone, span.from_ms, span.to_ms, Known.ACTED.value, span.number, span.view,
-            span.counts, span.worth, "" if span.view in self.views else "its view was not told", run.offset,
+            director,
+            start,
+            run.zone,
+            span.from_ms,
+            span.to_ms,
+            Known.ACTED.value,
+            span.number,
+            span.view,
+            span.counts,
+            span.worth,
+            "" if span.view in self.views else "its view was not told",
+            run.offset,
             run.by,
         )
 
@@ -408,8 +473,15 @@
         if until <= last or last > high or until < low:
             return
         stopped = "stopped" in run.ends.values()
-        why = "" if stopped else ("killed, or its last words were lost" if then is not None or not run.current
-                                  else "not told yet")
+        why = (
+            ""
+            if stopped
+            else (
+                "killed, or its last words were lost"
+                if then is not None or not run.current
+                else "not told yet"
+            )
+        )
         known = Known.AWAY if stopped else Known.UNKNOWN
         yield Row(director, start, run.zone, last, until, known.value, why=why, offset=run.offset)
 
--- a/gladelane/fleet/service.py
+++ b/gladelane/fleet/service.py
@@ -79,8 +79,15 @@
     def report(self, director: str, zone: str) -> Report:
         part = [span for span in self._spans if span.number > self._stored][:A_REPORT] or self._spans[-1:]
         return Report(
-            director, self.page.start, zone, 0.0, spans=part, views=self.page.views, lost=self.page.lost,
-            current=False, first=self._spans[0].number,
+            director,
+            self.page.start,
+            zone,
+            0.0,
+            spans=part,
+            views=self.page.views,
+            lost=self.page.lost,
+            current=False,
+            first=self._spans[0].number,
         )
 
     def told(self, answer: Answer) -> bool:
@@ -96,8 +103,15 @@
     """`Director.audit`. empty: tells clients to go; again: follows the board anew."""
 
     def __init__(
-        self, options: Options, name: str, director: Director, holder: Holder, clock: Callable[[], float],
-        drain: Emptied, empty: Callable[[], None], again: Callable[[], None],
+        self,
+        options: Options,
+        name: str,
+        director: Director,
+        holder: Holder,
+        clock: Callable[[], float],
+        drain: Emptied,
+        empty: Callable[[], None],
+        again: Callable[[], None],
     ) -> None:
         """Opens the folder. Raises OSError."""
         self._options, self._director, self._holder, self._clock = options, director, holder, clock
@@ -198,13 +212,20 @@
             self._settings = settings, settings_digest(settings)
         if self._list[0] != director.rev:
             told = director.told().items()
-            self._list = director.rev, list_digest(
-                {name: (i.host_port, m.state.name, m.came_up_ms) for name, (i, m) in told}
+            self._list = (
+                director.rev,
+                list_digest({name: (i.host_port, m.state.name, m.came_up_ms) for name, (i, m) in told}),
             )
         return View(
-            self._options.board, director.rev, self._list[1], tuple(sorted(director.register.out)),
-            vector_text(standing.positions.vector()), standing.known_since(self._clock()),
-            self._settings[1], self._operator, self._program,
+            self._options.board,
+            director.rev,
+            self._list[1],
+            tuple(sorted(director.register.out)),
+            vector_text(standing.positions.vector()),
+            standing.known_since(self._clock()),
+            self._settings[1],
+            self._operator,
+            self._program,
         )
 
     def _totals(self) -> Totals:
@@ -296,9 +317,17 @@
         open_ = trail.checkpoint(self._totals(), self._clock())
         named = {span.view for span in spans} - {open_.view}  # that one goes along as the report's own
         return Report(
-            trail.director, trail.start, zone, 0.0, spans=spans,
-            views={name: self._views[name] for name in named if name in self._views}, open=open_,
-            lost=trail.lost, offset=self._offset, clock=self._clock_of, first=trail.copied + 1,
+            trail.director,
+            trail.start,
+            zone,
+            0.0,
+            spans=spans,
+            views={name: self._views[name] for name in named if name in self._views},
+            open=open_,
+            lost=trail.lost,
+            offset=self._offset,
+            clock=self._clock_of,
+            first=trail.copied + 1,
             stage=int(self.tenure.stage),
         ), None
 
@@ -308,8 +337,11 @@
 
     async def _write(self) -> None:
         if self._book is None and self._options.dir and steady_ms() > self._book_again_ms:
-            self._prior += [Prior(p, spans) for p in self._open_book() if p.director == self.trail.director
-                            and p.start < self.trail.start and (spans := ends(p))]
+            self._prior += [
+                Prior(p, spans)
+                for p in self._open_book()
+                if p.director == self.trail.director and p.start < self.trail.start and (spans := ends(p))
+            ]
         if self._book is None:
             return
         trail = self.trail
@@ -343,8 +375,9 @@
             log.warning("audit: acts again after_ms=%.0f", now - self._lapsed_at)
             self._lapsed_at = 0.0
         if tenure.stage is not self._stage:
-            log.warning("audit: stage=%s was=%s: %s", tenure.stage.name.lower(), self._stage.name.lower(),
-                        tenure.why)
+            log.warning(
+                "audit: stage=%s was=%s: %s", tenure.stage.name.lower(), self._stage.name.lower(), tenure.why
+            )
             if tenure.stage >= Stage.AGAIN > self._stage:
                 self._holder.follow_again()
                 self._again()
@@ -364,9 +397,12 @@
         left = max(self.tenure.until - steady_ms(), 0.0)
         waiting = self.trail.number - 1 - self.trail.stored
         return [
-            ("audit_stage", int(self.tenure.stage)), ("audit_tenure_ms", int(left)),
-            ("audit_span", self.trail.number), ("audit_spans_waiting", waiting),
-            ("audit_refused", self.refused), ("audit_held_up", self.held_up),
+            ("audit_stage", int(self.tenure.stage)),
+            ("audit_tenure_ms", int(left)),
+            ("audit_span", self.trail.number),
+            ("audit_spans_waiting", waiting),
+            ("audit_refused", self.refused),
+            ("audit_held_up", self.held_up),
             ("audit_void", self.tenure.void),
         ]
 
--- a/gladelane/fleet/straggle.py
+++ b/gladelane/fleet/straggle.py
@@ -68,8 +68,14 @@
     usual = Ladder()
     part = behind_ms / usual.out_ms
     return Ladder(
-        min(usual.lag_ms, usual.lag_ms * part), usual.again_ms * part, usual.kept_ms * part,
-        usual.emptied_ms * part, behind_ms, usual.back_ms, share, tenure_ms,
+        min(usual.lag_ms, usual.lag_ms * part),
+        usual.again_ms * part,
+        usual.kept_ms * part,
+        usual.emptied_ms * part,
+        behind_ms,
+        usual.back_ms,
+        share,
+        tenure_ms,
     )
 
 
@@ -157,17 +163,34 @@
         parts = set(parts)
         words = {part: word.digests for part, word in self.expects.items() if part in parts}
         return Lacks(
-            view.board, self.newest(view.board) if "list" in parts else 0, "",
+            view.board,
+            self.newest(view.board) if "list" in parts else 0,
+            "",
             vector_text(self.purges) if "purges" in parts else "",
-            self.horizon_ms if "horizon" in parts else 0.0, **words,
+            self.horizon_ms if "horizon" in parts else 0.0,
+            **words,
         )
 
 
 class Watched:
     """A director as its judge sees it."""
 
-    __slots__ = ("zone", "view", "heard_ms", "behind", "stage", "why", "lacks", "well_ms", "back_ms",
-                 "returned_ms", "start", "mine", "held_ms", "relapsed")
+    __slots__ = (
+        "zone",
+        "view",
+        "heard_ms",
+        "behind",
+        "stage",
+        "why",
+        "lacks",
+        "well_ms",
+        "back_ms",
+        "returned_ms",
+        "start",
+        "mine",
+        "held_ms",
+        "relapsed",
+    )
 
     def __init__(self) -> None:
         self.zone = ""
@@ -215,7 +238,12 @@
     # --- hearing
 
     def heard(
-        self, director: str, zone: str, view: View, now_ms: float, start: int = 0,
+        self,
+        director: str,
+        zone: str,
+        view: View,
+        now_ms: float,
+        start: int = 0,
         elsewhere: Stage | None = None,
     ) -> None:
         """A view that a director reported, here or to another feed, with the stage that it was given there.
@@ -335,8 +363,11 @@
     def _others(self, one: Watched, now_ms: float) -> int:
         """How many others serve its zone."""
         return sum(
-            other is not one and other.zone == one.zone and other.stage < SERVES
-            and now_ms - other.heard_ms <= self.ladder.silent_ms for other in self._directors.values()
+            other is not one
+            and other.zone == one.zone
+            and other.stage < SERVES
+            and now_ms - other.heard_ms <= self.ladder.silent_ms
+            for other in self._directors.values()
         )
 
     # --- seen
@@ -356,17 +387,27 @@
         behind = self._behind(one, now_ms)
         silent = now_ms - one.heard_ms > self.ladder.silent_ms
         return Explained(
-            director, one.zone, one.stage.name.lower(), one.why, behind, now_ms - one.heard_ms,
+            director,
+            one.zone,
+            one.stage.name.lower(),
+            one.why,
+            behind,
+            now_ms - one.heard_ms,
             "silent" if silent else self._next(behind),
-            max(one.back_ms - (now_ms - one.well_ms), 0.0) if one.well_ms else 0.0, one.back_ms,
+            max(one.back_ms - (now_ms - one.well_ms), 0.0) if one.well_ms else 0.0,
+            one.back_ms,
         )
 
     def _next(self, behind: Mapping[str, float]) -> str:
         if not behind:
             return ""
         most, ladder = max(behind.values()), self.ladder
-        steps = ((ladder.again_ms, "again"), (ladder.kept_ms, "kept"), (ladder.emptied_ms, "emptied"),
-                 (ladder.out_ms, "out"))
+        steps = (
+            (ladder.again_ms, "again"),
+            (ladder.kept_ms, "kept"),
+            (ladder.emptied_ms, "emptied"),
+            (ladder.out_ms, "out"),
+        )
         for bound, word in steps:
             if most <= bound:
                 return f"{word} in {(bound - most) / 1000.0:.1f} s"
--- a/gladelane/fleet/tenure.py
+++ b/gladelane/fleet/tenure.py
@@ -64,8 +64,10 @@
 def lacking(view: View, lacks: Lacks) -> list[str]:
     """The names of the parts that a view still lacks."""
     found = []
-    if lacks.rev and lacks.board == view.board and (
-        view.rev < lacks.rev or (lacks.list and view.rev == lacks.rev and view.list != lacks.list)
+    if (
+        lacks.rev
+        and lacks.board == view.board
+        and (view.rev < lacks.rev or (lacks.list and view.rev == lacks.rev and view.list != lacks.list))
     ):
         found.append("list")
     if lacks.purges:
@@ -77,7 +79,8 @@
     if lacks.horizon_ms > view.horizon_ms:
         found.append("horizon")
     found += [
-        part for part in ("settings", "operator", "program")
+        part
+        for part in ("settings", "operator", "program")
         if getattr(lacks, part) and getattr(view, part) not in getattr(lacks, part)
     ]
     return found
--- a/gladelane/fleet/trail.py
+++ b/gladelane/fleet/trail.py
@@ -83,7 +83,12 @@
     """One start of one director. worths: what a served request of each class earns."""
 
     def __init__(
-        self, director: str, start: int, view: str, worths: Mapping[str, float], now_ms: float,
+        self,
+        director: str,
+        start: int,
+        view: str,
+        worths: Mapping[str, float],
+        now_ms: float,
         most_bytes: int = 4_000_000,
     ) -> None:
         self.director, self.start, self.most_bytes = director, start, most_bytes
--- a/gladelane/fleet/wire.py
+++ b/gladelane/fleet/wire.py
@@ -1,9 +1,9 @@
 """What travels between directors, feeds and commands about the audit. No I/O.
 
-    POST /reports   a `Report`, answered with an `Answer` once what is new of it is stored
-    POST /handed    reports that another feed took (`Handed`), answered with `Marks` once stored
-    GET  /fleet/... questions of commands, answered with JSON
-    POST /fleet/expect   an operator's word on which settings, operator's file or program are to be used
+POST /reports   a `Report`, answered with an `Answer` once what is new of it is stored
+POST /handed    reports that another feed took (`Handed`), answered with `Marks` once stored
+GET  /fleet/... questions of commands, answered with JSON
+POST /fleet/expect   an operator's word on which settings, operator's file or program are to be used
 """
 
 from __future__ import annotations
--- a/gladelane/interface.py
+++ b/gladelane/interface.py
@@ -176,7 +176,9 @@
 
 
 def _fields(
-    raw: Any, where: str, specs: dict[str, tuple[str, float | None, Any]],
+    raw: Any,
+    where: str,
+    specs: dict[str, tuple[str, float | None, Any]],
     choices: Mapping[str, tuple[str, ...]],
 ) -> dict[str, Any]:
     if not isinstance(raw, Mapping):
--- a/gladelane/lab/checks.py
+++ b/gladelane/lab/checks.py
@@ -33,8 +33,12 @@
     """`told` hears each breach. A request is named by its director and its number there."""
 
     def __init__(
-        self, drain_grace_ms: float, purge_grace_ms: float, answer_grace_ms: float,
-        told: Callable[[Broken], None], second_copies: bool = True,
+        self,
+        drain_grace_ms: float,
+        purge_grace_ms: float,
+        answer_grace_ms: float,
+        told: Callable[[Broken], None],
+        second_copies: bool = True,
     ) -> None:
         self._drain, self._purge, self._answer = drain_grace_ms, purge_grace_ms, answer_grace_ms
         self._told, self._second_copies = told, second_copies
@@ -82,7 +86,13 @@
         owed.out[attempt] = at_ms
 
     def ended(
-        self, director: str, number: int, attempt: int, status: Status, at_ms: float, object_: int = 0,
+        self,
+        director: str,
+        number: int,
+        attempt: int,
+        status: Status,
+        at_ms: float,
+        object_: int = 0,
         dated_ms: float | None = None,
     ) -> None:
         """`dated_ms`: of the copy that answered."""
--- a/gladelane/lab/fleet/__init__.py
+++ b/gladelane/lab/fleet/__init__.py
@@ -3,4 +3,4 @@
 
 `faults` reads the line (pure), `relay` is a link that can be cut, `rules` watches answers and attempts,
 `world` has the servers, `fleet` the processes, `load` the clients and operators, `day` plays one line and
-gives its figures. """
+gives its figures."""
--- a/gladelane/lab/fleet/audited.py
+++ b/gladelane/lab/fleet/audited.py
@@ -118,8 +118,10 @@
         first = positions(ledger.views[min(acted, key=lambda row: row.from_ms).view].purges)
         for purge in purges:
             known = first.get((purge.issuer, purge.epoch), 0) >= purge.seq > 0
-            if known and answer.dated_ms + SLACK_MS < purge.at_ms and purge.scope.covers(
-                answer.cls, answer.group, answer.object, answer.part
+            if (
+                known
+                and answer.dated_ms + SLACK_MS < purge.at_ms
+                and purge.scope.covers(answer.cls, answer.group, answer.object, answer.part)
             ):
                 found.append(f"{answer.director} answered from {answer.dated_ms:.0f}, its view knew a purge")
                 break
@@ -135,7 +137,8 @@
         reports.sort(key=lambda one: one.answered_ms)
     strict = fleet.shape.strict if fleet.shape.alone == "strict" else ()  # else nothing may go on
     acts = [
-        (sent.director, sent.at_ms) for sent in load.attempts
+        (sent.director, sent.at_ms)
+        for sent in load.attempts
         if sent.director and (not strict or sent.cls in strict)
     ]
     acts += [(a.director, a.answered_ms) for a in load.made if a.cls in fleet.shape.strict]
@@ -147,8 +150,10 @@
         # what came a moment before the act may have been heard before it
         held += [one for one in reports[place : place + 2] if one.answered_ms <= at]
         within = any(at <= one.asked_ms + tenure_ms + ON_TIME_MS for one in held)
-        out = place and reports[place - 1].stage >= Stage.OUT and not any(
-            one.stage < Stage.OUT and one.answered_ms <= at for one in reports[place : place + 2]
+        out = (
+            place
+            and reports[place - 1].stage >= Stage.OUT
+            and not any(one.stage < Stage.OUT and one.answered_ms <= at for one in reports[place : place + 2])
         )
         late += not within or bool(out)
     return late
@@ -225,10 +230,16 @@
 
 
 def play_audited(
-    line: str, shape: Shape, seed: int, seconds: float, per_s: float = 150.0, purges: int = 0,
+    line: str,
+    shape: Shape,
+    seed: int,
+    seconds: float,
+    per_s: float = 150.0,
+    purges: int = 0,
     look: Callable[[Fleet, Load], Any] | None = None,
 ) -> Any:
     """As `day.play`, with what the audit came to."""
+
     async def seen(fleet: Fleet, load: Load) -> dict[str, Any]:
         extra = await look(fleet, load) if look is not None else {}
         await asyncio.sleep(SETTLE_S)
@@ -240,12 +251,21 @@
         lists = Lists(fleet.world.board.notices)
         stored = sum(path.stat().st_size for path in (fleet.feeds[0].folder / "audit").iterdir())
         return {
-            "attempts": len(load.attempts), "spans": ledger.spans, "ledger": ledger, "load": load,
-            "lists": lists, "same": all(same(ledger, one) for one in ledgers),
+            "attempts": len(load.attempts),
+            "spans": ledger.spans,
+            "ledger": ledger,
+            "load": load,
+            "lists": lists,
+            "same": all(same(ledger, one) for one in ledgers),
             "wrong": [w for w in ledger.verify() if w.what != "missing"],
             "contradictions": contradictions(ledger, load.attempts, load.made, load.purges, lists),
-            "unknown_share": unknown_share(ledger), "acted_after_out": late, "stages": changes,
-            "most_out_at_once": most_out(changes), "report_bytes": told, "stored_bytes": stored, **extra,
+            "unknown_share": unknown_share(ledger),
+            "acted_after_out": late,
+            "stages": changes,
+            "most_out_at_once": most_out(changes),
+            "report_bytes": told,
+            "stored_bytes": stored,
+            **extra,
         }
 
     return play(line, replace(shape, audit=True), seed, seconds, per_s, purges, look=seen)
@@ -280,14 +300,18 @@
     changed("a count altered", each(more))
     changed("a view altered", each(lambda span: msgspec.structs.replace(span, view=other)))
     changed("a span dropped", lambda spans: [span for span in spans if span.number != number])
-    changed("a span doubled, with other counts",
-            lambda spans: [*spans, *(more(span) for span in spans if span.number == number)])
-    changed("a span dated later", each(
-        lambda span: msgspec.structs.replace(span, from_ms=span.from_ms + 5e3, to_ms=span.to_ms + 5e3)
-    ))
-    changed("a span dated earlier", each(
-        lambda span: msgspec.structs.replace(span, from_ms=span.from_ms - 5e3, to_ms=span.to_ms - 5e3)
-    ))
+    changed(
+        "a span doubled, with other counts",
+        lambda spans: [*spans, *(more(span) for span in spans if span.number == number)],
+    )
+    changed(
+        "a span dated later",
+        each(lambda span: msgspec.structs.replace(span, from_ms=span.from_ms + 5e3, to_ms=span.to_ms + 5e3)),
+    )
+    changed(
+        "a span dated earlier",
+        each(lambda span: msgspec.structs.replace(span, from_ms=span.from_ms - 5e3, to_ms=span.to_ms - 5e3)),
+    )
     changed("altered and sealed anew", each(lambda span: sealed("00", more(span))))
     lied = copy.deepcopy(ledger)
     lied.views[other] = msgspec.structs.replace(lied.views[other], rev=lied.views[other].rev + 7)
@@ -301,8 +325,10 @@
 def _victim(ledger: Ledger, rng: Random) -> tuple[tuple[str, int], int]:
     """A span in the middle that counted something."""
     able = [
-        ((report.director, report.start), span.number) for report in ledger.beyond({}, 2**31)
-        for span in report.spans[1:-1] if any(count.sent for count in span.counts.values())
+        ((report.director, report.start), span.number)
+        for report in ledger.beyond({}, 2**31)
+        for span in report.spans[1:-1]
+        if any(count.sent for count in span.counts.values())
     ]
     return rng.choice(able)
 
@@ -319,5 +345,3 @@
 def p99(values: list[float]) -> float:
     """0 for none."""
     return quantiles(values, n=100)[98] if len(values) > 1 else (values[0] if values else 0.0)
-
-
--- a/gladelane/lab/fleet/day.py
+++ b/gladelane/lab/fleet/day.py
@@ -25,8 +25,14 @@
 
 
 async def play(
-    line: str, shape: Shape, seed: int, seconds: float, per_s: float = 250.0, purges: int = 0,
-    table: Path | None = None, look: Look | None = None,
+    line: str,
+    shape: Shape,
+    seed: int,
+    seconds: float,
+    per_s: float = 250.0,
+    purges: int = 0,
+    table: Path | None = None,
+    look: Look | None = None,
 ) -> dict[str, Any]:
     """The line's seconds count from the end of the warm-up. purges: during the warm-up. The same seed asks
     for the same things at the same moments and strikes the same processes; what the machine makes of it may
@@ -100,25 +106,42 @@
     feeds = await asyncio.gather(*(fleet.status(one) for one in fleet.feeds))
     strict = [made for made in old if made.cls in fleet.shape.strict]
     return {
-        **{name: load.counts[name] for name in (
-            "asked", "served", "refused", "failed", "lost", "lost_by_kill", "nobody", "late_repeats"
-        )},
-        "answers": len(load.made), "purges": len(load.purges),
-        "stale_strict": len(strict), "stale_other": len(old) - len(strict),
+        **{
+            name: load.counts[name]
+            for name in (
+                "asked",
+                "served",
+                "refused",
+                "failed",
+                "lost",
+                "lost_by_kill",
+                "nobody",
+                "late_repeats",
+            )
+        },
+        "answers": len(load.made),
+        "purges": len(load.purges),
+        "stale_strict": len(strict),
+        "stale_other": len(old) - len(strict),
         "doubles": len(doubles(world.ran, CLASSES["answer-submit"].window_ms)),
-        "rules": [f"{one.rule}: {one.what}" for one in load.broken][:20], "rules_broken": len(load.broken),
-        "full_service_s": max(full.values(), default=0.0), "full_by_fault": full,
+        "rules": [f"{one.rule}: {one.what}" for one in load.broken][:20],
+        "rules_broken": len(load.broken),
+        "full_service_s": max(full.values(), default=0.0),
+        "full_by_fault": full,
         "full_by_phase_s": max((told.get("full_service_ms", 0) for told in directors), default=0) / 1000.0,
-        "origin_usual": usual, "origin_peak": peak,
+        "origin_usual": usual,
+        "origin_peak": peak,
         "origin_peak_over_usual": round(peak / max(usual, 1), 2),
-        "pushed_over": world.pushed_over(peak), "after_drain": world.after_drain,
+        "pushed_over": world.pushed_over(peak),
+        "after_drain": world.after_drain,
         "warm": sum(told.get("warm_start", 0) for told in directors),
         "phases": [told.get("phase", 0) for told in directors],
         "reseeded": sum(told.get("reseeded", 0) for told in directors),
         "standing": [told.get("standing", -1) for told in feeds],
         "horizon_open": [told.get("horizon_ms", -1.0) > 0.0 for told in feeds],
         "killed": sum(name in fleet.held_up for name in (one.name for one in fleet.directors)),
-        "kills": fleet.counts["kills"], "disk_faults": fleet.counts["disk_faults"],
+        "kills": fleet.counts["kills"],
+        "disk_faults": fleet.counts["disk_faults"],
         "failed_starts": [text for one in (*fleet.directors, *fleet.feeds) for text in one.failed],
     }
 
--- a/gladelane/lab/fleet/faults.py
+++ b/gladelane/lab/fleet/faults.py
@@ -4,7 +4,7 @@
 
 A step is a moment in seconds, a word, whom it strikes, how, and for how long. Whom: `directors`, `feeds`,
 `caches`, `hub`, `origin` or `board`, with `:N`, `:N-M`, `:*` or `:P%` (so many, by the seed); a link is
-`FROM>TO`. """
+`FROM>TO`."""
 
 from __future__ import annotations
 
@@ -69,8 +69,10 @@
     if strikes == "link":
         near, _, far = target.partition(">")
         links = tuple(
-            (one, other) for one in _whom(text, near, counts, rng, PROCESSES)
-            for other in _whom(text, far, counts, rng, ("feeds", "board")) if one != other
+            (one, other)
+            for one in _whom(text, near, counts, rng, PROCESSES)
+            for other in _whom(text, far, counts, rng, ("feeds", "board"))
+            if one != other
         )
     elif strikes in ("process", "store"):
         whom = _whom(text, target, counts, rng, PROCESSES if strikes == "process" else STORES)
--- a/gladelane/lab/fleet/fleet.py
+++ b/gladelane/lab/fleet/fleet.py
@@ -210,17 +210,39 @@
 
     def _feed(self, one: Life, first: bool) -> tuple[list[str], dict[str, str]]:
         peers = [f"127.0.0.1:{self.links[one.name, o.name].port}" for o in self.feeds if o is not one]
-        command = [sys.executable, "-c", FEED, "purge", "serve", "--name", one.name, "--dir",
-                   str(one.folder / "purges"), "--tokens", str(self.folder / "tokens"), "--listen",
-                   f"127.0.0.1:{one.port}", "--copies", str(min(self.shape.copies, 1 + len(peers)))]
+        command = [
+            sys.executable,
+            "-c",
+            FEED,
+            "purge",
+            "serve",
+            "--name",
+            one.name,
+            "--dir",
+            str(one.folder / "purges"),
+            "--tokens",
+            str(self.folder / "tokens"),
+            "--listen",
+            f"127.0.0.1:{one.port}",
+            "--copies",
+            str(min(self.shape.copies, 1 + len(peers))),
+        ]
         command += [word for peer in peers for word in ("--peer", peer)]
         if first:
             command.append("--first")
         if self.shape.marks:
             command += ["--mark", str(self.folder / f"{one.name}.mark")]
         if self.shape.audit:
-            command += ["--audit", str(one.folder / "audit"), "--tenure-ms", str(self.shape.tenure_ms),
-                        "--behind-ms", str(self.shape.behind_ms), "--share", str(self.shape.share)]
+            command += [
+                "--audit",
+                str(one.folder / "audit"),
+                "--tenure-ms",
+                str(self.shape.tenure_ms),
+                "--behind-ms",
+                str(self.shape.behind_ms),
+                "--share",
+                str(self.shape.share),
+            ]
         if self.shape.owners:
             command += ["--keeper", str(one.folder / "keeper"), "--lease-ms", str(self.shape.lease_ms)]
         return command, dict(os.environ)
@@ -228,9 +250,13 @@
     def _director(self, one: Life) -> tuple[list[str], dict[str, str]]:
         shape = self.shape
         raw = json.loads((ROOT / "example" / "config.json").read_text())
-        raw |= {"name": self.names.get(one.name, one.name), "listen": f"127.0.0.1:{one.port}",
-                "known": self.world.board.known(),
-                "board": f"127.0.0.1:{self.links[one.name, 'board'].port}", "ops": f"127.0.0.1:{one.door}"}
+        raw |= {
+            "name": self.names.get(one.name, one.name),
+            "listen": f"127.0.0.1:{one.port}",
+            "known": self.world.board.known(),
+            "board": f"127.0.0.1:{self.links[one.name, 'board'].port}",
+            "ops": f"127.0.0.1:{one.door}",
+        }
         raw["settings"] |= {"balancers": shape.directors, "me": self.directors.index(one)}
         raw["settings"] |= self.settings.get(one.name, {})
         operator: dict[str, Any] = {"recovery": {"every_s": 1}}
@@ -239,14 +265,22 @@
         if self.feeds:
             operator["purges"] = {
                 "feeds": [f"127.0.0.1:{self.links[one.name, feed.name].port}" for feed in self.feeds],
-                "token_file": str(self.folder / "tokens"), "dir": str(one.folder / "purges"),
-                "delay_ms": shape.delay_ms, "strict": list(shape.strict), "lost": shape.lost,
-                "cut_off_per_s": shape.cut_off_per_s, "origin_per_s": shape.origin_per_s,
-                "start_wait_ms": 3000, "order_kinds": ["standard", "parent"],
+                "token_file": str(self.folder / "tokens"),
+                "dir": str(one.folder / "purges"),
+                "delay_ms": shape.delay_ms,
+                "strict": list(shape.strict),
+                "lost": shape.lost,
+                "cut_off_per_s": shape.cut_off_per_s,
+                "origin_per_s": shape.origin_per_s,
+                "start_wait_ms": 3000,
+                "order_kinds": ["standard", "parent"],
             }
         if shape.audit:
             operator["fleet"] = {
-                "alone": shape.alone, "board_ms": shape.board_ms, "report_ms": 400, "enforce": shape.enforce
+                "alone": shape.alone,
+                "board_ms": shape.board_ms,
+                "report_ms": 400,
+                "enforce": shape.enforce,
             }
             operator["fleet"] |= {"dir": str(one.folder / "trail")} if shape.trail else {}
         if shape.owners:
--- a/gladelane/lab/fleet/load.py
+++ b/gladelane/lab/fleet/load.py
@@ -50,9 +50,11 @@
 
     def _attempt(self, store: str, seen: Seen) -> None:
         fields = seen.fields
-        self.attempts.append(Sent(
-            self._asked_at.get(seen.id, ""), now_ms(), store, fields.get("parent", ""), fields["profile"]
-        ))
+        self.attempts.append(
+            Sent(
+                self._asked_at.get(seen.id, ""), now_ms(), store, fields.get("parent", ""), fields["profile"]
+            )
+        )
         director, number = self._who.get(seen.id, ("", 0))
         if director:
             self._tries[seen.id] += 1
@@ -116,8 +118,15 @@
         assert client is not None
         self._number += 1
         number, id_ = self._number, f"{self.rng.getrandbits(64):016x}"
-        fields = {"c": cls, "i": id_, "d": f"{min(spec.deadline_ms, 1500.0):.0f}", "o": object_id(n),
-                  "chunk": str(part), "tag": str(group_of(n)), "m": "4"}
+        fields = {
+            "c": cls,
+            "i": id_,
+            "d": f"{min(spec.deadline_ms, 1500.0):.0f}",
+            "o": object_id(n),
+            "chunk": str(part),
+            "tag": str(group_of(n)),
+            "m": "4",
+        }
         if key:
             fields["k"] = key
         self._who[id_] = one.name, number
@@ -161,14 +170,18 @@
             while True:
                 feed = self.rng.choice(self.fleet.feeds)
                 try:
-                    told = json.loads(await fetch(
-                        "127.0.0.1", feed.port, "POST", "/purges", TOKEN, body, {"Idempotency-Key": key}
-                    ))
+                    told = json.loads(
+                        await fetch(
+                            "127.0.0.1", feed.port, "POST", "/purges", TOKEN, body, {"Idempotency-Key": key}
+                        )
+                    )
                     break
                 except (OSError, Refused, TimeoutError):
                     self.counts["purges_again"] += 1
                     await asyncio.sleep(0.05)
-            self.purges.append(Purged(
-                told["at_ms"], parse(told["scope"]), now_ms(), told["issuer"], told["epoch"], told["seq"]
-            ))
+            self.purges.append(
+                Purged(
+                    told["at_ms"], parse(told["scope"]), now_ms(), told["issuer"], told["epoch"], told["seq"]
+                )
+            )
             await asyncio.sleep(seconds / count)
--- a/gladelane/lab/fleet/owned.py
+++ b/gladelane/lab/fleet/owned.py
@@ -129,5 +129,3 @@
             return True
         await asyncio.sleep(0.1)
     return False
-
-
--- a/gladelane/lab/fleet/relay.py
+++ b/gladelane/lab/fleet/relay.py
@@ -87,8 +87,10 @@
         self._open[task] = writer, far
         watch = _Watch(self)
         try:
-            ways = [asyncio.ensure_future(self._pass(reader, far, False, watch)),
-                    asyncio.ensure_future(self._pass(far_reader, writer, True, watch))]
+            ways = [
+                asyncio.ensure_future(self._pass(reader, far, False, watch)),
+                asyncio.ensure_future(self._pass(far_reader, writer, True, watch)),
+            ]
             try:
                 await asyncio.wait(ways, return_when=asyncio.FIRST_COMPLETED)
                 await asyncio.sleep(0)
--- a/gladelane/lab/fleet/rules.py
+++ b/gladelane/lab/fleet/rules.py
@@ -2,7 +2,7 @@
 
 `lab.checks` watches each request; here is what only the sum of all directors shows: answers from copies
 older than a purge, keys that ran twice beyond their window, how full the origin got, and the worth answered
-in time. Pure. """
+in time. Pure."""
 
 from __future__ import annotations
 
--- a/gladelane/lab/fleet/world.py
+++ b/gladelane/lab/fleet/world.py
@@ -62,9 +62,15 @@
             standin.drop = partial(self._drop, name)
             self.addresses[name] = await standin.listen(Family.V4)
         self.board_port = int((await self.board.start()).rpartition(":")[2])
-        self.board.tell({"pool": {"generation": 1, "reset": True, "instances": [
-            self.instance(name) for name in self.shelves
-        ]}})
+        self.board.tell(
+            {
+                "pool": {
+                    "generation": 1,
+                    "reset": True,
+                    "instances": [self.instance(name) for name in self.shelves],
+                }
+            }
+        )
 
     def _drop(self, name: str, order: str) -> None:
         self.orders.append((name, now_ms(), order))
@@ -72,9 +78,16 @@
 
     def instance(self, name: str) -> dict[str, Any]:
         kind = {"depot": "parent", "bank": "origin"}.get(name, "standard")
-        return {"instanceId": name, "hostPort": self.addresses[name], "machineType": kind, "cell": 0,
-                "zone": "branch" if kind == "standard" else "hub", "lifecycle": self.lifecycle[name],
-                "weight": 60, "startedAtMs": self.started[name]}
+        return {
+            "instanceId": name,
+            "hostPort": self.addresses[name],
+            "machineType": kind,
+            "cell": 0,
+            "zone": "branch" if kind == "standard" else "hub",
+            "lifecycle": self.lifecycle[name],
+            "weight": 60,
+            "startedAtMs": self.started[name],
+        }
 
     def _answer(self, name: str, seen: Seen) -> Said | Awaitable[Said]:
         if name in self.drained_ms and now_ms() > self.drained_ms[name] + 1000.0:
--- a/gladelane/lab/leases.py
+++ b/gladelane/lab/leases.py
@@ -96,8 +96,13 @@
             lease._heard, lease._granted = set(lease._heard), set(lease._granted)
             lease._refused = set(lease._refused)
         return replace(
-            self, keepers=keepers, leases=leases, asking=list(self.asking),
-            owners=dict(self.owners), tries=list(self.tries), fence=Fence(self.fence.numbers),
+            self,
+            keepers=keepers,
+            leases=leases,
+            asking=list(self.asking),
+            owners=dict(self.owners),
+            tries=list(self.tries),
+            fence=Fence(self.fence.numbers),
         )
 
     def key(self) -> object:
@@ -106,12 +111,33 @@
             for k in self.keepers
         )
         leases = tuple(
-            (one.phase, one.number, one.until_ms, one._due_ms, one._asked_ms, one._highest,
-             tuple(sorted(one._heard)), tuple(sorted(one._granted)), tuple(sorted(one._refused)))
+            (
+                one.phase,
+                one.number,
+                one.until_ms,
+                one._due_ms,
+                one._asked_ms,
+                one._highest,
+                tuple(sorted(one._heard)),
+                tuple(sorted(one._granted)),
+                tuple(sorted(one._refused)),
+            )
             for one in self.leases
         )
-        return (keepers, leases, self.now, tuple(self.asking), self.back, self.late,
-                self.begun, self.taken, self.wrong, self.restarts, self.lost, tuple(self.tries))
+        return (
+            keepers,
+            leases,
+            self.now,
+            tuple(self.asking),
+            self.back,
+            self.late,
+            self.begun,
+            self.taken,
+            self.wrong,
+            self.restarts,
+            self.lost,
+            tuple(self.tries),
+        )
 
     def clock(self, candidate: int) -> float:
         back = self.back if self.plant is Plant.WALL and candidate == 0 else 0
--- a/gladelane/lab/losses.py
+++ b/gladelane/lab/losses.py
@@ -70,8 +70,16 @@
             (f.epoch, f.known, f.stored, f.older, f.older_epoch, f.had, f.losses, f.kept, f.heard)
             for f in self.feeds.values()
         )
-        return (feeds, self.now, self.losses, self.answered, tuple(self.mark.values()), self.director,
-                self.director_losses, self.caught)
+        return (
+            feeds,
+            self.now,
+            self.losses,
+            self.answered,
+            tuple(self.mark.values()),
+            self.director,
+            self.director_losses,
+            self.caught,
+        )
 
 
 def joined(one: tuple[Loss, ...], told: tuple[Loss, ...], plant: Plant) -> tuple[Loss, ...]:
@@ -187,8 +195,11 @@
     losing = bool(opened(feed.losses, other)) and then.plant is not Plant.EACH_OTHER
     by = vouched_by(copies, {other: Peer(feed.heard, other, copies, losing)})
     if by:
-        closed = [msgspec.structs.replace(loss, since_ms=0.0, by=by) for loss in opened(feed.losses, name)
-                  if loss.by != SEEN]
+        closed = [
+            msgspec.structs.replace(loss, since_ms=0.0, by=by)
+            for loss in opened(feed.losses, name)
+            if loss.by != SEEN
+        ]
         feed.losses = joined(feed.losses, tuple(closed), Plant.NONE)
     feed.kept = feed.losses
     return then
--- a/gladelane/lab/modelcheck.py
+++ b/gladelane/lab/modelcheck.py
@@ -33,9 +33,11 @@
 
 
 def search(
-    start: Iterable[State], key: Callable[[State], Hashable],
+    start: Iterable[State],
+    key: Callable[[State], Hashable],
     successors: Callable[[State], Iterable[tuple[str, State]]],
-    invariant: Callable[[State], str | None], most: int = 5_000_000,
+    invariant: Callable[[State], str | None],
+    most: int = 5_000_000,
 ) -> Found:
     """Raises Violation at the first state for which `invariant` says what is wrong, OverflowError past `most`
     states.
--- a/gladelane/lab/processes.py
+++ b/gladelane/lab/processes.py
@@ -118,10 +118,18 @@
             try:
                 if client is None:
                     client, fresh = await Client.to("127.0.0.1", self.port), True
-                answer = await client.ask({
-                    "c": self.classes[number % len(self.classes)], "i": f"{number:016x}", "d": "2000",
-                    "o": f"{number % 50:016x}", "chunk": "0", "tag": "1", "m": "1", "k": f"{number:032x}",
-                })
+                answer = await client.ask(
+                    {
+                        "c": self.classes[number % len(self.classes)],
+                        "i": f"{number:016x}",
+                        "d": "2000",
+                        "o": f"{number % 50:016x}",
+                        "chunk": "0",
+                        "tag": "1",
+                        "m": "1",
+                        "k": f"{number:032x}",
+                    }
+                )
             except OSError as error:
                 self.lost.append(repr(error))
                 client = None
--- a/gladelane/lab/races.py
+++ b/gladelane/lab/races.py
@@ -43,8 +43,18 @@
     def key(self) -> Hashable:
         race = self.race
         return (
-            tuple(race.dials), race.phase, race.next_ms, tuple(race.since), race.replaced, race.addresses,
-            self.now, self.sockets, self.granted, self.bytes, self.winner, self.ended,
+            tuple(race.dials),
+            race.phase,
+            race.next_ms,
+            tuple(race.since),
+            race.replaced,
+            race.addresses,
+            self.now,
+            self.sockets,
+            self.granted,
+            self.bytes,
+            self.winner,
+            self.ended,
         )
 
     def carry_out(self, steps: list[Step], room: int) -> World:
@@ -127,6 +137,7 @@
 
 def check(most: int = 4, units: int = 3, make: Make | None = None) -> Found:
     """All interleavings of races with 1 to `most` addresses. Raises Violation."""
+
     def plain(addresses: int) -> Race:
         # the delay is cut to time-out / addresses: these figures keep it at one unit
         return Race(addresses, 0.0, UNIT, max(units, addresses) * UNIT)
--- a/gladelane/lab/tenures.py
+++ b/gladelane/lab/tenures.py
@@ -66,8 +66,16 @@
     acted: bool = False  # just now
 
     def key(self) -> object:
-        return (self.now, self.wall, self.until, self.over, self.asked, self.answers, self.decided,
-                self.acted)
+        return (
+            self.now,
+            self.wall,
+            self.until,
+            self.over,
+            self.asked,
+            self.answers,
+            self.decided,
+            self.acted,
+        )
 
     def clock(self) -> int:
         return self.now - (self.wall - 10 if self.plant is Plant.WALL else 0)
@@ -99,8 +107,9 @@
     for asked in sorted(one.asked):
         gone = one.asked - {asked}
         yield "question lost", replace(one, asked=gone)
-        yield "feed answers", replace(
-            one, asked=gone, answers=one.answers | {(asked, one.now)}, over=one.now + LENGTH
+        yield (
+            "feed answers",
+            replace(one, asked=gone, answers=one.answers | {(asked, one.now)}, over=one.now + LENGTH),
         )
     for asked, at in sorted(one.answers):
         gone2 = one.answers - {(asked, at)}
@@ -184,18 +193,30 @@
 
     def copy(self) -> Scene:
         return replace(
-            self, told=dict(self.told), has=dict(self.has), heard=dict(self.heard), moved="",
+            self,
+            told=dict(self.told),
+            has=dict(self.has),
+            heard=dict(self.heard),
+            moved="",
             moved_up=False,
-            stages=dict(self.stages), verdicts=dict(self.verdicts), well=dict(self.well),
+            stages=dict(self.stages),
+            verdicts=dict(self.verdicts),
+            well=dict(self.well),
             judge=self.judge.copy(),
         )
 
     def key(self) -> object:
-        return (self.now, tuple(sorted(self.told.items())), tuple(self.has.values()),
-                tuple(self.heard.values()), tuple(self.stages.values()), tuple(self.well.values()),
-                self.moved, self.elsewhere, tuple(
-                    (bool(one.well_ms), one.back_ms) for one in self.judge._directors.values()
-                ))
+        return (
+            self.now,
+            tuple(sorted(self.told.items())),
+            tuple(self.has.values()),
+            tuple(self.heard.values()),
+            tuple(self.stages.values()),
+            tuple(self.well.values()),
+            self.moved,
+            self.elsewhere,
+            tuple((bool(one.well_ms), one.back_ms) for one in self.judge._directors.values()),
+        )
 
 
 def first_scene(plant: Plant) -> Scene:
--- a/gladelane/lab/virtual.py
+++ b/gladelane/lab/virtual.py
@@ -15,8 +15,28 @@
 from typing import Any
 
 from ..choice import Router
-from ..interface import Action, Cancel, ClassSpec, Event, Fail, Fetch, ListKind, Lookup, Member, Members
-from ..interface import Note, Outcome, Purge, Refuse, Request, SetTimer, Settings, State, Status, Timer
+from ..interface import (
+    Action,
+    Cancel,
+    ClassSpec,
+    Event,
+    Fail,
+    Fetch,
+    ListKind,
+    Lookup,
+    Member,
+    Members,
+    Note,
+    Outcome,
+    Purge,
+    Refuse,
+    Request,
+    SetTimer,
+    Settings,
+    State,
+    Status,
+    Timer,
+)
 from .checks import Broken, Monitor
 from .model.pipe import Pipe
 from .model.stores import Build, Cache, Filled, Keeper, Origin, Parent, Work
@@ -140,7 +160,11 @@
         asked.works[number] = work, stop, timer
 
     def _ended(
-        self, asked: _Asked, number: int, status: Status, note: Note = Note.UNTOLD,
+        self,
+        asked: _Asked,
+        number: int,
+        status: Status,
+        note: Note = Note.UNTOLD,
         dated: float | None = None,
     ) -> None:
         if number not in asked.works:
@@ -191,7 +215,10 @@
         out = Pipe(self.line, flow * plan.origin_link, flow * FILL_PACE)
         self.origin = Origin(self.line, plan.origin_workers, plan.origin_ms, plan.origin_room, out)
         hub = Build(
-            plan.parent_room_kb, flow * plan.parent_link, flow * FILL_PACE, s.parent_cold_from,
+            plan.parent_room_kb,
+            flow * plan.parent_link,
+            flow * FILL_PACE,
+            s.parent_cold_from,
             s.parent_cold_ms,
         )
         self.parents = {f"p{n}": Parent(self.origin, self.line, hub) for n in range(plan.parents)}
@@ -290,9 +317,7 @@
         cache = self.caches.get(action.store)
         return cache.abort if cache is not None else (lambda work: None)
 
-    def _arrived(
-        self, zone: str, action: Fetch | Lookup, source: str, spec: ClassSpec, work: Work
-    ) -> None:
+    def _arrived(self, zone: str, action: Fetch | Lookup, source: str, spec: ClassSpec, work: Work) -> None:
         if work.over:
             return
 
--- a/gladelane/logs.py
+++ b/gladelane/logs.py
@@ -61,13 +61,16 @@
             key_order=["timestamp", "level", "logger", "event"], drop_missing=True
         )
     before: list[Any] = [
-        structlog.stdlib.add_log_level, structlog.stdlib.add_logger_name,
-        structlog.processors.TimeStamper(fmt="iso", utc=True), _split,
+        structlog.stdlib.add_log_level,
+        structlog.stdlib.add_logger_name,
+        structlog.processors.TimeStamper(fmt="iso", utc=True),
+        _split,
     ]
     return structlog.stdlib.ProcessorFormatter(
         foreign_pre_chain=before,
         processors=[
             structlog.stdlib.ProcessorFormatter.remove_processors_meta,
-            structlog.processors.format_exc_info, render,
+            structlog.processors.format_exc_info,
+            render,
         ],
     )
--- a/gladelane/net/board.py
+++ b/gladelane/net/board.py
@@ -29,7 +29,11 @@
 
 class Board:
     def __init__(
-        self, host: str, port: int, last: Callable[[], int], tell: Callable[[Notice], None],
+        self,
+        host: str,
+        port: int,
+        last: Callable[[], int],
+        tell: Callable[[Notice], None],
         rng: random.Random,
     ) -> None:
         """heard: hears of each word, with a moment of `steady` (ms) from before which it was not said."""
@@ -58,8 +62,11 @@
             reader, writer = await asyncio.open_connection(self._host, self._port)
         try:
             http = h11.Connection(h11.CLIENT)
-            headers = [("Host", f"{self._host}:{self._port}"), ("Accept", "text/event-stream"),
-                       ("Last-Event-ID", str(self._last()))]
+            headers = [
+                ("Host", f"{self._host}:{self._port}"),
+                ("Accept", "text/event-stream"),
+                ("Last-Event-ID", str(self._last())),
+            ]
             request = h11.Request(method="GET", target=PATH, headers=headers)
             writer.write(http.send(request) + http.send(h11.EndOfMessage()))
             events = EventStream()
--- a/gladelane/net/config.py
+++ b/gladelane/net/config.py
@@ -9,7 +9,6 @@
 from ..interface import Settings
 from ..settings_wire import settings_from_wire
 
-
 MAY_GO = frozenset({"ops"})  # GW_OPS names it too
 
 
--- a/gladelane/net/director.py
+++ b/gladelane/net/director.py
@@ -14,9 +14,30 @@
 from ..endpoints.book import Change
 from ..endpoints.plan import Endpoints, Options
 from ..endpoints.rules import Listing, Rules
-from ..interface import NEVER_RAN, Cancel, ClientGone, Effect, Event, Fail, Fetch, ListKind, Log, Lookup
-from ..interface import Member, Members, Note, Outcome, Purge, Refuse, Request, SetTimer, Settings, State
-from ..interface import Status, Timer
+from ..interface import (
+    NEVER_RAN,
+    Cancel,
+    ClientGone,
+    Effect,
+    Event,
+    Fail,
+    Fetch,
+    ListKind,
+    Log,
+    Lookup,
+    Member,
+    Members,
+    Note,
+    Outcome,
+    Purge,
+    Refuse,
+    Request,
+    SetTimer,
+    Settings,
+    State,
+    Status,
+    Timer,
+)
 from ..operations.figures import Figures
 from ..operations.maintenance import Register
 from ..routes.keys import KeyWindows, kept_for
@@ -78,7 +99,12 @@
 
 class Director:
     def __init__(
-        self, settings: Settings, seed: int, clock: Callable[[], float], wheel: Wheel, endpoints: Endpoints,
+        self,
+        settings: Settings,
+        seed: int,
+        clock: Callable[[], float],
+        wheel: Wheel,
+        endpoints: Endpoints,
         keys_most: int,
     ) -> None:
         self.endpoints = endpoints
@@ -116,8 +142,15 @@
         keyed = self.settings.classes[ask.cls].effect is Effect.KEYED
         ran_ms, ran_at = self.keys.first(ask.key, now) if keyed and ask.key else (0.0, "")
         request = Request(
-            self._numbers, ask.cls, int(ask.object, 16) + 1, now + ask.wait_ms - self.wheel.margin(),
-            ask.size_kb, ask.group, ask.part, ran_ms=ran_ms, ran_at=ran_at,
+            self._numbers,
+            ask.cls,
+            int(ask.object, 16) + 1,
+            now + ask.wait_ms - self.wheel.margin(),
+            ask.size_kb,
+            ask.group,
+            ask.part,
+            ran_ms=ran_ms,
+            ran_at=ran_at,
         )
         spec, most = self.settings.classes[ask.cls], self.settings.max_attempts
         exchange = Exchange(ask, request, deliver, spec, most, figures=self.figures)
@@ -277,8 +310,14 @@
                 continue
             self._listed[member.store] = member
             listings[member.store] = Listing(
-                member.store, instance.host_port, member.zone, member.kind, member.cell,
-                member.state is State.READY, member.came_up_ms, tuple(instance.addresses),
+                member.store,
+                instance.host_port,
+                member.zone,
+                member.kind,
+                member.cell,
+                member.state is State.READY,
+                member.came_up_ms,
+                tuple(instance.addresses),
             )
         self._turned()
         self._apply(self.endpoints.tell(listings.values(), gone, complete))
@@ -395,14 +434,23 @@
         if self.guard is not None and exchange.spec.cacheable and status not in UNTOLD:
             request, held = exchange.request, status is Status.OK and reply is not None
             self.guard.answered(
-                request.cls, (request.object, request.part), reply.dated_ms if held and reply else 0.0,
+                request.cls,
+                (request.object, request.part),
+                reply.dated_ms if held and reply else 0.0,
                 held and now - attempt.sent_ms <= attempt.aim_ms,
             )
-        self.post(Outcome(
-            exchange.request.id, attempt.number, attempt.store, status, now - attempt.sent_ms,
-            reply.note if reply else Note.UNTOLD,
-            reply.source_wait_ms if reply else 0.0, exchange.done,
-        ))
+        self.post(
+            Outcome(
+                exchange.request.id,
+                attempt.number,
+                attempt.store,
+                status,
+                now - attempt.sent_ms,
+                reply.note if reply else Note.UNTOLD,
+                reply.source_wait_ms if reply else 0.0,
+                exchange.done,
+            )
+        )
 
     # --- the module
 
@@ -438,8 +486,10 @@
             case Fetch():
                 source = "" if action.source == action.store else action.source
                 flags = (
-                    ("coalesce", action.join), ("shallow", action.source_holds_only),
-                    ("transit", action.parent_keeps_none), ("freshen", action.renew),
+                    ("coalesce", action.join),
+                    ("shallow", action.source_holds_only),
+                    ("transit", action.parent_keeps_none),
+                    ("freshen", action.renew),
                 )
                 hints = tuple(word for word, on in flags if on)
                 self._send(action, source, action.rank, action.max_age_ms, hints)
@@ -459,7 +509,11 @@
                 log.debug("passed over %s", type(action).__name__)
 
     def _send(
-        self, action: Fetch | Lookup, source: str = "", rank: int = 0, age: float = 0.0,
+        self,
+        action: Fetch | Lookup,
+        source: str = "",
+        rank: int = 0,
+        age: float = 0.0,
         hints: tuple[str, ...] = (),
     ) -> None:
         exchange = self.live.get(action.id)
--- a/gladelane/net/front.py
+++ b/gladelane/net/front.py
@@ -13,8 +13,18 @@
 from ..operations.drain import Drain
 from .director import Director
 from .exchange import Code, Exchange, Final
-from .frames import BadRequest, Frame, FrameDecoder, FramingLost, Type, decode_request, encode_answer
-from .frames import encode_frame, encode_ready, peek_class
+from .frames import (
+    BadRequest,
+    Frame,
+    FrameDecoder,
+    FramingLost,
+    Type,
+    decode_request,
+    encode_answer,
+    encode_frame,
+    encode_ready,
+    peek_class,
+)
 from .sockets import Reader, has_ended, has_unread, shut_write_side
 from .wheel import Wheel
 
@@ -296,7 +306,8 @@
         elif not self.told_ms and self.front.drain.tells(self.born_ms, now):
             self.no_more()
         elif self.spare() and (
-            idle > IDLE_MS or (not self.proven and now - self.born_ms > FIRST_MS)
+            idle > IDLE_MS
+            or (not self.proven and now - self.born_ms > FIRST_MS)
             or self.front.drain.closes(self.told_ms, now)
         ):
             self.stop_taking()
--- a/gladelane/net/upstream.py
+++ b/gladelane/net/upstream.py
@@ -430,9 +430,7 @@
         full = conn is not None and len(conn.open) >= SPREAD and len(conns) < SPREAD_MOST
         if full and self._held() < self.cap * SPREAD_ROOM:
             conn = None
-        if conn is None and len(able) <= QUIET_MOST and (
-            self._held() < self.cap or self._spare_one()
-        ):
+        if conn is None and len(able) <= QUIET_MOST and (self._held() < self.cap or self._spare_one()):
             conn = Connection(self, attempt.store)
             conns.append(conn)
             self._count += 1
--- a/gladelane/operations/desk.py
+++ b/gladelane/operations/desk.py
@@ -37,7 +37,11 @@
     """`empty` tells clients that the director empties itself; `held` hears of each order once it holds."""
 
     def __init__(
-        self, served: Served, drain: Drain, clock: Callable[[], float], empty: Callable[[], None],
+        self,
+        served: Served,
+        drain: Drain,
+        clock: Callable[[], float],
+        empty: Callable[[], None],
         held: Callable[[Call], None],
     ) -> None:
         self._served, self._drain, self._clock, self._empty, self._held = served, drain, clock, empty, held
--- a/gladelane/operations/door.py
+++ b/gladelane/operations/door.py
@@ -173,8 +173,11 @@
 
 def _encoded(http: h11.Connection, answer: Answer) -> bytes:
     body = answer.text.encode()
-    headers = [("Content-Type", "text/plain; charset=utf-8"), ("Content-Length", str(len(body))),
-               ("Connection", "close")]
+    headers = [
+        ("Content-Type", "text/plain; charset=utf-8"),
+        ("Content-Length", str(len(body))),
+        ("Connection", "close"),
+    ]
     if http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):  # the call broke off inside HTTP itself
         return b""
     parts = http.send(h11.Response(status_code=answer.status, headers=headers, reason=b""))
--- a/gladelane/operations/figures.py
+++ b/gladelane/operations/figures.py
@@ -38,9 +38,14 @@
             for word, count in zip(WORDS, row, strict=True)
         ]
         figures += [
-            ("inflight", self.inflight), ("backend_calls", self.backend_calls),
-            ("hosts_listed", hosts_listed), ("hosts_down", hosts_down),
-            ("reconfig_ok", self.reconfig_ok), ("reconfig_failed", self.reconfig_failed),
-            ("withdrawn", self.withdrawn), ("unusable", self.unusable), *more,
+            ("inflight", self.inflight),
+            ("backend_calls", self.backend_calls),
+            ("hosts_listed", hosts_listed),
+            ("hosts_down", hosts_down),
+            ("reconfig_ok", self.reconfig_ok),
+            ("reconfig_failed", self.reconfig_failed),
+            ("withdrawn", self.withdrawn),
+            ("unusable", self.unusable),
+            *more,
         ]
         return "".join(f"director.{name}={count}\n" for name, count in figures)
--- a/gladelane/operations/retune.py
+++ b/gladelane/operations/retune.py
@@ -37,7 +37,9 @@
         effect = Effect.UNSAFE
     ages = [spec.fresh_ms for spec in (one, other) if spec.fresh_ms]  # 0: any age will do
     return replace(
-        other, effect=effect, keyless=len(keyed) < 2,
+        other,
+        effect=effect,
+        keyless=len(keyed) < 2,
         window_ms=min((spec.window_ms for spec in keyed), default=other.window_ms),
         group=keyed[-1].group if keyed else other.group,
         fresh_ms=min(ages, default=0.0),
--- a/gladelane/ownership/desk.py
+++ b/gladelane/ownership/desk.py
@@ -16,8 +16,17 @@
 from ..purges.follow import LOST
 from ..purges.http import Asked, Refused, fetch
 from .keeper import Keeper
-from .wire import MOST_ASKS, MOST_PROGRESS, Asks, Numbers, Owned, Replies, asks_decoder, encode_json
-from .wire import numbers_decoder
+from .wire import (
+    MOST_ASKS,
+    MOST_PROGRESS,
+    Asks,
+    Numbers,
+    Owned,
+    Replies,
+    asks_decoder,
+    encode_json,
+    numbers_decoder,
+)
 
 log = logging.getLogger(__name__)
 
@@ -44,9 +53,16 @@
     """steady: ms that do not step."""
 
     def __init__(
-        self, name: str, disk: Disk, token: Callable[[], str], steady: Callable[[], float],
-        longest_ms: float, peers: list[tuple[str, int]], tls: ssl.SSLContext | None = None,
-        first: bool = False, clock_ms: float = 0.0,
+        self,
+        name: str,
+        disk: Disk,
+        token: Callable[[], str],
+        steady: Callable[[], float],
+        longest_ms: float,
+        peers: list[tuple[str, int]],
+        tls: ssl.SSLContext | None = None,
+        first: bool = False,
+        clock_ms: float = 0.0,
     ) -> None:
         """Recovers from the disk. first: an operator says that an empty folder is no loss; clock_ms: Unix.
         Raises Damaged, InUse and OSError."""
@@ -93,10 +109,17 @@
                 if peer in self._heard:
                     continue
                 try:
-                    told = numbers_decoder.decode(await fetch(
-                        peer.host, peer.port, "GET", "/leases/numbers", self._token(), tls=peer.tls,
-                        within_s=1.0,
-                    ))
+                    told = numbers_decoder.decode(
+                        await fetch(
+                            peer.host,
+                            peer.port,
+                            "GET",
+                            "/leases/numbers",
+                            self._token(),
+                            tls=peer.tls,
+                            within_s=1.0,
+                        )
+                    )
                 except LOST as error:
                     log.debug("keeper not heard feed=%s:%d: %s", peer.host, peer.port, error)
                     continue
@@ -115,10 +138,13 @@
             case "GET", "/leases/numbers":
                 return encode_json(Numbers(self.keeper.name, self.keeper.numbers, self.progress))
             case "GET", "/leases":
-                return encode_json({
-                    "keeper": self.keeper.name, "ready": self.keeper.ready(self._steady()),
-                    "owners": self.owners(),
-                })
+                return encode_json(
+                    {
+                        "keeper": self.keeper.name,
+                        "ready": self.keeper.ready(self._steady()),
+                        "owners": self.owners(),
+                    }
+                )
         raise Refused(404, f"{asked.method} {asked.path}: no such thing here")
 
     async def _ask(self, asks: Asks) -> Replies:
@@ -168,9 +194,13 @@
         for work in sorted(self.keeper.numbers):
             running = self.keeper.running(work, now)
             number, since = self._since.get(work, (0, now))
-            found.append(Owned(
-                work, self.keeper.numbers[work], running.holder if running else "",
-                running.until_ms - now if running else 0.0,
-                now - since if running and running.number == number else 0.0,
-            ))
+            found.append(
+                Owned(
+                    work,
+                    self.keeper.numbers[work],
+                    running.holder if running else "",
+                    running.until_ms - now if running else 0.0,
+                    now - since if running and running.number == number else 0.0,
+                )
+            )
         return found
--- a/gladelane/ownership/keeper.py
+++ b/gladelane/ownership/keeper.py
@@ -62,8 +62,13 @@
     be lost, else 0."""
 
     def __init__(
-        self, name: str, keepers: int, longest_ms: float, now_ms: float,
-        numbers: Mapping[str, int] | None = None, lost_ms: float = 0.0,
+        self,
+        name: str,
+        keepers: int,
+        longest_ms: float,
+        now_ms: float,
+        numbers: Mapping[str, int] | None = None,
+        lost_ms: float = 0.0,
     ) -> None:
         self.name, self.longest_ms = name, longest_ms
         self.numbers = dict(numbers or {})
--- a/gladelane/ownership/lease.py
+++ b/gladelane/ownership/lease.py
@@ -42,7 +42,13 @@
     holder's clock that does not step."""
 
     def __init__(
-        self, work: str, holder: str, keepers: int, length_ms: float, rng: random.Random, now_ms: float,
+        self,
+        work: str,
+        holder: str,
+        keepers: int,
+        length_ms: float,
+        rng: random.Random,
+        now_ms: float,
         place: int = 0,
     ) -> None:
         self.work, self.holder, self.length_ms, self.place = work, holder, length_ms, place
--- a/gladelane/ownership/owner.py
+++ b/gladelane/ownership/owner.py
@@ -26,8 +26,14 @@
     Times of `steady` in ms."""
 
     def __init__(
-        self, works: dict[str, int], name: str, keepers: list[tuple[str, int]], length_ms: float,
-        token: Callable[[], str], steady: Callable[[], float], rng: random.Random,
+        self,
+        works: dict[str, int],
+        name: str,
+        keepers: list[tuple[str, int]],
+        length_ms: float,
+        token: Callable[[], str],
+        steady: Callable[[], float],
+        rng: random.Random,
         progress: Callable[[str], str] = lambda work: "",
         resume: Callable[[str, str], None] = lambda work, text: None,
     ) -> None:
@@ -80,7 +86,8 @@
         and what was asked is settled, or the others had their time."""
         self._asked_ms = self._steady()
         progress = {
-            ask.work: text for ask in asks
+            ask.work: text
+            for ask in asks
             if ask.number and not ask.release and self.holds(ask.work) and (text := self.progress(ask.work))
         }
         body = encode_json(Asks(asks, progress))
@@ -142,4 +149,3 @@
         back = [ask for lease in self.leases.values() if (ask := lease.stop())]
         if back:
             await self._ask_all(back)
-
--- a/gladelane/ownership/shards.py
+++ b/gladelane/ownership/shards.py
@@ -45,7 +45,11 @@
     """holds: whether this director has a work now; alone: nobody can have any, so everybody does all."""
 
     def __init__(
-        self, orders: Orders, shards: int, holds: Callable[[str], bool], alone: Callable[[], bool],
+        self,
+        orders: Orders,
+        shards: int,
+        holds: Callable[[str], bool],
+        alone: Callable[[], bool],
         reached: Callable[[], Vector],
     ) -> None:
         self._orders, self._shards, self._holds, self._alone = orders, shards, holds, alone
--- a/gladelane/ownership/wire.py
+++ b/gladelane/ownership/wire.py
@@ -1,8 +1,8 @@
 """What travels between holders and keepers. No I/O.
 
-    POST /leases          `Asks`, answered with `Replies` once new numbers are stored
-    GET  /leases/numbers  what a keeper has seen, for one that starts
-    GET  /leases          who holds what, for commands
+POST /leases          `Asks`, answered with `Replies` once new numbers are stored
+GET  /leases/numbers  what a keeper has seen, for one that starts
+GET  /leases          who holds what, for commands
 """
 
 from __future__ import annotations
--- a/gladelane/purges/cutoff.py
+++ b/gladelane/purges/cutoff.py
@@ -26,7 +26,9 @@
     """heard_ms of `update`: when a feed last said that all it has was told; 0: none ever did."""
 
     def __init__(
-        self, delay_ms: float, strict: frozenset[str],
+        self,
+        delay_ms: float,
+        strict: frozenset[str],
         told: Callable[..., None] = lambda *_: None,
     ) -> None:
         self.delay_ms, self.strict = delay_ms, strict
--- a/gladelane/purges/feed.py
+++ b/gladelane/purges/feed.py
@@ -44,8 +44,22 @@
 from .scope import BadScope, Catalog, parse
 from .standing import RETENTION_MS, Standing
 from .tokens import Tokens
-from .wire import A_BATCH, BEAT_S, MOST_BODY, MOST_EVENT, Accepted, Event, Status, batches, encode_json
-from .wire import encode_purge, event_decoder, purge_decoder, submit_decoder, vouch_decoder
+from .wire import (
+    A_BATCH,
+    BEAT_S,
+    MOST_BODY,
+    MOST_EVENT,
+    Accepted,
+    Event,
+    Status,
+    batches,
+    encode_json,
+    encode_purge,
+    event_decoder,
+    purge_decoder,
+    submit_decoder,
+    vouch_decoder,
+)
 
 if TYPE_CHECKING:
     from ..fleet.collector import Collector
@@ -97,9 +111,16 @@
 
 class Feed:
     def __init__(
-        self, name: str, disk: Disk, tokens: Tokens, catalog: Callable[[], Catalog] = dict,
-        sync: Policy = "always", retention_ms: float = RETENTION_MS,
-        clock: Callable[[], float] = lambda: time.time() * 1000.0, first: bool = False, copies: int = 1,
+        self,
+        name: str,
+        disk: Disk,
+        tokens: Tokens,
+        catalog: Callable[[], Catalog] = dict,
+        sync: Policy = "always",
+        retention_ms: float = RETENTION_MS,
+        clock: Callable[[], float] = lambda: time.time() * 1000.0,
+        first: bool = False,
+        copies: int = 1,
         mark: MarkFile | None = None,
     ) -> None:
         """Recovers from the disk. first: an operator says that an empty folder is no loss; copies: how many
@@ -153,7 +174,7 @@
 
     def _replay(self, record: bytes, now: float) -> None:
         if record.startswith(OWN):
-            own: _Own = msgspec.msgpack.decode(record[len(OWN):], type=_Own)
+            own: _Own = msgspec.msgpack.decode(record[len(OWN) :], type=_Own)
             self.standing.horizon.tell(own.losses, now)
             if own.start[0]:
                 self.standing.start = own.start
@@ -190,15 +211,24 @@
     async def start(self, host: str, port: int, tls: ssl.SSLContext | None = None) -> int:
         self._server = await asyncio.start_server(self._serve, host, port, ssl=tls, backlog=512)
         self.port = self._server.sockets[0].getsockname()[1]
-        self._tasks += [asyncio.create_task(self._commit_all()), asyncio.create_task(self._forget_all()),
-                        asyncio.create_task(self._settle())]
+        self._tasks += [
+            asyncio.create_task(self._commit_all()),
+            asyncio.create_task(self._forget_all()),
+            asyncio.create_task(self._settle()),
+        ]
         if self.keeper is not None:
             self.keeper.start()
         if self.audit is not None:
             self.audit.start()
             self._tell_audit()
-        log.info("feed ready name=%s listen=%s:%d epoch=%d recovered=%s",
-                 self.name, host, self.port, self._stamps.epoch, self.recovered)
+        log.info(
+            "feed ready name=%s listen=%s:%d epoch=%d recovered=%s",
+            self.name,
+            host,
+            self.port,
+            self._stamps.epoch,
+            self.recovered,
+        )
         return self.port
 
     def follow(self, host: str, port: int, tls: ssl.SSLContext | None = None) -> Follower:
@@ -219,8 +249,16 @@
             self._release()
 
         peer = Follower(
-            host, port, self.tokens.own, self.standing.positions.vector, self._told, marked,
-            self.clock, tls, said, peer=True,
+            host,
+            port,
+            self.tokens.own,
+            self.standing.positions.vector,
+            self._told,
+            marked,
+            self.clock,
+            tls,
+            said,
+            peer=True,
         )
         self._peers.append(peer)
         self._tasks.append(asyncio.create_task(peer.run()))
@@ -271,7 +309,8 @@
             peers = {
                 place: Peer(
                     mark is not None and positions.reaches(mark), name, copies, bool(horizon.open(name))
-                ) for place, (mark, name, copies) in self._peer_told.items()
+                )
+                for place, (mark, name, copies) in self._peer_told.items()
             }
             by = vouched_by(self.copies, peers)
             closed = horizon.tell(horizon.close_own(self.name, by), self.clock()) if by else []
@@ -568,9 +607,17 @@
     def status(self) -> Status:
         gaps = [f"{g.issuer}:{g.epoch}={g.first}-{g.last}" for g in self.standing.positions.gaps()]
         return Status(
-            self.name, self._stamps.epoch, len(self.standing), vector_text(self.standing.positions.vector()),
-            gaps, self.followers, {f"{p.host}:{p.port}": p.state for p in self._peers}, not self._broken,
-            self.recovered, self.standing.known_since(self.clock()), self.standing.horizon.losses(),
+            self.name,
+            self._stamps.epoch,
+            len(self.standing),
+            vector_text(self.standing.positions.vector()),
+            gaps,
+            self.followers,
+            {f"{p.host}:{p.port}": p.state for p in self._peers},
+            not self._broken,
+            self.recovered,
+            self.standing.known_since(self.clock()),
+            self.standing.horizon.losses(),
             self.copies,
         )
 
@@ -580,7 +627,8 @@
         object_ = int(given.get("object", "0"), 16)
         group, part = int(given.get("group", "-1")), int(given.get("part", "0"))
         found = [
-            p for p in self.standing.beyond({})
+            p
+            for p in self.standing.beyond({})
             if parse(p.scope).covers(given.get("class", "?"), group, object_, part)
         ]
         return sorted(found, key=lambda p: -p.at_ms)
--- a/gladelane/purges/follow.py
+++ b/gladelane/purges/follow.py
@@ -32,9 +32,16 @@
     yet."""
 
     def __init__(
-        self, host: str, port: int, token: Callable[[], str], vector: Callable[[], Vector],
-        take: Callable[[list[Purge]], None], mark: Callable[[Vector], None], clock: Callable[[], float],
-        tls: ssl.SSLContext | None = None, said: Callable[[Event], None] = lambda _: None,
+        self,
+        host: str,
+        port: int,
+        token: Callable[[], str],
+        vector: Callable[[], Vector],
+        take: Callable[[list[Purge]], None],
+        mark: Callable[[Vector], None],
+        clock: Callable[[], float],
+        tls: ssl.SSLContext | None = None,
+        said: Callable[[Event], None] = lambda _: None,
         peer: bool = False,
     ) -> None:
         self.host, self.port = host, port
--- a/gladelane/purges/holder.py
+++ b/gladelane/purges/holder.py
@@ -17,8 +17,8 @@
 from ..recovery.renewal import Cause, Renewal, Thing
 from ..recovery.reseed import Reseed
 from .cutoff import CutOff, Link
-from .follow import LOST, Follower
 from .deliver import Deliver
+from .follow import LOST, Follower
 from .horizon import Loss
 from .http import fetch
 from .index import Index
@@ -65,8 +65,13 @@
 
 class Holder:
     def __init__(
-        self, options: Options, index: Index, clock: Callable[[], float], disk: Disk | None = None,
-        directors: int = 1, rng: random.Random | None = None,
+        self,
+        options: Options,
+        index: Index,
+        clock: Callable[[], float],
+        disk: Disk | None = None,
+        directors: int = 1,
+        rng: random.Random | None = None,
     ) -> None:
         """Recovers from the disk, if there is one. directors: who share the origin. Raises Damaged, BadTokens
         and OSError."""
@@ -103,7 +108,13 @@
             self._reached(vector)
 
         one = Follower(
-            host, port, self._tokens.own, self.standing.positions.vector, self.take, marked, self.clock,
+            host,
+            port,
+            self._tokens.own,
+            self.standing.positions.vector,
+            self.take,
+            marked,
+            self.clock,
             said=self._said,
         )
         return one
@@ -190,8 +201,10 @@
         if since > was:
             log.error(
                 "purges may be lost since=%.0f lost=%s: copies from before are %s for strict=%s, served else",
-                since, ",".join(f"{loss.issuer}:{loss.epoch}" for loss in self.standing.horizon.open()),
-                "void" if self.options.lost == "void" else "served", strict,
+                since,
+                ",".join(f"{loss.issuer}:{loss.epoch}" for loss in self.standing.horizon.open()),
+                "void" if self.options.lost == "void" else "served",
+                strict,
             )
             if self.options.lost == "void":
                 self.renewal.begin(Cause.LOST, now)
@@ -266,10 +279,13 @@
         """For the operators' figures."""
         renewal = self.renewal
         return [
-            ("purges_standing", len(self.standing)), ("purges_known_since_ms", int(self._since)),
+            ("purges_standing", len(self.standing)),
+            ("purges_known_since_ms", int(self._since)),
             ("feeds_followed", sum(one.state == "follows" for one in self.followers)),
-            ("renewals", renewal.renewed), ("renewals_refused", renewal.refused),
-            ("renewals_bind", int(renewal.binds)), ("reseeded", self.reseeded),
+            ("renewals", renewal.renewed),
+            ("renewals_refused", renewal.refused),
+            ("renewals_bind", int(renewal.binds)),
+            ("reseeded", self.reseeded),
         ]
 
     # --- background
@@ -309,9 +325,15 @@
         try:
             for event in events:
                 body = encode_json(event)
-                await fetch(one.host, one.port, "POST", "/events", self._tokens.own(), body, {
-                    "Content-Type": "application/json"
-                })
+                await fetch(
+                    one.host,
+                    one.port,
+                    "POST",
+                    "/events",
+                    self._tokens.own(),
+                    body,
+                    {"Content-Type": "application/json"},
+                )
         except LOST as error:
             log.warning("feed not told feed=%s:%d: %s %s", one.host, one.port, type(error).__name__, error)
             return
--- a/gladelane/purges/horizon.py
+++ b/gladelane/purges/horizon.py
@@ -89,14 +89,16 @@
         """What an operator's word closes, to be told. Never opens further."""
         return [
             msgspec.structs.replace(loss, since_ms=since_ms, by=by)
-            for loss in self.open() if since_ms < loss.since_ms
+            for loss in self.open()
+            if since_ms < loss.since_ms
         ]
 
     def close_own(self, issuer: str, by: str) -> list[Loss]:
         """What peers' word closes: an issuer's own losses, but none that the peers themselves missed."""
         return [
             msgspec.structs.replace(loss, since_ms=0.0, by=by)
-            for loss in self.open(issuer) if loss.by != SEEN
+            for loss in self.open(issuer)
+            if loss.by != SEEN
         ]
 
     def forget(self, now_ms: float, retention_ms: float) -> None:
@@ -154,9 +156,7 @@
     return ""
 
 
-def behind(
-    name: str, epoch: int, had: Vector, told: Iterable[tuple[Stream, int]], covered: int = 0
-) -> str:
+def behind(name: str, epoch: int, had: Vector, told: Iterable[tuple[Stream, int]], covered: int = 0) -> str:
     """Why the folder that `had` so much at the start must be an older one: others know purges of its issuer,
     of other epochs than this start's, that it does not. Empty: no sign of it. covered: the epoch of the
     latest loss that is known already; what is missing from before it was said then."""
--- a/gladelane/purges/http.py
+++ b/gladelane/purges/http.py
@@ -63,8 +63,14 @@
 
 
 async def ask(
-    host: str, port: int, method: str, target: str, token: str = "", body: bytes = b"",
-    headers: dict[str, str] | None = None, tls: ssl.SSLContext | None = None,
+    host: str,
+    port: int,
+    method: str,
+    target: str,
+    token: str = "",
+    body: bytes = b"",
+    headers: dict[str, str] | None = None,
+    tls: ssl.SSLContext | None = None,
 ) -> AsyncGenerator[bytes, None]:
     """The body of an answer with status 200, as it comes. Raises Refused, OSError and TimeoutError."""
     async with asyncio.timeout(DIAL_S):
@@ -98,8 +104,15 @@
 
 
 async def fetch(
-    host: str, port: int, method: str, target: str, token: str = "", body: bytes = b"",
-    headers: dict[str, str] | None = None, tls: ssl.SSLContext | None = None, within_s: float = 5.0,
+    host: str,
+    port: int,
+    method: str,
+    target: str,
+    token: str = "",
+    body: bytes = b"",
+    headers: dict[str, str] | None = None,
+    tls: ssl.SSLContext | None = None,
+    within_s: float = 5.0,
 ) -> bytes:
     """The whole body of an answer."""
     async with asyncio.timeout(within_s):
--- a/gladelane/purges/index.py
+++ b/gladelane/purges/index.py
@@ -114,7 +114,9 @@
     def __len__(self) -> int:
         """Entries held: what is joined into one counts once."""
         return sum(
-            len(f.objects) + len(f.odd) + sum(map(len, f.globs.values()))
+            len(f.objects)
+            + len(f.odd)
+            + sum(map(len, f.globs.values()))
             + (sum(1 for _, bound in f.ranges.steps() if bound) if f.ranges is not None else 0)
             for f in self._facets()
         )
@@ -183,9 +185,9 @@
         # the one hot path here: written out, since each call inside would cost as much as what it does
         at = 0.0
         for (by_class, by_group, level), facets in self._shapes.items():
-            facet = facets.get((
-                cls if by_class else "", group if by_group else -1, part >> level if level >= 0 else 0
-            ))
+            facet = facets.get(
+                (cls if by_class else "", group if by_group else -1, part >> level if level >= 0 else 0)
+            )
             if facet is None:
                 continue
             bound = facet.objects.get(object_)
--- a/gladelane/purges/orders.py
+++ b/gladelane/purges/orders.py
@@ -99,7 +99,8 @@
                 continue
             upto = min(server.place + A_BATCH, len(self._all))
             owed = tuple(
-                purge for purge in self._all[server.place : upto]
+                purge
+                for purge in self._all[server.place : upto]
                 if purge.seq > server.done.get((purge.issuer, purge.epoch), 0)
             )
             if not owed:
--- a/gladelane/purges/scope.py
+++ b/gladelane/purges/scope.py
@@ -57,8 +57,11 @@
 
     def covers(self, cls: str, group: int, object_: int, part: int) -> bool:
         return (
-            self.low <= object_ <= self.high and self.part_low <= part <= self.part_high
-            and object_ & self.mask == self.value and self.cls in ("", cls) and self.group in (-1, group)
+            self.low <= object_ <= self.high
+            and self.part_low <= part <= self.part_high
+            and object_ & self.mask == self.value
+            and self.cls in ("", cls)
+            and self.group in (-1, group)
         )
 
     def text(self) -> str:
@@ -233,6 +236,4 @@
             return None
         low = high = value
         mask = value = 0
-    return Box(
-        one.cls or other.cls, max(one.group, other.group), low, high, mask, value, part_low, part_high
-    )
+    return Box(one.cls or other.cls, max(one.group, other.group), low, high, mask, value, part_low, part_high)
--- a/gladelane/purges/standing.py
+++ b/gladelane/purges/standing.py
@@ -43,7 +43,10 @@
     """`take` is the one way in. keep: whether records are kept, for followers and snapshots."""
 
     def __init__(
-        self, index: Index | None = None, keep: bool = True, retention_ms: float = RETENTION_MS,
+        self,
+        index: Index | None = None,
+        keep: bool = True,
+        retention_ms: float = RETENTION_MS,
         skew_ms: float = SKEW_MS,
     ) -> None:
         self.index = Index() if index is None else index
@@ -120,9 +123,9 @@
         kept = self._uncovered()
         positions = [(issuer, epoch, last) for (issuer, epoch), last in self.positions.vector().items()]
         ahead = [(i, e, s) for i, e, s in self._purges if s > self.positions.vector().get((i, e), 0)]
-        return msgspec.msgpack.encode(Stored(
-            FORMAT, positions, kept, ahead, self.horizon.losses(), self.start
-        ))
+        return msgspec.msgpack.encode(
+            Stored(FORMAT, positions, kept, ahead, self.horizon.losses(), self.start)
+        )
 
     def restore(self, payload: bytes, now_ms: float) -> None:
         """Into an empty one. Raises BadScope, BadPurge, or msgspec's errors for what no snapshot of ours
--- a/gladelane/recovery/keeper.py
+++ b/gladelane/recovery/keeper.py
@@ -4,7 +4,7 @@
 
 Learnt things go through the log's snapshots, synced in a thread. Keys are appended unsynced: that outlives a
 killed process, not a power cut, and costs one write; two files take turns, since a key matters for seconds
-only. """
+only."""
 
 from __future__ import annotations
 
@@ -92,7 +92,12 @@
     """One director's. `name`: as in the hand-over."""
 
     def __init__(
-        self, path: Path, name: str, router: Router, clock: Callable[[], float], every_ms: float,
+        self,
+        path: Path,
+        name: str,
+        router: Router,
+        clock: Callable[[], float],
+        every_ms: float,
         most_age_ms: float,
     ) -> None:
         """Opens the folder; one whose content cannot be read is set aside. Raises OSError."""
@@ -142,8 +147,11 @@
             return
         self.took = True
         log.info(
-            "warm start: took stores=%d objects=%d keys=%d age_ms=%.0f", len(told.learnt.stores),
-            len(told.learnt.objects), len(self.keys.found), now - told.written_ms,
+            "warm start: took stores=%d objects=%d keys=%d age_ms=%.0f",
+            len(told.learnt.stores),
+            len(told.learnt.objects),
+            len(self.keys.found),
+            now - told.written_ms,
         )
 
     async def run(self) -> None:
@@ -172,5 +180,3 @@
     def close(self) -> None:
         self._log.close()
         self._keys_disk.close()
-
-
--- a/gladelane/recovery/reseed.py
+++ b/gladelane/recovery/reseed.py
@@ -35,4 +35,3 @@
 
 def lacking(known: Vector, told: Vector) -> bool:
     return any(last > told.get(stream, 0) for stream, last in known.items())
-
--- a/gladelane/recovery/service.py
+++ b/gladelane/recovery/service.py
@@ -23,8 +23,13 @@
 
 class Recovery:
     def __init__(
-        self, options: Options, name: str, director: Director, purges: Holder | None,
-        clock: Callable[[], float], listens: Callable[[], bool],
+        self,
+        options: Options,
+        name: str,
+        director: Director,
+        purges: Holder | None,
+        clock: Callable[[], float],
+        listens: Callable[[], bool],
     ) -> None:
         """Opens the folder. Raises OSError where it cannot be used."""
         self._options, self._name, self._director, self._purges = options, name, director, purges
@@ -41,7 +46,11 @@
     def _open(self) -> None:
         options = self._options
         self.keeper = Keeper(
-            Path(options.dir), self._name, self._director.router, self._clock, options.every_ms,
+            Path(options.dir),
+            self._name,
+            self._director.router,
+            self._clock,
+            options.every_ms,
             options.most_age_ms,
         )
         self._director.keys.told = self.keeper.keys.write
@@ -73,7 +82,9 @@
         phases = self.phases
         if phases.update(self._seen(), self._clock()):
             log.info(
-                "phase=%s reason=%s after_ms=%.0f", phases.phase.name.lower(), phases.reason.name.lower(),
+                "phase=%s reason=%s after_ms=%.0f",
+                phases.phase.name.lower(),
+                phases.reason.name.lower(),
                 self._clock() - phases.since_ms if phases.phase is not Phase.FULL else phases.back_ms,
             )
 
@@ -93,7 +104,9 @@
         phases = self.phases
         since = 0 if phases.phase is Phase.FULL else int(self._clock() - phases.since_ms)
         own = [
-            ("phase", int(phases.phase)), ("phase_reason", int(phases.reason)), ("phase_since_ms", since),
+            ("phase", int(phases.phase)),
+            ("phase_reason", int(phases.reason)),
+            ("phase_since_ms", since),
             ("full_service_ms", int(phases.back_ms)),
             ("warm_start", int(self.keeper is not None and self.keeper.took)),
         ]
--- a/gladelane/recovery/warm.py
+++ b/gladelane/recovery/warm.py
@@ -64,14 +64,14 @@
     faded = 0.5 ** (age_ms / AGEING_MS)
     objects = [
         msgspec.structs.replace(one, count=one.count * faded, utility=one.utility * faded)
-        for one in learnt.objects if one.count * faded >= FORGET_BELOW
+        for one in learnt.objects
+        if one.count * faded >= FORGET_BELOW
     ]
     stores = learnt.stores if age_ms <= LIMITS_MS else []
     if age_ms > HEALTH_MS:
         stores = [
-            msgspec.structs.replace(
-                one, fails=0.0, lateness=0.0, flaw=0.0, down_until=0.0, rest_ms=DOWN_MS
-            ) for one in stores
+            msgspec.structs.replace(one, fails=0.0, lateness=0.0, flaw=0.0, down_until=0.0, rest_ms=DOWN_MS)
+            for one in stores
         ]
     return msgspec.structs.replace(learnt, objects=objects, stores=stores)
 
@@ -87,7 +87,10 @@
     if same < SAME_SHARE * max(len(told.learnt.stores), len(router.stores), 1):
         return f"{same} of {len(router.stores)} servers are the same"
     learnt = aged(told.learnt, now_ms - told.written_ms)
-    give(router, msgspec.structs.replace(
-        learnt, retries=min(learnt.retries, router.retries), hedges=min(learnt.hedges, router.hedges)
-    ))
+    give(
+        router,
+        msgspec.structs.replace(
+            learnt, retries=min(learnt.retries, router.retries), hedges=min(learnt.hedges, router.hedges)
+        ),
+    )
     return ""
--- a/gladelane/settings/operator.py
+++ b/gladelane/settings/operator.py
@@ -163,8 +163,9 @@
         raise _worded(str(error)) from None
     purges = None if text.purges is None else _purges(text.purges)
     rules = _rules(text.endpoints.rules)
-    return Operator(_options(text.endpoints), rules, text.logs, purges, _recovery(text), _fleet(text),
-                    _owners(text))
+    return Operator(
+        _options(text.endpoints), rules, text.logs, purges, _recovery(text), _fleet(text), _owners(text)
+    )
 
 
 def _recovery(text: OperatorText) -> RecoveryOptions | None:
@@ -190,8 +191,14 @@
     if not told.board or len(told.board) > 64:
         raise BadOperatorFile("fleet.board", f"{told.board[:64]!r}; expected a name of up to 64 characters")
     return FleetOptions(
-        told.dir, told.report_ms, told.board, told.board_ms, told.alone, told.enforce,
-        int(told.trail_mb * 1e6), _digest(text),
+        told.dir,
+        told.report_ms,
+        told.board,
+        told.board_ms,
+        told.alone,
+        told.enforce,
+        int(told.trail_mb * 1e6),
+        _digest(text),
     )
 
 
@@ -268,8 +275,15 @@
     _bounded(f"{at}.pause.most_ms", pause.most_ms, pause.first_ms, 3_600_000)
     _bounded(f"{at}.pause.stall_ms", pause.stall_ms, 10, 3_600_000)
     return Options(
-        _order(f"{at}.prefer", text.prefer), text.first_family_count, delay.first_ms, delay.least_ms,
-        delay.most_ms, pause.first_ms, pause.most_ms, pause.stall_ms, text.family_few,
+        _order(f"{at}.prefer", text.prefer),
+        text.first_family_count,
+        delay.first_ms,
+        delay.least_ms,
+        delay.most_ms,
+        pause.first_ms,
+        pause.most_ms,
+        pause.stall_ms,
+        text.family_few,
     )
 
 
@@ -294,9 +308,19 @@
     _bounded("purges.origin_per_s", text.origin_per_s, 0, 1_000_000)
     _bounded("purges.start_wait_ms", text.start_wait_ms, 0, 30_000)
     return HolderOptions(
-        tuple(feeds), text.token_file, text.dir, text.retention_s * 1000.0, text.skew_ms, text.delay_ms,
-        frozenset(text.strict), text.cut_off_per_s, text.start_wait_ms, frozenset(text.order_kinds),
-        text.orders_per_s, text.origin_per_s, text.lost,
+        tuple(feeds),
+        text.token_file,
+        text.dir,
+        text.retention_s * 1000.0,
+        text.skew_ms,
+        text.delay_ms,
+        frozenset(text.strict),
+        text.cut_off_per_s,
+        text.start_wait_ms,
+        frozenset(text.order_kinds),
+        text.orders_per_s,
+        text.origin_per_s,
+        text.lost,
     )
 
 
@@ -316,10 +340,19 @@
                 except BadAddress as error:
                     raise BadOperatorFile(f"{at}.{action}[{number}]", str(error)) from None
         network = _network(f"{at}.match.network", text.match.network) if text.match.network else None
-        rules.append(Rule(
-            text.name, text.match.id, text.match.zone, text.match.kind, network, tuple(text.add),
-            tuple(text.replace), _order(f"{at}.order", text.order), text.last,
-        ))
+        rules.append(
+            Rule(
+                text.name,
+                text.match.id,
+                text.match.zone,
+                text.match.kind,
+                network,
+                tuple(text.add),
+                tuple(text.replace),
+                _order(f"{at}.order", text.order),
+                text.last,
+            )
+        )
     return Rules(rules)
 
 
--- a/gladelane/structures/stepmap.py
+++ b/gladelane/structures/stepmap.py
@@ -40,8 +40,10 @@
         if not 0 <= low <= high <= MOST:
             raise ValueError(f"{low} to {high} is no range of numbers of 64 bits")
         place = bisect_right(self._starts, low) - 1
-        if self._starts[place] < low and high < MOST and (
-            place + 1 == len(self._starts) or self._starts[place + 1] > high + 1
+        if (
+            self._starts[place] < low
+            and high < MOST
+            and (place + 1 == len(self._starts) or self._starts[place + 1] > high + 1)
         ):  # strictly inside one step, as nearly all are: both cuts at once
             old = self._values[place]
             new = self._join(old, value)
--- a/gladelane/upgrade/channel.py
+++ b/gladelane/upgrade/channel.py
@@ -60,7 +60,11 @@
     before a new one is answered and gives the listening socket, None while there is none to give."""
 
     def __init__(
-        self, folder: str, name: str, told: Callable[[Message], None], changed: Callable[[], None],
+        self,
+        folder: str,
+        name: str,
+        told: Callable[[Message], None],
+        changed: Callable[[], None],
         hand_over: Callable[[], socket.socket | None],
     ) -> None:
         self.folder, self.name = folder, name
--- a/gladelane/upgrade/learnt.py
+++ b/gladelane/upgrade/learnt.py
@@ -55,10 +55,20 @@
     """As it is, with a part of the budgets; the router keeps its own."""
     stores = [
         StoreLearnt(
-            name, s.member.came_up_ms, s.fails, s.lateness, s.flaw, s.answered_ms, s.down_until,
-            s.rest_ms, s.concurrency.limit, s.fills.limit, s.opened,
+            name,
+            s.member.came_up_ms,
+            s.fails,
+            s.lateness,
+            s.flaw,
+            s.answered_ms,
+            s.down_until,
+            s.rest_ms,
+            s.concurrency.limit,
+            s.fills.limit,
+            s.opened,
             (max(s.tokens.left, 0.0) * share, s.tokens.at_ms, s.tokens.most),
-        ) for name, s in router.stores.items()
+        )
+        for name, s in router.stores.items()
     ]
     latest = list(islice(reversed(router.objects.items()), MOST_OBJECTS))
     objects = [
@@ -67,8 +77,13 @@
     ]
     usual = router.cold.caches.usual, router.cold.parents.usual
     return Learnt(
-        router.retries * share, router.hedges * share, router.inlet.limit, usual, dict(router.work_of),
-        stores, objects,
+        router.retries * share,
+        router.hedges * share,
+        router.inlet.limit,
+        usual,
+        dict(router.work_of),
+        stores,
+        objects,
     )
 
 
--- a/gladelane/upgrade/succession.py
+++ b/gladelane/upgrade/succession.py
@@ -24,8 +24,14 @@
     """Made before the director has heard of any server; `folder` is what the processes share."""
 
     def __init__(
-        self, folder: str, name: str, clock: Callable[[], float], director: Director, upstream: Upstream,
-        front: Front, desk: Desk,
+        self,
+        folder: str,
+        name: str,
+        clock: Callable[[], float],
+        director: Director,
+        upstream: Upstream,
+        front: Front,
+        desk: Desk,
     ) -> None:
         self._folder, self._name, self._clock = folder, name, clock
         self._director, self._upstream, self._front, self._desk = director, upstream, front, desk
@@ -60,8 +66,12 @@
         if handed.learnt is not None:
             give(self._director.router, handed.learnt)
         log.info(
-            "upgrade: took over rev=%d out=%d emptied=%d learnt=%d age_ms=%.0f", handed.rev, len(handed.out),
-            bool(handed.failed_ms), handed.learnt is not None, self._clock() - handed.written_ms,
+            "upgrade: took over rev=%d out=%d emptied=%d learnt=%d age_ms=%.0f",
+            handed.rev,
+            len(handed.out),
+            bool(handed.failed_ms),
+            handed.learnt is not None,
+            self._clock() - handed.written_ms,
         )
 
     def listen(self) -> None:
@@ -102,7 +112,17 @@
 
     def _write(self, learnt: Learnt | None) -> None:
         director, now = self._director, self._clock()
-        file.write(self._folder, Handover(
-            self._name, now, director.register.out, director.register.back, self._front.drain.failed_ms,
-            director.rev, director.notices(), director.keys.known(now), learnt,
-        ))
+        file.write(
+            self._folder,
+            Handover(
+                self._name,
+                now,
+                director.register.out,
+                director.register.back,
+                self._front.drain.failed_ms,
+                director.rev,
+                director.notices(),
+                director.keys.known(now),
+                learnt,
+            ),
+        )
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -83,7 +83,9 @@
     def ask(self, cls: str = "film", object: int = 1, part: int = 0, **more: Any) -> list[Action]:
         self.ids += 1
         deadline = self.now + self.settings.class_named(cls).deadline_ms
-        return self.tell(Request(self.ids, cls, object, deadline, more.pop("size_kb", 400.0), part=part, **more))
+        return self.tell(
+            Request(self.ids, cls, object, deadline, more.pop("size_kb", 400.0), part=part, **more)
+        )
 
     def answer(
         self, action: Fetch | Lookup, status: Status = Status.OK, note: Note = Note.HIT, after: float = 50.0
--- a/tests/durable/test_log.py
+++ b/tests/durable/test_log.py
@@ -118,7 +118,11 @@
             assert caught.value.at <= at
         else:
             found = recover(disk)[1]
-            assert len(found.records) == 5 and found.cut == len(whole) - last and found.cut_at == f"{name}: byte {last}"
+            assert (
+                len(found.records) == 5
+                and found.cut == len(whole) - last
+                and found.cut_at == f"{name}: byte {last}"
+            )
 
 
 def test_a_torn_tail_is_cut_at_every_length_and_said() -> None:
@@ -265,7 +269,9 @@
     folder = Folder(tmp_path)
     code = f"from gladelane.durable.files import Folder; Folder({str(tmp_path)!r})"
     for _ in range(2):
-        done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, cwd=ROOT, check=False)
+        done = subprocess.run(
+            [sys.executable, "-c", code], capture_output=True, text=True, cwd=ROOT, check=False
+        )
         assert "InUse" in done.stderr and done.returncode == 1
         with pytest.raises(InUse):
             Folder(tmp_path)
--- a/tests/endpoints/test_pure.py
+++ b/tests/endpoints/test_pure.py
@@ -98,7 +98,9 @@
 
 
 @pytest.mark.parametrize("name,first,second,owner", CLAIMS, ids=[claim[0] for claim in CLAIMS])
-def test_two_that_claim_one_address_are_settled(name: str, first: dict[str, Any], second: dict[str, Any], owner: str) -> None:
+def test_two_that_claim_one_address_are_settled(
+    name: str, first: dict[str, Any], second: dict[str, Any], owner: str
+) -> None:
     book = Book()
     book.tell([listing("a", **first)])
     change = book.tell([listing("b", **second)])
@@ -119,10 +121,18 @@
 
 
 @given(told_servers())
-def test_every_claimed_address_has_one_owner_that_claims_it_and_changes_say_what_was_lost(moves: list[Any]) -> None:
+def test_every_claimed_address_has_one_owner_that_claims_it_and_changes_say_what_was_lost(
+    moves: list[Any],
+) -> None:
     book, usable = Book(), dict[str, set[Address]]()
     for server, own, more, ready, started, kind in moves:
-        one = listing(server, f"10.0.0.{own}:1", addresses=tuple(f"10.0.0.{n}:1" for n in more), ready=ready, started_ms=started)
+        one = listing(
+            server,
+            f"10.0.0.{own}:1",
+            addresses=tuple(f"10.0.0.{n}:1" for n in more),
+            ready=ready,
+            started_ms=started,
+        )
         if kind == "rules":
             change = book.replace_rules(Rules([Rule("r", add=(f"10.0.0.{own}:1",))] if ready else ()))
         elif kind == "gone":
@@ -140,7 +150,10 @@
 
 
 def test_order_follows_the_policy_table_preference_and_what_was_learnt() -> None:
-    listed = [parse(t) for t in ("10.0.0.1:1", "[fd00::1]:1", "[2001:db8::1]:1", "unix:@a", "[2002:102::1]:1", "127.0.0.1:1")]
+    listed = [
+        parse(t)
+        for t in ("10.0.0.1:1", "[fd00::1]:1", "[2001:db8::1]:1", "unix:@a", "[2002:102::1]:1", "127.0.0.1:1")
+    ]
     words = [a.text for a in sorted(listed, key=lambda a: arrange(listed).index(a))]
     assert words[0] == "unix:@a" and words[1] == "[2001:db8::1]:1" and words[2] == "127.0.0.1:1"
     assert words[-1] == "[fd00::1]:1"  # RFC 6724: unique local addresses come after IPv4 unless preferred
@@ -149,7 +162,10 @@
     near, far = parse("10.0.0.1:1"), parse("10.0.0.2:1")
     times = {near: 300.0, far: 3.0}
     assert arrange([near, far], connect_ms=times.get) == [far, near]
-    assert arrange([near, far], connect_ms={near: 3.9, far: 2.0}.get) == [near, far]  # within one step: listed order
+    assert arrange([near, far], connect_ms={near: 3.9, far: 2.0}.get) == [
+        near,
+        far,
+    ]  # within one step: listed order
 
 
 @given(st.permutations([parse(f"10.0.0.{n}:1") for n in range(1, 5)] + [parse(f"[2001:db8::{n}]:1") for n in range(1, 5)] + [UNIX]),
@@ -160,8 +176,10 @@
     for family in Family:
         assert [a for a in made if a.family is family] == [a for a in addresses if a.family is family]
     lead = sum(1 for a in addresses if a.family is made[0].family)
-    rest = made[min(first, lead):]
-    while {a.family for a in rest} == set(Family):  # while all have some left, no family comes twice in a round
+    rest = made[min(first, lead) :]
+    while {a.family for a in rest} == set(
+        Family
+    ):  # while all have some left, no family comes twice in a round
         assert len({a.family for a in rest[:3]}) == 3
         rest = rest[3:]
 
@@ -193,7 +211,7 @@
     ends.health.connected("b", V6, 1.0)  # the family is good
     ends.health.connected("b", V4, 1.0)
     ends.health.failed("a", V6, DialEnd.REFUSED, 0.0)
-    assert ends.plan("a", 50.0) == (( V4, V6), 20.0, None)
+    assert ends.plan("a", 50.0) == ((V4, V6), 20.0, None)
     assert ends.plan("a", 200.0).trial == V6
     ends.health.tried("a", V6)
     assert ends.plan("a", 201.0).trial is None
@@ -222,10 +240,15 @@
     known.tried("s8", V6)
     known.connected("s8", V6, 2.0)
     assert known.family_leads(Family.V6, "s3", 800.0) and known.families[Family.V6].proven
-    assert [line[0].split()[:2] for line in lines if line[0].startswith("family")] == [["family", "down"], ["family", "back"]]
+    assert [line[0].split()[:2] for line in lines if line[0].startswith("family")] == [
+        ["family", "down"],
+        ["family", "back"],
+    ]
 
 
-def test_a_proven_family_stops_leading_once_few_wait_for_it_in_vain_and_a_server_down_blames_no_family() -> None:
+def test_a_proven_family_stops_leading_once_few_wait_for_it_in_vain_and_a_server_down_blames_no_family() -> (
+    None
+):
     known, _ = health(family_few=3)
     known.connected("a", V6, 1.0)
     for n in range(9):
--- a/tests/endpoints/test_sockets.py
+++ b/tests/endpoints/test_sockets.py
@@ -52,7 +52,9 @@
 
 
 @asynccontextmanager
-async def origin(families: tuple[Family, ...], **limits: Any) -> AsyncIterator[tuple[Standin, list[str], Node, Client]]:
+async def origin(
+    families: tuple[Family, ...], **limits: Any
+) -> AsyncIterator[tuple[Standin, list[str], Node, Client]]:
     """A director with one origin at several addresses; `sheet` goes straight there."""
     standin, listed = await listening("r0", families)
     try:
@@ -67,13 +69,17 @@
 
 
 @trial
-async def test_a_submit_that_was_taken_and_stalled_is_sent_again_by_the_module_only_and_within_its_window() -> None:
+async def test_a_submit_that_was_taken_and_stalled_is_sent_again_by_the_module_only_and_within_its_window() -> (
+    None
+):
     async with origin(V6_FIRST) as (standin, listed, node, client):
         await standin.set(listed[0], Fault.STALL)
         events = told(node.director)
         submit(client, 1)
         assert (await client.next())[:3] == (17, 1, 0)
-        assert [seen.address for seen in standin.seen] == listed  # the further attempt goes where nothing stalled
+        assert [
+            seen.address for seen in standin.seen
+        ] == listed  # the further attempt goes where nothing stalled
         assert standin.seen[1].at - standin.seen[0].at < 2.0
         assert outcomes(events) == [(0, "r0", Status.TIMEOUT, False), (1, "r0", Status.OK, True)]
         submit(client, 2)
@@ -117,7 +123,10 @@
     standins = {f"c{n}": await listening(f"c{n}", V6_FIRST) for n in range(8)}
     for standin, listed in standins.values():
         await standin.set(listed[0], Fault.BLACK_HOLE)
-    async with running(fleet({n: listed for n, (_, listed) in standins.items()} | {"r0": [REFUSED]})) as (node, client):
+    async with running(fleet({n: listed for n, (_, listed) in standins.items()} | {"r0": [REFUSED]})) as (
+        node,
+        client,
+    ):
         paid = []
         for name in standins:
             connection = upstream_module.Connection(node.upstream, name)
@@ -142,7 +151,7 @@
 @pytest.mark.parametrize("fault,family", DIALS, ids=[f"{d[1].value} {d[0].value}" for d in DIALS])
 def test_a_dial_that_fails_costs_the_module_no_attempt(fault: Fault, family: Family) -> None:
     async def scene() -> None:
-        async with origin(ALL[ALL.index(family):]) as (standin, listed, node, client):
+        async with origin(ALL[ALL.index(family) :]) as (standin, listed, node, client):
             events = told(node.director)
             await standin.set(listed[0], fault)
             submit(client, 1)
@@ -161,7 +170,9 @@
 
 
 @pytest.mark.parametrize("fault", CONNECTIONS, ids=[fault.value for fault in CONNECTIONS])
-def test_a_connection_that_fails_gets_one_final_answer_and_no_address_more_than_the_module_sent(fault: Fault) -> None:
+def test_a_connection_that_fails_gets_one_final_answer_and_no_address_more_than_the_module_sent(
+    fault: Fault,
+) -> None:
     async def scene() -> None:
         async with origin(ALL) as (standin, listed, node, client):
             sent: Counter[str] = Counter()
@@ -201,7 +212,9 @@
             await standin.set(address, Fault.REFUSED)
         submit(client, 1)
         assert (await client.next())[:3] == (17, 1, 1)  # refused: a further try does no harm
-        assert {status for _, store, status, _ in outcomes(events) if store == "r0"} == {Status.CONNECT_FAILED}
+        assert {status for _, store, status, _ in outcomes(events) if store == "r0"} == {
+            Status.CONNECT_FAILED
+        }
         assert not standin.seen and not node.upstream._held()
 
 
@@ -303,8 +316,16 @@
                 await standin.set(address, Fault.BLACK_HOLE)
             events = told(node.director)
             submit(client, 1)
-            await until(lambda: [c.dialling for conns in node.upstream._pool.values() for c in conns if c.dialling])
-            leaving = {"instanceId": "r0", "hostPort": listed[0], "lifecycle": lifecycle, "zone": "hub", "machineType": "root"}
+            await until(
+                lambda: [c.dialling for conns in node.upstream._pool.values() for c in conns if c.dialling]
+            )
+            leaving = {
+                "instanceId": "r0",
+                "hostPort": listed[0],
+                "lifecycle": lifecycle,
+                "zone": "hub",
+                "machineType": "root",
+            }
             node.director.notice(notice(2, leaving))
             assert (await client.next(0.2))[:3] == (17, 1, 1)
             assert outcomes(events)[0][1:3] == ("r0", Status.MOOT) and not node.upstream._held()
@@ -319,7 +340,9 @@
 
 
 @asynccontextmanager
-async def at_home(families: tuple[Family, ...], **limits: Any) -> AsyncIterator[tuple[Standin, list[str], Node, Client]]:
+async def at_home(
+    families: tuple[Family, ...], **limits: Any
+) -> AsyncIterator[tuple[Standin, list[str], Node, Client]]:
     """Like `origin`, but its `hostPort` is the last of the addresses, which is dialled last."""
     standin, listed = await listening("r0", families)
     try:
@@ -335,7 +358,9 @@
         node.endpoints.options = Options(delay_first_ms=9_000.0, delay_most_ms=9_000.0)
         await standin.set(listed[0], Fault.BLACK_HOLE)
         submit(client, 1)
-        await until(lambda: [c.dialling for conns in node.upstream._pool.values() for c in conns if c.dialling])
+        await until(
+            lambda: [c.dialling for conns in node.upstream._pool.values() for c in conns if c.dialling]
+        )
         node.director.notice(relisted(2, listed[1], []))
         assert (await client.next(1.0))[:3] == (17, 1, 0)
         assert standin.seen[0].address == listed[1]
@@ -375,6 +400,7 @@
 async def test_no_descriptor_left_blames_no_address() -> None:
     endpoints = Endpoints(random.Random(1))
     with pytest.MonkeyPatch.context() as patch:
+
         def full(*_: Any) -> Any:
             raise OSError(24, "Too many open files")
 
@@ -419,7 +445,9 @@
         file.write_text("{}")
         (tmp_path / "config.json").write_bytes(config({"r0": plain, "c0": REFUSED}))
         env = {**os.environ, "GW_CONFIG": str(tmp_path / "config.json"), "GW_OPERATOR": str(file)}
-        process = subprocess.Popen([sys.executable, "-m", "gladelane"], cwd=ROOT, env=env, stderr=subprocess.PIPE, text=True)
+        process = subprocess.Popen(
+            [sys.executable, "-m", "gladelane"], cwd=ROOT, env=env, stderr=subprocess.PIPE, text=True
+        )
         try:
             client = await Client.to(await ready(process))
             stream = 0
@@ -433,7 +461,10 @@
                     assert (await client.next())[2] == 0
 
             await burst(8)
-            for content, says in (("{endpoints: {rule: []}}", "endpoints.rule: unknown key"), (rule, "reloaded board")):
+            for content, says in (
+                ("{endpoints: {rule: []}}", "endpoints.rule: unknown key"),
+                (rule, "reloaded board"),
+            ):
                 file.write_text(content)
                 process.send_signal(signal.SIGHUP)
                 assert process.stderr is not None
