--- a/tests/fleet/test_audit.py
+++ b/tests/fleet/test_audit.py
@@ -36,9 +36,30 @@
 
 
 def run(line: str, seconds: float, purges: int = 0, look: Any = None, **shape: Any) -> dict[str, Any]:
-    figures: dict[str, Any] = uvloop.run(whole(line, seconds, purges, look, {"directors": 6, **SHORT, **shape}))
-    always = {name: figures[name] for name in ("stale_strict", "doubles", "lost", "rules_broken", "wrong", "contradictions", "acted_after_out")}
-    nothing = {"stale_strict": 0, "doubles": 0, "lost": 0, "rules_broken": 0, "wrong": [], "contradictions": [], "acted_after_out": 0}
+    figures: dict[str, Any] = uvloop.run(
+        whole(line, seconds, purges, look, {"directors": 6, **SHORT, **shape})
+    )
+    always = {
+        name: figures[name]
+        for name in (
+            "stale_strict",
+            "doubles",
+            "lost",
+            "rules_broken",
+            "wrong",
+            "contradictions",
+            "acted_after_out",
+        )
+    }
+    nothing = {
+        "stale_strict": 0,
+        "doubles": 0,
+        "lost": 0,
+        "rules_broken": 0,
+        "wrong": [],
+        "contradictions": [],
+        "acted_after_out": 0,
+    }
     assert always == nothing, figures
     assert figures["same"] and figures["attempts"] > 300 and figures["spans"] > 0
     return figures
@@ -88,11 +109,15 @@
 
 
 @trial
-async def test_a_tenure_that_ends_while_a_cache_is_dialled_or_fills_stops_the_first_byte_or_the_answer() -> None:
+async def test_a_tenure_that_ends_while_a_cache_is_dialled_or_fills_stops_the_first_byte_or_the_answer() -> (
+    None
+):
     gate, shut = Gate(), "00000000000000ff"
 
     def script(command: Command) -> tuple[str, bytes] | None:
-        gate.answers = command[1]["thing"] != shut and command[1]["profile"] == "film"  # over while these are under way
+        gate.answers = (
+            command[1]["thing"] != shut and command[1]["profile"] == "film"
+        )  # over while these are under way
         return "served digest=d,dated=0,remark=h", b"\x00body"
 
     cache, origin = Cache(script), Cache(script)
@@ -113,14 +138,24 @@
 
 
 def test_without_the_check_a_director_past_its_tenure_goes_on() -> None:
-    figures = uvloop.run(whole("0.5 cut directors:0>feeds:* oneway for 4", 5.0, 0, None, {"directors": 3, "enforce": False, "tenure_ms": 1500.0}))
+    figures = uvloop.run(
+        whole(
+            "0.5 cut directors:0>feeds:* oneway for 4",
+            5.0,
+            0,
+            None,
+            {"directors": 3, "enforce": False, "tenure_ms": 1500.0},
+        )
+    )
     assert figures["acted_after_out"] > 10 and figures["contradictions"] == []
 
 
 def test_links_on_which_one_side_alone_is_heard_shut_a_director_out_and_healing_lets_it_back() -> None:
     figures = run("0.5 cut directors:0>feeds:* oneway for 4; 0.5 cut directors:1>feeds:* mute for 4; 1 purges 10 for 1; "
                   "1.5 kill feeds:0; 6 cut directors:2>feeds:* halfway for 1.5", 10.0, 0, doors)  # fmt: skip
-    assert all(told["audit_refused"] > 0 for told in figures["doors"][:2]), "asked while out, it refused at once"
+    assert all(
+        told["audit_refused"] > 0 for told in figures["doors"][:2]
+    ), "asked while out, it refused at once"
     assert all(told["audit_tenure_ms"] > 0 and told["audit_stage"] == 0 for told in figures["doors"])
     assert figures["unknown_share"] < 0.2 and figures["refused"] > 0
 
@@ -134,7 +169,9 @@
     line = "0.5 cut directors:*>board silent for 6; 1 drain caches:0 out; 6.2 drain caches:0 in"
     bound, free = (run(line, 8.0, 0, None, board_ms=board, directors=3) for board in (2500.0, 0.0))
     assert free["after_drain"] > 20 and bound["after_drain"] < 0.5 * free["after_drain"]
-    assert bound["most_out_at_once"] == free["most_out_at_once"] == 0, "no director knew of the drain: none is behind the others"
+    assert (
+        bound["most_out_at_once"] == free["most_out_at_once"] == 0
+    ), "no director knew of the drain: none is behind the others"
 
 
 def test_half_of_a_fleet_on_either_side_of_a_cut_each_with_a_feed_ends_up_with_one_ledger() -> None:
@@ -145,17 +182,25 @@
 
 
 def test_feeds_that_lose_their_disks_in_turn_lose_no_span_that_two_of_them_acknowledged() -> None:
-    figures = run("0 save feeds:*; 0.5 purges 15 for 2; 1.5 kill feeds:0 empty; 4 kill feeds:1 older; 5.5 kill directors:0-2", 9.0, 5)
+    figures = run(
+        "0 save feeds:*; 0.5 purges 15 for 2; 1.5 kill feeds:0 empty; 4 kill feeds:1 older; 5.5 kill directors:0-2",
+        9.0,
+        5,
+    )
     assert figures["unknown_share"] < 0.1 and len(figures["ledger"].directors()) == 6
 
 
 def test_stragglers_are_told_held_back_and_let_back_while_most_that_are_behind_are_not() -> None:
     one = run("0.5 cut directors:0>board silent for 5.5; 1 drain caches:0 out", 9.5)
     stages = [stage for _, stage in one["stages"]["director-0"]]
-    assert stages[-2:] == [5, 0] and stages[:-1] == sorted(stages[:-1]) and one["most_out_at_once"] == 1, stages
+    assert (
+        stages[-2:] == [5, 0] and stages[:-1] == sorted(stages[:-1]) and one["most_out_at_once"] == 1
+    ), stages
     assert not any(one["stages"][f"director-{n}"] for n in range(1, 6))
     most = run("0.5 cut directors:0-3>board silent for 5; 1 drain caches:0 out", 8.0)
-    assert most["most_out_at_once"] == 0 and all(max(s for _, s in most["stages"][f"director-{n}"]) == 1 for n in range(4))
+    assert most["most_out_at_once"] == 0 and all(
+        max(s for _, s in most["stages"][f"director-{n}"]) == 1 for n in range(4)
+    )
 
 
 async def expect(fleet: Fleet, part: str, *digests: str) -> None:
@@ -173,13 +218,18 @@
     return {row["director"]: told["views"][row["view"]] for row in told["rows"]}
 
 
-def test_a_rollout_with_stragglers_and_a_director_with_old_settings_that_comes_back_each_second(tmp_path: Path) -> None:
+def test_a_rollout_with_stragglers_and_a_director_with_old_settings_that_comes_back_each_second(
+    tmp_path: Path,
+) -> None:
     """A third is on the old program, one on old settings and killed every second: each held back within the share, and
     every command says so."""
 
     async def scene() -> None:
-        async with fleet_of(tmp_path, directors=6, feeds=2, audit=True, tenure_ms=2000.0, behind_ms=3000.0, share=0.5) as fleet:
+        async with fleet_of(
+            tmp_path, directors=6, feeds=2, audit=True, tenure_ms=2000.0, behind_ms=3000.0, share=0.5
+        ) as fleet:
             feed = ["--feed", f"127.0.0.1:{fleet.feeds[0].port}", "--tokens", str(tmp_path / "tokens")]
+
             async def stages() -> dict[str, str]:
                 told = {name: await stage_of(fleet, name) for name in (f"director-{n}" for n in range(6))}
                 return {name: stage for name, stage in told.items() if stage != "well"}
@@ -189,7 +239,9 @@
                     await asyncio.sleep(0.1)
             old = (await versions(fleet))["director-0"]
             newer = tmp_path / "newer"
-            shutil.copytree(ROOT / "gladelane", newer / "gladelane", ignore=shutil.ignore_patterns("__pycache__"))
+            shutil.copytree(
+                ROOT / "gladelane", newer / "gladelane", ignore=shutil.ignore_patterns("__pycache__")
+            )
             shutil.copytree(ROOT / "example", newer / "example")
             with open(newer / "gladelane" / "logs.py", "a") as file:
                 file.write("# a later version\n")
@@ -203,18 +255,25 @@
                     if all(new[f"director-{n}"] != old["program"] for n in range(2, 6)):
                         break
                     await asyncio.sleep(0.1)
-            assert len({new[f"director-{n}"] for n in range(2, 6)}) == 1 and old["program"] == new["director-0"]
+            assert (
+                len({new[f"director-{n}"] for n in range(2, 6)}) == 1 and old["program"] == new["director-0"]
+            )
             code, text = await said("fleet", "stragglers", *feed)
             assert code == 0, "a rollout is no fault until somebody says what is right"
             await expect(fleet, "settings", old["settings"])
             for _ in range(5):
                 await struck(fleet, "0 kill directors:5")
                 await asyncio.sleep(0.8)
-            assert await stages() == {"director-5": "out"}, "it comes back each second, and is judged as it was"
+            assert await stages() == {
+                "director-5": "out"
+            }, "it comes back each second, and is judged as it was"
             await expect(fleet, "program", new["director-2"])
             await asyncio.sleep(4.0)
             told = await stages()
-            assert set(told) == {"director-0", "director-1", "director-5"} and len([s for s in told.values() if s != "again"]) <= 3, told
+            assert (
+                set(told) == {"director-0", "director-1", "director-5"}
+                and len([s for s in told.values() if s != "again"]) <= 3
+            ), told
             code, text = await said("fleet", "stragglers", *feed)
             assert code == 1 and "settings" in text and "program" in text
             code, text = await said("fleet", "explain", "director-5", *feed)
@@ -223,11 +282,15 @@
             assert code == 0 and f"{old['settings']} at 5" in text and "expected program" in text
             code, text = await said("fleet", "audit", "--director", "director-5", "--json", *feed)
             rows = json.loads(text)["rows"]
-            assert len({row["start"] for row in rows}) >= 7 and {"acted", "unknown"} <= {row["known"] for row in rows}
+            assert len({row["start"] for row in rows}) >= 7 and {"acted", "unknown"} <= {
+                row["known"] for row in rows
+            }
             code, text = await said("fleet", "audit", "--at", "now", *feed)
             assert code == 0 and all(f"director-{n}" in text for n in range(6))
             assert (await said("fleet", "verify", *feed))[0] == 0
-            assert (await said("fleet", "audit", *feed))[0] == 1 and (await said("fleet", "explain", "nobody", *feed))[0] == 1
+            assert (await said("fleet", "audit", *feed))[0] == 1 and (
+                await said("fleet", "explain", "nobody", *feed)
+            )[0] == 1
             code, text = await said("fleet", "expect", "settings", *feed)
             assert code == 0 and "settings: any" in text
             await expect(fleet, "program")
@@ -238,9 +301,13 @@
     asyncio.run(scene())
 
 
-def test_two_processes_of_one_name_are_told_apart_and_a_feed_that_is_behind_judges_nobody(tmp_path: Path) -> None:
+def test_two_processes_of_one_name_are_told_apart_and_a_feed_that_is_behind_judges_nobody(
+    tmp_path: Path,
+) -> None:
     async def scene() -> None:
-        async with fleet_of(tmp_path, directors=3, feeds=2, audit=True, tenure_ms=2000.0, behind_ms=3000.0) as fleet:
+        async with fleet_of(
+            tmp_path, directors=3, feeds=2, audit=True, tenure_ms=2000.0, behind_ms=3000.0
+        ) as fleet:
             # a director's folder, copied: another process of its name, elsewhere
             one, twin = fleet.directors[0], fleet.directors[2]
             for raw, file in ((fleet.folder / "director-0.json", fleet.folder / "director-2.json"),):
@@ -272,12 +339,16 @@
             assert "director director-0: two processes have this name" in told["lacks"], told["lacks"]
             rows = (await asked(fleet, 0, "/fleet/audit?director=director-0"))["rows"]
             assert len({row["start"] for row in rows if row["known"] == "acted"}) >= 2
-            assert [w for w in (await asked(fleet, 0, "/fleet/verify"))["wrong"] if w["what"] != "missing"] == []
+            assert [
+                w for w in (await asked(fleet, 0, "/fleet/verify"))["wrong"] if w["what"] != "missing"
+            ] == []
 
     asyncio.run(scene())
 
 
-def test_reports_lost_repeated_and_out_of_order_around_a_feed_killed_before_it_answers_are_there_once(tmp_path: Path) -> None:
+def test_reports_lost_repeated_and_out_of_order_around_a_feed_killed_before_it_answers_are_there_once(
+    tmp_path: Path,
+) -> None:
     async def scene() -> None:
         rng = random.Random(5)
         async with fleet_of(tmp_path, directors=0, feeds=2, audit=True) as fleet:
@@ -292,9 +363,21 @@
             answered: list[Answer] = []
             while waiting:
                 trail, n = waiting.pop()
-                told = Report(trail.director, 1, "z", 0.0, view, trail.kept()[n : n + 4], {name_of(view): view})
+                told = Report(
+                    trail.director, 1, "z", 0.0, view, trail.kept()[n : n + 4], {name_of(view): view}
+                )
                 feed = rng.choice(fleet.feeds)
-                call = asyncio.ensure_future(fetch("127.0.0.1", feed.port, "POST", "/reports", TOKEN, msgspec.json.encode(told), within_s=2.0))
+                call = asyncio.ensure_future(
+                    fetch(
+                        "127.0.0.1",
+                        feed.port,
+                        "POST",
+                        "/reports",
+                        TOKEN,
+                        msgspec.json.encode(told),
+                        within_s=2.0,
+                    )
+                )
                 if rng.random() < 0.1:  # between storing and answering, or a little before or after
                     await asyncio.sleep(rng.uniform(0.0, 0.004))
                     await struck(fleet, f"0 kill feeds:{fleet.feeds.index(feed)}")
@@ -319,12 +402,12 @@
 
     class Told:
         def __init__(self, ports: list[int]) -> None:
+            from test_simhost import WIRE
+
             from gladelane.interface import Settings
             from gladelane.operations.figures import Figures
             from gladelane.operations.maintenance import Register
             from gladelane.purges.standing import Standing
-            from test_simhost import WIRE
-
             from gladelane.settings_wire import settings_from_wire
 
             self.settings: Settings = settings_from_wire(WIRE)
@@ -352,7 +435,10 @@
             feed = fleet.feeds[0]
             told: Any = Told([feed.port])
             clock = lambda: time.time() * 1000.0  # noqa: E731
-            services = [Service(Options(), f"n{n}", told, told, clock, told, lambda: None, lambda: None) for n in range(200)]
+            services = [
+                Service(Options(), f"n{n}", told, told, clock, told, lambda: None, lambda: None)
+                for n in range(200)
+            ]
             await asyncio.gather(*(one.start() for one in services))
             holds = lambda: sum(one.tenure.may(False, steady_ms()) for one in services)  # noqa: E731
             assert holds() == 200
@@ -396,22 +482,35 @@
             raw["ops"] = f"127.0.0.1:{kept_port(random.Random(9))}"
             (tmp_path / "newer.json").write_text(json.dumps(raw))
             with open(tmp_path / "newer.log", "wb") as log:
-                newer = await asyncio.create_subprocess_exec(*command, cwd=ROOT, env={**env, "GW_CONFIG": str(tmp_path / "newer.json")}, stderr=log)
+                newer = await asyncio.create_subprocess_exec(
+                    *command, cwd=ROOT, env={**env, "GW_CONFIG": str(tmp_path / "newer.json")}, stderr=log
+                )
             try:
                 await until(lambda: "ready name=" in (tmp_path / "newer.log").read_text(), 10.0)
                 await fleet.end(one, signal.SIGTERM)
-                await until(lambda: list((one.folder / "trail").glob("*.log")) and "processes=1" in (tmp_path / "newer.log").read_text(), 5.0)
+                await until(
+                    lambda: list((one.folder / "trail").glob("*.log"))
+                    and "processes=1" in (tmp_path / "newer.log").read_text(),
+                    5.0,
+                )
                 await asyncio.sleep(3.5)
                 rows = (await asked(fleet, 0, "/fleet/audit?director=director-0"))["rows"]
                 starts = sorted({row["start"] for row in rows})
-                assert len(starts) == 3 and [row["known"] for row in rows if row["start"] == starts[1]][-1] in ("acted", "not running"), rows
+                assert len(starts) == 3 and [row["known"] for row in rows if row["start"] == starts[1]][
+                    -1
+                ] in ("acted", "not running"), rows
                 assert (await asked(fleet, 0, "/fleet/verify"))["wrong"] == []
                 assert (await asked(fleet, 0, "/fleet/versions"))["lacks"] == []
-                assert "the process before this one has the trail's folder" in (tmp_path / "newer.log").read_text()
+                assert (
+                    "the process before this one has the trail's folder"
+                    in (tmp_path / "newer.log").read_text()
+                )
             finally:
                 newer.terminate()
                 await newer.wait()
-            last = (await asked(fleet, 0, "/fleet/audit?director=director-0&from=" + str(time.time() * 1000.0)))["rows"]
+            last = (
+                await asked(fleet, 0, "/fleet/audit?director=director-0&from=" + str(time.time() * 1000.0))
+            )["rows"]
             assert [row["known"] for row in last if row["start"] == starts[2]][-1:] == ["not running"], last
 
     asyncio.run(scene())
--- a/tests/fleet/test_audit_pure.py
+++ b/tests/fleet/test_audit_pure.py
@@ -20,14 +20,25 @@
 from gladelane.lab.tenures import LADDER_PLANTS, TENURE_PLANTS, searched, searched_all
 
 views = st.builds(
-    View, st.sampled_from("ab"), st.integers(1, 3), st.sampled_from("xy"), st.sampled_from([(), ("c0",)]),
-    st.sampled_from(["", "f:1=1", "f:1=2", "f:1=1,g:1=1", "g:1=2"]), st.sampled_from([0.0, 5.0]), st.sampled_from("pq"),
+    View,
+    st.sampled_from("ab"),
+    st.integers(1, 3),
+    st.sampled_from("xy"),
+    st.sampled_from([(), ("c0",)]),
+    st.sampled_from(["", "f:1=1", "f:1=2", "f:1=1,g:1=1", "g:1=2"]),
+    st.sampled_from([0.0, 5.0]),
+    st.sampled_from("pq"),
 )
 
 
 @given(views, views, views)
 def test_views_are_a_partial_order(one: View, other: View, third: View) -> None:
-    mirrored = {Order.SAME: Order.SAME, Order.APART: Order.APART, Order.AHEAD: Order.BEHIND, Order.BEHIND: Order.AHEAD}
+    mirrored = {
+        Order.SAME: Order.SAME,
+        Order.APART: Order.APART,
+        Order.AHEAD: Order.BEHIND,
+        Order.BEHIND: Order.AHEAD,
+    }
     assert compare(one, one) is Order.SAME and compare(other, one) is mirrored[compare(one, other)]
     assert (compare(one, other) is Order.SAME) == (one == other)
     upward = (Order.SAME, Order.BEHIND)
@@ -49,7 +60,9 @@
     assert not {Part.PURGES, Part.HORIZON} & matters(False, False) and Part.LIST in matters(False, False)
 
 
-def trail_of(changes: int, rng: random.Random, director: str = "d", start: int = 1, **more: Any) -> tuple[Trail, dict[str, int]]:
+def trail_of(
+    changes: int, rng: random.Random, director: str = "d", start: int = 1, **more: Any
+) -> tuple[Trail, dict[str, int]]:
     """A trail through so many changes of view, and what was sent by class."""
     totals: dict[str, list[int]] = {"film": [0, 0, 0]}
     sent = {"film": 0, "sheet": 0}
@@ -75,7 +88,16 @@
 def report(trail: Trail, spans: list[Span] | None = None, **more: Any) -> Report:
     spans = trail.kept() if spans is None else spans
     named = {view_name(turn): view_of(turn) for turn in range(60)}
-    return Report(trail.director, trail.start, "z", 0.0, view_of(0), spans, {s.view: named[s.view] for s in spans}, **more)
+    return Report(
+        trail.director,
+        trail.start,
+        "z",
+        0.0,
+        view_of(0),
+        spans,
+        {s.view: named[s.view] for s in spans},
+        **more,
+    )
 
 
 @given(st.integers(1, 20), st.integers(0, 2**32))
@@ -97,8 +119,16 @@
     trail.turn("b", {"film": [0, 0, 0]}, 10.0)
     trail.served("film", number)
     span = trail.turn("c", {"film": [1, 0, 0]}, 20.0)
-    assert (span.counts["film"].sent, span.counts["film"].served, span.counts["film"].older, span.worth) == (0, 1, 1, 2.0)
-    assert trail.checkpoint({"film": [1, 0, 0]}, 25.0).end == "open" and trail.checkpoint({"film": [1, 0, 0]}, 5.0).to_ms == 20.0
+    assert (span.counts["film"].sent, span.counts["film"].served, span.counts["film"].older, span.worth) == (
+        0,
+        1,
+        1,
+        2.0,
+    )
+    assert (
+        trail.checkpoint({"film": [1, 0, 0]}, 25.0).end == "open"
+        and trail.checkpoint({"film": [1, 0, 0]}, 5.0).to_ms == 20.0
+    )
 
 
 def test_a_full_trail_loses_what_feeds_have_first_and_says_what_else_it_lost() -> None:
@@ -108,18 +138,24 @@
     trail.acknowledged(8, 0)  # one feed has them, two are wanted
     for turn in range(11, 31):
         trail.turn(view_name(turn), {}, 1000.0 + turn)
-    assert len(trail.lost) == 1 and (trail.lost[0].first, trail.lost[0].last) == (9, trail.kept()[0].number - 1)
+    assert len(trail.lost) == 1 and (trail.lost[0].first, trail.lost[0].last) == (
+        9,
+        trail.kept()[0].number - 1,
+    )
     ledger = Ledger()
     ledger.take(report(trail, lost=trail.lost))
     assert [row.why for row in ledger.of("d", 0.0, 2000.0) if row.known == "unknown" and row.number] == [
-        f"{trail.lost[0].last - 8} spans are gone"]
+        f"{trail.lost[0].last - 8} spans are gone"
+    ]
     full, _ = trail_of(30, random.Random(1))
     ledger.take(report(full, full.kept()[:8]))
     assert ledger.verify() == [] and ledger.upto(("d", 1)) == 30
 
 
 @given(st.lists(st.integers(0, 7), max_size=30), st.integers(0, 2**32))
-def test_ledgers_end_up_the_same_whatever_is_lost_repeated_or_out_of_order(order: list[int], seed: int) -> None:
+def test_ledgers_end_up_the_same_whatever_is_lost_repeated_or_out_of_order(
+    order: list[int], seed: int
+) -> None:
     rng = random.Random(seed)
     trails = [trail_of(6, rng, name)[0] for name in ("d", "e")]
     parts = [report(trail, trail.kept()[n : n + 2]) for trail in trails for n in (0, 2, 4, 3)]
@@ -128,7 +164,11 @@
         one.take(msgspec.json.decode(msgspec.json.encode(parts[place]), type=Report))
     for place in rng.sample(range(8), 8):
         other.take(parts[place])
-    assert one.spans == other.spans == 12 and one.marks() == other.marks() and one.verify() == other.verify() == []
+    assert (
+        one.spans == other.spans == 12
+        and one.marks() == other.marks()
+        and one.verify() == other.verify() == []
+    )
     partly = Ledger()
     partly.take(report(trails[0], trails[0].kept()[3:]))  # it lost what came before, and so did its peers
     assert (partly.upto(("d", 1)), partly.upto(("d", 1), 4), partly.upto(("d", 1), 7)) == (0, 6, 6)
@@ -138,7 +178,9 @@
     assert third.upto(("e", 1)) == 6 and third.spans == 8
     again = Ledger()
     again.restore(one.snapshot())
-    assert again.marks() == one.marks() and msgspec.to_builtins(again.of("d", 0.0, 1e9)) == msgspec.to_builtins(one.of("d", 0.0, 1e9))
+    assert again.marks() == one.marks() and msgspec.to_builtins(
+        again.of("d", 0.0, 1e9)
+    ) == msgspec.to_builtins(one.of("d", 0.0, 1e9))
 
 
 @pytest.mark.parametrize(("change", "what"), [
@@ -179,19 +221,40 @@
 def test_the_audit_says_unknown_after_a_kill_and_not_running_after_a_stop() -> None:
     ledger = Ledger()
     killed, _ = trail_of(2, random.Random(1))
-    ledger.take(report(killed, open=killed.checkpoint({"film": [9, 9, 9]}, 1030.0), taken_ms=1031.0, offset=(-1.0, 2.0), clock="f"))
+    ledger.take(
+        report(
+            killed,
+            open=killed.checkpoint({"film": [9, 9, 9]}, 1030.0),
+            taken_ms=1031.0,
+            offset=(-1.0, 2.0),
+            clock="f",
+        )
+    )
     stopped = Trail("d", 2, view_name(0), {}, 1100.0)
     stopped.turn(view_name(0), {}, 1200.0, "stopped")
     ledger.take(report(stopped))
     third = Trail("d", 3, view_name(1), {}, 1300.0)
     ledger.take(report(third, open=third.checkpoint({}, 1400.0)))
     rows = [(row.start, row.known, row.from_ms, row.to_ms) for row in ledger.of("d", 1005.0, 1390.0)]
-    assert rows == [(1, "acted", 1000.0, 1010.0), (1, "acted", 1010.0, 1020.0), (1, "acted", 1020.0, 1030.0), (1, "unknown", 1030.0, 1100.0),
-                    (2, "acted", 1100.0, 1200.0), (2, "not running", 1200.0, 1300.0), (3, "acted", 1300.0, 1400.0)]
-    assert [row.known for row in ledger.at(1050.0)] == ["unknown"] and ledger.of("d", 1050.0, 1050.0)[0].offset == (-1.0, 2.0)
-    assert [row.known for row in ledger.of("d", 1500.0, 1500.0)] == ["unknown"] and ledger.of("d", 1500.0, 1500.0)[0].why == "not told yet"
+    assert rows == [
+        (1, "acted", 1000.0, 1010.0),
+        (1, "acted", 1010.0, 1020.0),
+        (1, "acted", 1020.0, 1030.0),
+        (1, "unknown", 1030.0, 1100.0),
+        (2, "acted", 1100.0, 1200.0),
+        (2, "not running", 1200.0, 1300.0),
+        (3, "acted", 1300.0, 1400.0),
+    ]
+    assert [row.known for row in ledger.at(1050.0)] == ["unknown"] and ledger.of("d", 1050.0, 1050.0)[
+        0
+    ].offset == (-1.0, 2.0)
+    assert [row.known for row in ledger.of("d", 1500.0, 1500.0)] == ["unknown"] and ledger.of(
+        "d", 1500.0, 1500.0
+    )[0].why == "not told yet"
     assert [row.start for row in ledger.latest()] == [3]
-    ledger.take(report(killed, current=False, spans=[killed.checkpoint({"film": [9, 9, 9]}, 1040.0)]))  # what its folder still had
+    ledger.take(
+        report(killed, current=False, spans=[killed.checkpoint({"film": [9, 9, 9]}, 1040.0)])
+    )  # what its folder still had
     assert [row.from_ms for row in ledger.of("d", 1035.0, 1060.0) if row.known == "unknown"] == [1040.0]
 
 
@@ -200,8 +263,15 @@
     trail, _ = trail_of(30, random.Random(1))
     ledger.take(report(trail, taken_ms=1300.0))
     ledger.take(report(trail_of(2, random.Random(1), "old")[0], taken_ms=1050.0))
-    assert ledger.forget(1305.0) == 22 and ledger.directors() == ["d"] and ledger.spans == 10 and ledger.verify() == []
-    assert [row.why for row in ledger.of("d", 1100.0, 1100.0)] == ["20 spans are gone"] and len(ledger.views) == 11
+    assert (
+        ledger.forget(1305.0) == 22
+        and ledger.directors() == ["d"]
+        and ledger.spans == 10
+        and ledger.verify() == []
+    )
+    assert [row.why for row in ledger.of("d", 1100.0, 1100.0)] == ["20 spans are gone"] and len(
+        ledger.views
+    ) == 11
     other = Ledger()
     for told in ledger.beyond({}, 100):
         other.take(told)
@@ -217,8 +287,9 @@
     open_ = trail.checkpoint({"film": [9, 9, 9]}, 1100.0)
     pages = joined([Page("d", 1, [first, second]), Page("d", 1, [third], open=fourth, copied=1), Page("d", 1, [fourth], open=open_, copied=2),
                     Page("d", 2, [], copied=0)])  # fmt: skip
-    assert [(page.start, [span.number for span in page.spans], page.open and page.open.number) for page in pages] == [
-        (1, [3, 4], 5), (2, [], None)]
+    assert [
+        (page.start, [span.number for span in page.spans], page.open and page.open.number) for page in pages
+    ] == [(1, [3, 4], 5), (2, [], None)]
 
 
 @pytest.mark.parametrize(("alone", "at", "strict", "may"), [
@@ -242,11 +313,20 @@
     assert tenure.may(True, 2000.0) and tenure.lapsed(2006.0)
     tenure.board_heard(50_000.0)
     view = View("m", 3, purges="f:1=4")
-    for stage, strict, other in ((Stage.AGAIN, True, True), (Stage.KEPT, False, True), (Stage.EMPTIED, False, True), (Stage.OUT, False, False)):
+    for stage, strict, other in (
+        (Stage.AGAIN, True, True),
+        (Stage.KEPT, False, True),
+        (Stage.EMPTIED, False, True),
+        (Stage.OUT, False, False),
+    ):
         assert tenure.judged(Verdict(stage, "w", Lacks("m", 5)), view)
         assert (tenure.may(True, 100.0), tenure.may(False, 100.0)) == (strict, other)
     # a feed that knows less than the director: what it names is not lacking
-    assert not tenure.judged(Verdict(Stage.OUT, "w", Lacks("m", 3, purges="f:1=4")), view) and tenure.may(True, 100.0) and tenure.void == 1
+    assert (
+        not tenure.judged(Verdict(Stage.OUT, "w", Lacks("m", 3, purges="f:1=4")), view)
+        and tenure.may(True, 100.0)
+        and tenure.void == 1
+    )
     assert not tenure.judged(Verdict(Stage.OUT, returning=True), view), "a return never moves further out"
 
 
@@ -318,7 +398,9 @@
     ({**dict.fromkeys("abcdefg", "z"), "h": "y"}, "h", {"rev": 1}, {"h": Stage.OUT}, "lacks list"),
     ({**dict.fromkeys("abcdefg", "z"), "h": "y"}, "a", {"settings": "old"}, {"a": Stage.OUT}, "lacks settings"),
 ])  # fmt: skip
-def test_what_holds_the_ladder_back(zones: dict[str, str], behind: str, change: dict[str, Any], stages: dict[str, Stage], why: str) -> None:
+def test_what_holds_the_ladder_back(
+    zones: dict[str, str], behind: str, change: dict[str, Any], stages: dict[str, Stage], why: str
+) -> None:
     fleet = Fleet(zones, share=0.125)
     fleet.run(1000.0)
     fleet.judge.told.reached({("f", 1): 1}, fleet.now)
@@ -342,7 +424,10 @@
     fleet.judge.alone = False
     fleet.silent = set("abcde")
     fleet.run(3000.0)
-    assert fleet.run(1000.0) == {"h": Stage.AGAIN} and "most of the fleet is silent" in fleet.judge.explain("h", fleet.now).why
+    assert (
+        fleet.run(1000.0) == {"h": Stage.AGAIN}
+        and "most of the fleet is silent" in fleet.judge.explain("h", fleet.now).why
+    )
     fleet.silent = set()
     fleet.judge.feeds, fleet.judge.rank, fleet.judge.ladder = 2, 1, ladder_of(4000.0, 0.125, 3000.0)
     assert fleet.run(8000.0) == {"h": Stage.AGAIN}, "the other feed has the only place"
@@ -354,7 +439,9 @@
 
 @given(st.lists(st.tuples(st.sampled_from("abcdef"), st.sampled_from(["cut", "heal", "silent", "heard", "news", "purge"]), st.integers(1, 12)),
                 max_size=25))  # fmt: skip
-def test_no_sequence_of_cuts_and_heals_leaves_a_healthy_director_out(events: list[tuple[str, str, int]]) -> None:
+def test_no_sequence_of_cuts_and_heals_leaves_a_healthy_director_out(
+    events: list[tuple[str, str, int]],
+) -> None:
     fleet = Fleet({**dict.fromkeys("abcd", "z"), "e": "y", "f": "y"})
     cut: set[str] = set()
     news = {"rev": 1, "purges": ""}
--- a/tests/fleet/test_coming_back.py
+++ b/tests/fleet/test_coming_back.py
@@ -28,8 +28,16 @@
 
 def run(line: str, seconds: float, purges: int = 0, **shape: Any) -> dict[str, Any]:
     figures = asyncio.run(play(line, Shape(**shape), 3, seconds, purges=purges))
-    always = {name: figures[name] for name in ("stale_strict", "doubles", "lost", "rules_broken", "pushed_over")}
-    assert always == {"stale_strict": 0, "doubles": 0, "lost": 0, "rules_broken": 0, "pushed_over": []}, figures
+    always = {
+        name: figures[name] for name in ("stale_strict", "doubles", "lost", "rules_broken", "pushed_over")
+    }
+    assert always == {
+        "stale_strict": 0,
+        "doubles": 0,
+        "lost": 0,
+        "rules_broken": 0,
+        "pushed_over": [],
+    }, figures
     assert figures["served"] > 0.5 * figures["asked"], figures
     return figures
 
@@ -41,10 +49,14 @@
     # one of them torn: it is the one that starts cold
     ("0.5 kill directors:0; 1 kill directors:0; 1.5 kill directors:0; 2 kill directors:0; 2.5 kill directors:1 torn", {"directors": 3}, 2),
 ])  # fmt: skip
-def test_directors_that_are_killed_come_back_to_full_service(line: str, shape: dict[str, Any], warm: int) -> None:
+def test_directors_that_are_killed_come_back_to_full_service(
+    line: str, shape: dict[str, Any], warm: int
+) -> None:
     figures = run(line, 8.0, **shape)
     assert figures["warm"] == warm and figures["failed_starts"] == [] and not any(figures["horizon_open"])
-    assert figures["full_service_s"] < 6.0 and figures["refused"] + figures["failed"] < 0.1 * figures["asked"], figures
+    assert (
+        figures["full_service_s"] < 6.0 and figures["refused"] + figures["failed"] < 0.1 * figures["asked"]
+    ), figures
     assert figures["origin_peak_over_usual"] < 3.0
 
 
@@ -80,13 +92,17 @@
 
 
 def test_older_folders_without_marks_are_seen_by_the_director_that_lived_and_peers_do_not_vouch() -> None:
-    line = SAVED + "0 save feeds:*; 0.2 purges 40 for 1; 2 kill feeds:* older; 2 kill directors:1-3 empty" + BACK
+    line = (
+        SAVED + "0 save feeds:*; 0.2 purges 40 for 1; 2 kill feeds:* older; 2 kill directors:1-3 empty" + BACK
+    )
     figures = asyncio.run(play(line, Shape(4), 3, 8.0))
     assert figures["horizon_open"] == [True, True] and min(figures["standing"]) >= 40, figures
     assert figures["doubles"] == figures["lost"] == figures["rules_broken"] == 0
 
 
-def test_a_feed_refuses_anothers_folder_and_a_folder_that_cannot_be_locked_ends_a_start_with_one_line() -> None:
+def test_a_feed_refuses_anothers_folder_and_a_folder_that_cannot_be_locked_ends_a_start_with_one_line() -> (
+    None
+):
     figures = run("1 kill feeds:0 swapped; 1 kill directors:0 readonly", 5.0, 10, directors=3)
     swapped, locked = sorted(figures["failed_starts"], key=lambda text: "feed-1" not in text)
     assert swapped == "gladelane: the folder is of feed 'feed-1'; expected one of 'feed-0', or an empty one"
@@ -97,7 +113,9 @@
 def test_full_disks_and_then_a_kill_lose_no_purge_that_was_answered() -> None:
     line = "0.2 full feeds:* for 2; 0.2 full directors:* for 2; 0.3 purges 20 for 1; 3.5 kill directors:*; 3.5 kill feeds:*"
     figures = run(line, 7.0, 10, directors=4)
-    assert min(figures["standing"]) >= 30 and figures["disk_faults"] == 12 and not any(figures["horizon_open"]), figures
+    assert (
+        min(figures["standing"]) >= 30 and figures["disk_faults"] == 12 and not any(figures["horizon_open"])
+    ), figures
 
 
 def test_directors_back_on_old_folders_while_the_board_is_behind_use_nothing_that_drained_before() -> None:
@@ -107,7 +125,9 @@
 
 
 def test_directors_that_slept_through_purges_and_a_drain_answer_nothing_stale() -> None:
-    figures = run("1 stop directors:0-1 for 1.5; 1.2 drain caches:0 out; 1.2 purges 20 for 1", 6.0, 10, directors=4)
+    figures = run(
+        "1 stop directors:0-1 for 1.5; 1.2 drain caches:0 out; 1.2 purges 20 for 1", 6.0, 10, directors=4
+    )
     assert min(figures["standing"]) >= 30 and figures["served"] > 0.7 * figures["asked"], figures
 
 
@@ -130,7 +150,9 @@
 
 
 @pytest.mark.parametrize("kept", [True, False])
-def test_a_key_that_was_tried_is_not_tried_past_its_window_by_the_director_that_came_back(tmp_path: Path, kept: bool) -> None:
+def test_a_key_that_was_tried_is_not_tried_past_its_window_by_the_director_that_came_back(
+    tmp_path: Path, kept: bool
+) -> None:
     """Without the folder it is: what a killed director was asked before, nobody knows."""
 
     async def scene() -> None:
@@ -182,7 +204,9 @@
             code, text = await said("fleet", "status", "--json", *doors)
             told = json.loads(text)
             assert all(told[door]["purges_known_since_ms"] > 0 for door in doors)
-            assert (await said("purge", "vouch", *feed))[0] == 1 and "expected Unix ms" in (await said("purge", "vouch", "--since", "noon", *feed))[1]
+            assert (await said("purge", "vouch", *feed))[0] == 1 and "expected Unix ms" in (
+                await said("purge", "vouch", "--since", "noon", *feed)
+            )[1]
             code, text = await said("purge", "vouch", "--all", "--why", "ticket 4711", *feed)
             assert code == 0 and text.count("is closed from 0 on") == 2
             for _ in range(60):
@@ -191,7 +215,9 @@
                     break
             assert code == 0 and text.count("full") >= 2 and text.count(" all ") == 2, text
             status = await fleet.status(fleet.feeds[1])
-            assert all("lab: ticket 4711" in loss[4] for loss in status["losses"]) and status["horizon_ms"] == 0
+            assert (
+                all("lab: ticket 4711" in loss[4] for loss in status["losses"]) and status["horizon_ms"] == 0
+            )
             assert TOKEN not in text
             code, text = await said("fleet", "status", doors[0], "127.0.0.1:1")
             assert code == 1 and "no answer" in text
--- a/tests/fleet/test_many_directors.py
+++ b/tests/fleet/test_many_directors.py
@@ -21,14 +21,19 @@
 
 def fleet(stores: tuple[Member, ...], directors: int = 40) -> list[Driver]:
     """Each with a seed of its own, as real ones have."""
-    made = [Driver((), weights="nominal", notes="hit", seats_by_zone=[0, SEATS], proxies=40) for _ in range(directors)]
+    made = [
+        Driver((), weights="nominal", notes="hit", seats_by_zone=[0, SEATS], proxies=40)
+        for _ in range(directors)
+    ]
     for seed, d in enumerate(made):
         d.router = Router(d.settings, seed)
         d.members(stores)
     return made
 
 
-def test_a_branch_that_comes_back_cold_is_served_by_directors_that_started_with_it_and_not_pushed_over() -> None:
+def test_a_branch_that_comes_back_cold_is_served_by_directors_that_started_with_it_and_not_pushed_over() -> (
+    None
+):
     directors = fleet((*(replace(c, came_up_ms=100_000.0) for c in FOUR), *HUBS, ROOT), SEATS)
     sent: list[tuple[float, str, float]] = []
     for step in range(1000):  # 20 s; each asks 25 times a second, of 100 ms each: 2.5 links of 8
@@ -51,7 +56,9 @@
             assert inside <= MULTIPLE * part * WEIGHT * WINDOW_MS
 
 
-def test_when_all_copies_are_void_at_once_the_directors_together_ask_hubs_for_what_their_links_carry() -> None:
+def test_when_all_copies_are_void_at_once_the_directors_together_ask_hubs_for_what_their_links_carry() -> (
+    None
+):
     # 40 directors that each started at 2.5 links had 575 fills at two hubs, and 95 more went past them
     fills: dict[str, int] = {}
     looks = 0
@@ -125,5 +132,8 @@
                 d.answer(fetch, note=Note.PARENT_HELD, after=0.0)
     for since in sorted(set(sent)):
         part = 0.1 + 0.9 * (since - 100_000.0) / 15_000.0
-        assert 400.0 * sum(since <= t < since + WINDOW_MS for t in sent) <= 2.0 * min(part, 1.0) * 40.0 * WINDOW_MS
+        assert (
+            400.0 * sum(since <= t < since + WINDOW_MS for t in sent)
+            <= 2.0 * min(part, 1.0) * 40.0 * WINDOW_MS
+        )
     assert min(sent) < 105_000.0
--- a/tests/fleet/test_owners.py
+++ b/tests/fleet/test_owners.py
@@ -20,11 +20,18 @@
 SHARDS = 8
 
 
-def scene(folder: Path, act: Callable[[Fleet, Load, Watch], Awaitable[None]], owners: bool = True, directors: int = 4) -> tuple[float, int]:
+def scene(
+    folder: Path,
+    act: Callable[[Fleet, Load, Watch], Awaitable[None]],
+    owners: bool = True,
+    directors: int = 4,
+) -> tuple[float, int]:
     """Orders a purge and server, and pairs without any, once all has settled."""
 
     async def whole() -> tuple[float, int]:
-        async with fleet_of(folder, directors=directors, feeds=3, copies=1, owners=owners, shards=SHARDS) as fleet:
+        async with fleet_of(
+            folder, directors=directors, feeds=3, copies=1, owners=owners, shards=SHARDS
+        ) as fleet:
             load, watch = Load(fleet, random.Random(4)), Watch(fleet)
             try:
                 if owners:
@@ -59,12 +66,16 @@
     assert missing == none == 0 and with_owners < 1.2 and without > 3.5, (with_owners, without)
 
 
-def test_owners_that_are_killed_or_stopped_are_followed_and_none_of_their_orders_is_lost(tmp_path: Path) -> None:
+def test_owners_that_are_killed_or_stopped_are_followed_and_none_of_their_orders_is_lost(
+    tmp_path: Path,
+) -> None:
     gaps: list[float] = []
 
     async def act(fleet: Fleet, load: Load, watch: Watch) -> None:
         purging = asyncio.create_task(load.purge(30, 8.0))
-        await struck(fleet, "0 stop directors:0 for 4")  # longer than a lease: its successor is at work when it wakes
+        await struck(
+            fleet, "0 stop directors:0 for 4"
+        )  # longer than a lease: its successor is at work when it wakes
         stopped = time.time()
         await asyncio.sleep(3.0)
         gaps.extend(watch.gaps(stopped, {"director-0"}))
@@ -115,7 +126,10 @@
 def test_an_even_number_of_keepers_is_refused_at_the_start(tmp_path: Path) -> None:
     async def whole() -> None:
         async with fleet_of(tmp_path, directors=1, feeds=2, owners=True) as fleet:
-            assert fleet.directors[0].failed and "owners: 2 feeds; expected an odd number" in fleet.directors[0].failed[0]
+            assert (
+                fleet.directors[0].failed
+                and "owners: 2 feeds; expected an odd number" in fleet.directors[0].failed[0]
+            )
 
     asyncio.run(whole())
     assert json.loads((tmp_path / "director-0.json5").read_text())["owners"]["shards"] == 8
--- a/tests/fleet/test_rig.py
+++ b/tests/fleet/test_rig.py
@@ -20,12 +20,23 @@
 def test_a_line_names_its_steps_and_one_seed_strikes_the_same() -> None:
     line = "3 kill directors:90% empty; 1.5 cut directors:0-1>feeds:* oneway for 2; 2 purges 60 for 1; 2.5 store hub renew; 4 stop feeds:1 for 1"
     steps = read_line(line, COUNTS, Random(7))
-    assert [step.at for step in steps] == [1.5, 2.0, 2.5, 3.0, 4.0] and steps == read_line(line, COUNTS, Random(7))
+    assert [step.at for step in steps] == [1.5, 2.0, 2.5, 3.0, 4.0] and steps == read_line(
+        line, COUNTS, Random(7)
+    )
     cut, purges, store, kill, stop = steps
     assert len(cut.links) == 4 and cut.how == "oneway" and cut.last == 2.0
     assert (purges.how, purges.last, purges.whom) == ("60", 1.0, ()) and store.whom == (("hub", 0),)
     assert len(kill.whom) == 9 and kill.how == "empty" and stop.whom == (("feeds", 1),) and stop.how == "kept"
-    assert len({step.whom for seed in range(20) for step in read_line("1 kill directors:50%", COUNTS, Random(seed))}) > 10
+    assert (
+        len(
+            {
+                step.whom
+                for seed in range(20)
+                for step in read_line("1 kill directors:50%", COUNTS, Random(seed))
+            }
+        )
+        > 10
+    )
 
 
 @pytest.mark.parametrize(("line", "says"), [
@@ -39,8 +50,15 @@
 
 
 def test_faults_that_stand_apart_are_timed_apart() -> None:
-    steps = read_line("1 kill directors:0; 1.5 kill directors:1; 2 save feeds:0; 6 stop directors:2 for 1", COUNTS, Random(1))
-    assert [(text[:13], at, until) for text, at, until in spans(steps, 9.0)] == [("1 kill direct", 1.5, 6.0), ("6 stop direct", 6.0, 9.0)]
+    steps = read_line(
+        "1 kill directors:0; 1.5 kill directors:1; 2 save feeds:0; 6 stop directors:2 for 1",
+        COUNTS,
+        Random(1),
+    )
+    assert [(text[:13], at, until) for text, at, until in spans(steps, 9.0)] == [
+        ("1 kill direct", 1.5, 6.0),
+        ("6 stop direct", 6.0, 9.0),
+    ]
 
 
 @trial
@@ -88,9 +106,14 @@
 
 def test_each_rule_catches_what_it_is_for() -> None:
     scope = parse("object:000000000000000a")
-    answers = [Made("film", 0, 10, 0, sent, dated) for sent, dated in ((900.0, 100.0), (3100.0, 100.0), (3100.0, 1001.0), (2999.0, 100.0))]
+    answers = [
+        Made("film", 0, 10, 0, sent, dated)
+        for sent, dated in ((900.0, 100.0), (3100.0, 100.0), (3100.0, 1001.0), (2999.0, 100.0))
+    ]
     assert stale(answers, [Purged(1000.0, scope)], 2000.0) == [answers[1]]
-    assert stale(answers, [Purged(1000.0, scope, 1200.0)], 2000.0) == []  # its sender had no answer before 1200
+    assert (
+        stale(answers, [Purged(1000.0, scope, 1200.0)], 2000.0) == []
+    )  # its sender had no answer before 1200
     assert doubles([Ran("a", 0.0), Ran("a", 1990.0), Ran("b", 0.0), Ran("b", 2100.0)], 2000.0) == ["b"]
     assert busiest([0.1, 0.2, 1.5, 1.6, 1.7, 9.0], 0.0, 5.0) == 3
     served = Served()
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -18,7 +18,14 @@
 
 CLASSES = [
     {"name": "film", "effect": "retryable", "aim_ms": 600.0, "deadline_ms": 5000.0, "value": 2.0},
-    {"name": "sheet", "effect": "dedup", "window_ms": 2000.0, "aim_ms": 800.0, "deadline_ms": 3000.0, "value": 3.0},
+    {
+        "name": "sheet",
+        "effect": "dedup",
+        "window_ms": 2000.0,
+        "aim_ms": 800.0,
+        "deadline_ms": 3000.0,
+        "value": 3.0,
+    },
 ]
 FAMILY = {**WIRE["family_info"], "pass_on": [False, True], "good_for_ms": [0.0, 0.0], "segmented": [False, False],
           "straight": True, "notes_given": "hit"}  # fmt: skip
@@ -112,7 +119,9 @@
                 raise EOFError
             for frame in self.decoder.feed(data):
                 fields, body = decode_fields(frame.payload[1:]) if frame.payload else ({}, b"")
-                self.frames.append((frame.type, frame.stream, frame.payload[0] if frame.payload else -1, fields, body))
+                self.frames.append(
+                    (frame.type, frame.stream, frame.payload[0] if frame.payload else -1, fields, body)
+                )
         return self.frames.pop(0)
 
     async def silent(self, wait: float = 0.15) -> bool:
--- a/tests/lab/test_model.py
+++ b/tests/lab/test_model.py
@@ -15,7 +15,9 @@
 from gladelane.lab.model.timeline import Timeline
 
 CLASSES = settings().classes
-STEPS = st.lists(st.tuples(st.integers(0, 8), st.integers(0, 3), st.integers(1, 60), st.booleans()), max_size=60)
+STEPS = st.lists(
+    st.tuples(st.integers(0, 8), st.integers(0, 3), st.integers(1, 60), st.booleans()), max_size=60
+)
 
 
 @given(STEPS)
@@ -32,7 +34,9 @@
             above = sum(s for r, s in held.values() if r > rank)
             assert kept == (rank > 0 and above + size <= 100)
             if kept:
-                for low in sorted(held, key=lambda t: held[t][0]):  # stable: in a rank least lately used first
+                for low in sorted(
+                    held, key=lambda t: held[t][0]
+                ):  # stable: in a rank least lately used first
                     if sum(s for _, s in held.values()) + size <= 100:
                         break
                     del held[low]
@@ -132,7 +136,9 @@
 
 
 @pytest.mark.parametrize("rule,plant,says", PLANTED)
-def test_each_planted_fault_is_found_once_and_a_sound_run_is_left_alone(rule: str, plant: Callable[[Monitor], None], says: str) -> None:
+def test_each_planted_fault_is_found_once_and_a_sound_run_is_left_alone(
+    rule: str, plant: Callable[[Monitor], None], says: str
+) -> None:
     for faulty in (False, True):
         found: list[Broken] = []
         monitor = Monitor(1000.0, 500.0, 8.0, found.append)
--- a/tests/lab/test_virtual.py
+++ b/tests/lab/test_virtual.py
@@ -54,11 +54,17 @@
     faults(fleet)
     fleet.run(15_000.0)
     assert fleet.broken == [] and fleet.counts["asked"] > 800
-    assert fleet.worth > 0.8 * fleet.worth_asked and 0.2 * fleet.counts["ok"] < fleet.counts["hits"] < fleet.counts["ok"]
+    assert (
+        fleet.worth > 0.8 * fleet.worth_asked
+        and 0.2 * fleet.counts["ok"] < fleet.counts["hits"] < fleet.counts["ok"]
+    )
 
 
 def test_a_calm_fleet_serves_nearly_all_and_an_overloaded_one_refuses() -> None:
-    calm, crowded = Fleet(plan(), 3), Fleet(plan(rate=900.0, origin_workers=2, objects=20_000, client_tries=0), 3)
+    calm, crowded = (
+        Fleet(plan(), 3),
+        Fleet(plan(rate=900.0, origin_workers=2, objects=20_000, client_tries=0), 3),
+    )
     calm.run(8000.0)
     crowded.run(8000.0)
     assert calm.worth > 0.95 * calm.worth_asked and calm.broken == crowded.broken == []
@@ -72,7 +78,9 @@
         tell = director.tell
 
         def deaf(event: Event, tell: Any = tell) -> None:
-            if not (rule == "purge" and isinstance(event, Purge)) and not (rule == "drain" and isinstance(event, Members)):
+            if not (rule == "purge" and isinstance(event, Purge)) and not (
+                rule == "drain" and isinstance(event, Members)
+            ):
                 tell(event)
 
         director.tell = deaf  # type: ignore[method-assign]
@@ -81,7 +89,9 @@
         if rule == "answer":
             finish = director._finish
 
-            def twice(asked: virtual._Asked, status: Status, *more: Any, finish: Any = finish, **named: Any) -> None:
+            def twice(
+                asked: virtual._Asked, status: Status, *more: Any, finish: Any = finish, **named: Any
+            ) -> None:
                 finish(asked, status, *more, **named)
                 if asked.number % 50 == 0:
                     fleet.monitor.final("n0", asked.number, fleet.line.now)
@@ -90,7 +100,8 @@
     if rule == "repeat":  # the origin's connections break: what was sent may have run
         arrived = fleet._arrived
         fleet._arrived = lambda zone, action, source, spec, work: (  # type: ignore[method-assign]
-            work.finish(Status.RESET) if action.store == "root" else arrived(zone, action, source, spec, work))
+            work.finish(Status.RESET) if action.store == "root" else arrived(zone, action, source, spec, work)
+        )
     faults(fleet)
     fleet.run(12_000.0)
     assert {b.rule for b in fleet.broken} == {rule}
--- a/tests/net/test_board_crossings.py
+++ b/tests/net/test_board_crossings.py
@@ -70,7 +70,9 @@
 def test_a_board_that_sends_bytes_and_never_anything_whole_is_left_in_time(half: str) -> None:
     # each byte counted as life: the watch hung for ever, and drains and purges with it
     start, piece = {
-        "headers": (HEADERS[:20], b"x"), "comment": (HEADERS + b":", b"x"), "event": (HEADERS + b"data: {", b" "),
+        "headers": (HEADERS[:20], b"x"),
+        "comment": (HEADERS + b":", b"x"),
+        "event": (HEADERS + b"data: {", b" "),
     }[half]
 
     @trial
@@ -80,7 +82,9 @@
             patch.setattr(board_module, "SILENT_S", 0.3)
             patch.setattr(board_module, "ANSWER_S", 0.3)
             async with running(config({"r0": REFUSED})) as (node, _):
-                board = Board(*await feed.start(), lambda: node.director.rev, node.director.notice, random.Random(1))
+                board = Board(
+                    *await feed.start(), lambda: node.director.rev, node.director.notice, random.Random(1)
+                )
                 task = asyncio.create_task(board.run())
                 await until(lambda: node.director.rev == 2)
                 task.cancel()
@@ -148,7 +152,9 @@
         sock.close()
 
 
-def test_an_event_of_lines_without_end_is_held_to_the_bound_of_one_line(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_an_event_of_lines_without_end_is_held_to_the_bound_of_one_line(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     # a single line was bounded, many were not: the process grew until the platform killed it
     monkeypatch.setattr(sse_module, "MAX_EVENT", 1000)
     stream = EventStream()
--- a/tests/net/test_cache_crossings.py
+++ b/tests/net/test_cache_crossings.py
@@ -102,7 +102,9 @@
 
 
 @pytest.mark.parametrize("what", ["answer", "line", "answer to a request given up"])
-def test_an_answer_that_trickles_without_end_costs_its_connection_in_time(what: str, caplog: pytest.LogCaptureFixture) -> None:
+def test_an_answer_that_trickles_without_end_costs_its_connection_in_time(
+    what: str, caplog: pytest.LogCaptureFixture
+) -> None:
     # each byte counted as life, and all others on the connection waited behind it until their time was over
     @trial
     async def scene() -> None:
@@ -227,7 +229,9 @@
     async with running(config({"c0": await cache.start(), "r0": REFUSED})) as (_, client):
         client.ask(1)
         await until(lambda: cache.seen)
-        cache.conns[0].write(OK % (b"%016x" % 99, 2, b"no") + OK % (b"%016x" % 1, 2, b"ok") + OK % (b"%016x" % 1, 2, b"no"))
+        cache.conns[0].write(
+            OK % (b"%016x" % 99, 2, b"no") + OK % (b"%016x" % 1, 2, b"ok") + OK % (b"%016x" % 1, 2, b"no")
+        )
         assert (await client.next())[4] == b"ok"
         client.ask(2, chunk="7")
         assert (await client.next())[:3] == (17, 2, 0) and len(cache.conns) == 1
@@ -282,7 +286,10 @@
 async def test_a_silent_connection_is_told_also_where_it_carries_fewer_than_the_usual_count() -> None:
     # three attempts had to wait on it: with two streams a connection none was ever told to be silent
     cache = Cache(lambda command: None if len(cache.conns) == 1 else hit(command))
-    async with running(config({"c0": await cache.start(), "r0": REFUSED}, max_streams=2, cancel=False)) as (node, client):
+    async with running(config({"c0": await cache.start(), "r0": REFUSED}, max_streams=2, cancel=False)) as (
+        node,
+        client,
+    ):
         client.ask(1, d="5000")
         client.ask(2, d="5000")
         await until(lambda: len(cache.seen) == 2)
--- a/tests/net/test_client_crossings.py
+++ b/tests/net/test_client_crossings.py
@@ -28,7 +28,15 @@
 
 
 def request(stream: int, **fields: str) -> bytes:
-    plain = {"c": "film", "i": f"{stream:016x}", "d": "2000", "o": "7f3a9c21e0b4d655", "chunk": "3", "tag": "17", "m": "412.5"}
+    plain = {
+        "c": "film",
+        "i": f"{stream:016x}",
+        "d": "2000",
+        "o": "7f3a9c21e0b4d655",
+        "chunk": "3",
+        "tag": "17",
+        "m": "412.5",
+    }
     return encode_frame(16, stream, encode_fields({**plain, **fields}))  # type: ignore[arg-type]
 
 
@@ -52,7 +60,9 @@
         """All frames to the end, and how it ended."""
         decoder, frames = FrameDecoder(), list[tuple[int, int, bytes]]()
         try:
-            while data := await asyncio.wait_for(asyncio.get_running_loop().sock_recv(self.sock, 65_536), 5.0):
+            while data := await asyncio.wait_for(
+                asyncio.get_running_loop().sock_recv(self.sock, 65_536), 5.0
+            ):
                 frames += [(f.type, f.stream, f.payload) for f in decoder.feed(data)]
         except ConnectionError:
             return frames, "reset"
@@ -205,7 +215,9 @@
     scene()
 
 
-def waits_for_a_dial(node: Node, happens: Callable[[Attempt], Coroutine[Any, Any, None]]) -> list[asyncio.Task[None]]:
+def waits_for_a_dial(
+    node: Node, happens: Callable[[Attempt], Coroutine[Any, Any, None]]
+) -> list[asyncio.Task[None]]:
     """Holds each dial until `happens` has: the attempt waits meanwhile."""
     tasks: list[asyncio.Task[None]] = []
     send = node.upstream.send
@@ -228,7 +240,9 @@
 
 @pytest.mark.parametrize("cancel", [True, False])
 @pytest.mark.parametrize("how", ["type 18", "close", "reset"])
-def test_a_request_whose_client_leaves_while_it_waits_for_a_dial_is_not_sent_on(how: str, cancel: bool) -> None:
+def test_a_request_whose_client_leaves_while_it_waits_for_a_dial_is_not_sent_on(
+    how: str, cancel: bool
+) -> None:
     @trial
     async def scene() -> None:
         cache = Cache(hit)
--- a/tests/operations/test_door.py
+++ b/tests/operations/test_door.py
@@ -64,10 +64,19 @@
 async def test_one_call_a_connection_is_applied_and_answered() -> None:
     desk = Desk()
     with opened(desk) as (_, port):
-        whole = await asyncio.to_thread(ask, port, http("POST", "/caches/a%20b/maint") + http("POST", "/caches/c/maint"))
-        assert whole.startswith(b"HTTP/1.1 200") and whole.endswith(b"applied\n") and b"onnection: close" in whole
+        whole = await asyncio.to_thread(
+            ask, port, http("POST", "/caches/a%20b/maint") + http("POST", "/caches/c/maint")
+        )
+        assert (
+            whole.startswith(b"HTTP/1.1 200")
+            and whole.endswith(b"applied\n")
+            and b"onnection: close" in whole
+        )
         assert desk.applied == desk.bound == [Call(Word.MAINT, "a b")]
-        assert await status(port, http("GET", "/nowhere")) == 404 and await status(port, http("POST", "/stats")) == 405
+        assert (
+            await status(port, http("GET", "/nowhere")) == 404
+            and await status(port, http("POST", "/stats")) == 405
+        )
         assert await status(port, b"nonsense\r\n\r\n") == 400
         assert await status(port, b"GET /stats HTTP/1.1\r\nHost: x\r\nX: " + b"y" * 20_000) in (413, 431)
         assert await status(port, http("POST", "/caches/fault/maint")) == 500
@@ -78,7 +87,9 @@
 async def test_while_the_serving_loop_stands_still_a_call_is_bound_and_answered() -> None:
     desk = Desk()
     with opened(desk) as (_, port):
-        caller = asyncio.get_running_loop().run_in_executor(None, lambda: (ask(port, http("POST", "/caches/a/maint")), time.monotonic()))
+        caller = asyncio.get_running_loop().run_in_executor(
+            None, lambda: (ask(port, http("POST", "/caches/a/maint")), time.monotonic())
+        )
         stood = time.monotonic()
         time.sleep(1.5)  # the serving loop
         until = time.monotonic()
--- a/tests/operations/test_door_orders.py
+++ b/tests/operations/test_door_orders.py
@@ -23,7 +23,10 @@
 
 def figures(node: Any) -> dict[str, int]:
     lines = order(node, Word.STATS).text.splitlines()
-    return {name.removeprefix("director."): int(value) for name, _, value in (line.partition("=") for line in lines)}
+    return {
+        name.removeprefix("director."): int(value)
+        for name, _, value in (line.partition("=") for line in lines)
+    }
 
 
 def listed(id_: str, address: str, lifecycle: str = "in_service", reset: bool = False, rev: int = 2) -> Any:
@@ -49,7 +52,11 @@
         assert order(node, Word.MAINT, "nobody").status == 404
         assert order(node, Word.MAINT, "c0").yes and order(node, Word.MAINT, "c0").yes
         before = len(one.seen)
-        notices = [listed("c0", places["c0"], "terminated"), listed("c0", places["c0"], rev=3), listed("c1", places["c1"], rev=4)]
+        notices = [
+            listed("c0", places["c0"], "terminated"),
+            listed("c0", places["c0"], rev=3),
+            listed("c1", places["c1"], rev=4),
+        ]
         for stream, notice in enumerate([None, *notices], 21):
             if notice is not None:
                 node.director.notice(notice)
@@ -59,7 +66,9 @@
         assert order(node, Word.READY, "c0").yes and order(node, Word.READY, "nobody").status == 404
         store = node.director.router.stores["c0"]
         assert store.member.came_up_ms > node.clock.now() - 1000.0  # cold: it was restarted in between
-        node.director.router.cold.caches.usual = 1e6  # what warm ones are usually sent, and so what a cold one may be
+        node.director.router.cold.caches.usual = (
+            1e6  # what warm ones are usually sent, and so what a cold one may be
+        )
         for stream in range(4000, 4040):
             assert await ask(client, stream) == 0
         assert len(one.seen) > before and figures(node)["hosts_down"] == 0
@@ -70,7 +79,9 @@
     cache = Cache(hit)
     async with running(config({"c0": await cache.start(), "p0": REFUSED, "r0": REFUSED})) as (node, client):
         assert await ask(client, 1) == 0 and cache.seen[-1][1]["parent"] == "p0"
-        node.desk.bind(Call(Word.MAINT, "p0"))  # bound in the door's thread; this loop has not heard of it yet
+        node.desk.bind(
+            Call(Word.MAINT, "p0")
+        )  # bound in the door's thread; this loop has not heard of it yet
         client.ask(2, o=f"{2:016x}", m="1")
         await client.next()
         assert all(command[1].get("parent") != "p0" for command in cache.seen[1:])
@@ -96,7 +107,9 @@
             assert frame is None or frame[0] == 48
             with pytest.raises(EOFError):
                 await told.next(2.0)
-        assert (await busy.next())[0] == 48 and (await busy.next())[2] != 0  # its time is up: an answer all the same
+        assert (await busy.next())[0] == 48 and (await busy.next())[
+            2
+        ] != 0  # its time is up: an answer all the same
         with pytest.raises(EOFError):
             await busy.next(2.0)
         await until(lambda: not node.front.connections)  # `busy` has not closed its own side yet
@@ -176,7 +189,9 @@
         client.send(18, 1)
         await until(lambda: figures(node)["inflight"] == 1)
         told = figures(node)
-        assert told["withdrawn"] == 1 and not any(told[f"calls.film.{word}"] for word in ("success", "busy", "failure"))
+        assert told["withdrawn"] == 1 and not any(
+            told[f"calls.film.{word}"] for word in ("success", "busy", "failure")
+        )
         node.front.turns_away = lambda: True
         client.ask(3)
         assert (await client.next())[1:3] == (3, 1) and figures(node)["calls.film.busy"] == 1
@@ -189,7 +204,11 @@
 @trial
 async def test_a_slow_reader_gets_all_it_asked_for_and_delays_no_other() -> None:
     part, asked = b"x" * 240_000, 30
-    async with running(config({"c0": await Cache(lambda _: ("served digest=aa,dated=1,remark=h", part)).start(), "r0": REFUSED})) as (node, client):
+    async with running(
+        config(
+            {"c0": await Cache(lambda _: ("served digest=aa,dated=1,remark=h", part)).start(), "r0": REFUSED}
+        )
+    ) as (node, client):
         node.director.router.stores["c0"].concurrency.limit = 64.0
         plain = socket.create_connection(("127.0.0.1", node.port))
         plain.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65_536)
--- a/tests/operations/test_keys.py
+++ b/tests/operations/test_keys.py
@@ -14,7 +14,12 @@
 
 REFUSED = "127.0.0.1:1"
 KEPT_MS, MOST = 10_000.0, 40
-STEPS = st.lists(st.tuples(st.sampled_from(["run", "never"]), st.sampled_from("ab"), st.integers(1, 4000), st.integers(0, 9)), max_size=30)
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(["run", "never"]), st.sampled_from("ab"), st.integers(1, 4000), st.integers(0, 9)
+    ),
+    max_size=30,
+)
 
 
 @given(STEPS)
@@ -72,15 +77,22 @@
     origin = Cache(lambda command: scripts.get(command[0], mute)(command))
     async with running(config({"c0": REFUSED, "r0": await origin.start()})) as (node, client):
         client.ask(1, c="sheet", k="aa", d="200")
-        assert (await client.next())[2] == 1 and node.director.keys.first("aa", node.clock.now()) == (0.0, "")  # never ran
+        assert (await client.next())[2] == 1 and node.director.keys.first("aa", node.clock.now()) == (
+            0.0,
+            "",
+        )  # never ran
         client.ask(2, c="sheet", k="aa", d="150")
         before = node.clock.now()
         assert (await client.next())[2] == 1
         client.ask(3, c="sheet", k="aa", d="150")
         assert (await client.next())[2] == 1
         at, store = node.director.keys.first("aa", node.clock.now())
-        assert store == "r0" and before <= at < node.clock.now() - 100.0  # of the second try, not of the third
+        assert (
+            store == "r0" and before <= at < node.clock.now() - 100.0
+        )  # of the second try, not of the third
         sent = len(origin.seen)
-        node.director.keys.take_over({"aa": [(node.clock.now() - 2000.0, "r0")]})  # as the process before it tells
+        node.director.keys.take_over(
+            {"aa": [(node.clock.now() - 2000.0, "r0")]}
+        )  # as the process before it tells
         client.ask(4, c="sheet", k="aa")
         assert (await client.next())[1:3] == (4, 1) and len(origin.seen) == sent
--- a/tests/operations/test_retune.py
+++ b/tests/operations/test_retune.py
@@ -44,8 +44,12 @@
       for path in ("classes.0.deadline_ms", "limits.max_attempts") for value in ("5000", None, True, 0, -1, [], float("nan"), float("inf"))),
     (changed("settings.limits.max_attempts", 2.5), "max_attempts"), (changed("settings.classes.1.name", "film"), r"classes\[1\].name"),
 ])  # fmt: skip
-def test_a_file_that_is_not_whole_or_has_a_figure_that_is_none_is_turned_down_in_one_line(data: bytes, says: str) -> None:
-    with pytest.raises(BadConfig, match=says if b"NaN" not in data and b"Infinity" not in data else "JSON|" + says) as caught:
+def test_a_file_that_is_not_whole_or_has_a_figure_that_is_none_is_turned_down_in_one_line(
+    data: bytes, says: str
+) -> None:
+    with pytest.raises(
+        BadConfig, match=says if b"NaN" not in data and b"Infinity" not in data else "JSON|" + says
+    ) as caught:
         read_config(data, json.dumps(WHOLE).encode())
     assert "\n" not in str(caught.value)
 
@@ -83,9 +87,20 @@
 
 def test_what_applies_and_what_takes_a_restart() -> None:
     used = settings_from_wire(settings())
-    told = settings_from_wire({**settings(max_attempts=2), "zone": "hub", "classes": [*settings()["classes"], {**settings()["classes"][0], "name": "new"}]})
+    told = settings_from_wire(
+        {
+            **settings(max_attempts=2),
+            "zone": "hub",
+            "classes": [*settings()["classes"], {**settings()["classes"][0], "name": "new"}],
+        }
+    )
     now, later = applied(used, told)
-    assert later == ["zone"] and now.zone == used.zone and now.max_attempts == 2 and set(now.classes) == {"film", "sheet", "new"}
+    assert (
+        later == ["zone"]
+        and now.zone == used.zone
+        and now.max_attempts == 2
+        and set(now.classes) == {"film", "sheet", "new"}
+    )
     back = between(now, used)
     assert set(back.classes) == {"film", "sheet", "new"} and back.max_attempts == min(2, used.max_attempts)
 
@@ -109,7 +124,10 @@
         node.reload(retuned(places, [{**film, "effect": "fragile"}, new], max_attempts=2))
         assert node.director.figures.classes.keys() == {"film", "sheet", "new"}
         open_ = next(iter(node.director.live.values()))
-        assert open_.spec.effect is Effect.SAFE and open_.most == node.director.router.pending[open_.request.id].most > 2
+        assert (
+            open_.spec.effect is Effect.SAFE
+            and open_.most == node.director.router.pending[open_.request.id].most > 2
+        )
         for stream, cls in enumerate(("new", "sheet", "film"), 2):
             client.ask(stream, c=cls, k="aa", o="0000000000000001", m="1")
             code = (await client.next())[2]
@@ -124,7 +142,10 @@
         moved.board = ("127.0.0.1", 2)  # both in one file
         node.reload(moved)
         assert node.config.board == ("127.0.0.1", 2)
-        assert node.director.settings.classes["film"].effect is Effect.UNSAFE and "new" in node.director.settings.classes
+        assert (
+            node.director.settings.classes["film"].effect is Effect.UNSAFE
+            and "new" in node.director.settings.classes
+        )
         await until(lambda: node.director.settings.classes.keys() == {"film"})
         assert node.director.settings.classes["film"].effect is Effect.SAFE
         client.ask(10, o="0000000000000001", m="1")
--- a/tests/operations/test_states.py
+++ b/tests/operations/test_states.py
@@ -10,7 +10,9 @@
 from gladelane.operations.figures import Figures
 from gladelane.operations.maintenance import Register
 
-STEPS = st.lists(st.tuples(st.sampled_from(["out", "back", "list"]), st.sampled_from("ab"), st.sampled_from(list(State))))
+STEPS = st.lists(
+    st.tuples(st.sampled_from(["out", "back", "list"]), st.sampled_from("ab"), st.sampled_from(list(State)))
+)
 
 
 @given(STEPS)
@@ -64,6 +66,16 @@
     figures.answered(None, 2)
     figures.know(["c"])
     lines = figures.lines(7, 2).splitlines()
-    assert lines[:4] == ["director.calls.a.success=1", "director.calls.a.busy=0", "director.calls.a.failure=1", "director.calls.b.success=0"]
-    assert {"director.hosts_listed=7", "director.hosts_down=2", "director.unusable=1", "director.calls.c.busy=0"} <= set(lines)
+    assert lines[:4] == [
+        "director.calls.a.success=1",
+        "director.calls.a.busy=0",
+        "director.calls.a.failure=1",
+        "director.calls.b.success=0",
+    ]
+    assert {
+        "director.hosts_listed=7",
+        "director.hosts_down=2",
+        "director.unusable=1",
+        "director.calls.c.busy=0",
+    } <= set(lines)
     assert all(line.partition("=")[2].isdecimal() for line in lines)
--- a/tests/ownership/test_leases.py
+++ b/tests/ownership/test_leases.py
@@ -37,11 +37,22 @@
     assert not one.ask(Ask("w", "a", 1, 2000.0), 2000.0)[0].ready
     grant, changed = one.ask(Ask("w", "a", 1, 2000.0), 4000.0)
     assert grant.granted and changed and grant.left_ms > 2000.0
-    told = [one.ask(Ask("w", holder, number, 2000.0), 4500.0)[0] for holder, number in (("b", 1), ("b", 2), ("a", 2))]
+    told = [
+        one.ask(Ask("w", holder, number, 2000.0), 4500.0)[0]
+        for holder, number in (("b", 1), ("b", 2), ("a", 2))
+    ]
     assert [(reply.granted, reply.highest, reply.holder) for reply in told] == [(False, 1, "a")] * 3
-    assert one.ask(Ask("w", "a", 1, 9000.0), 5000.0)[0].left_ms < 3010.0, "never for longer than the longest lease"
-    assert not one.ask(Ask("w", "b", 1, 2000.0), 9000.0)[0].granted and one.ask(Ask("w", "b", 2, 2000.0), 9000.0)[0].granted
-    assert not one.ask(Ask("w", "a", 1, release=True), 9000.0)[0].granted and one.running("w", 9000.0) is not None
+    assert (
+        one.ask(Ask("w", "a", 1, 9000.0), 5000.0)[0].left_ms < 3010.0
+    ), "never for longer than the longest lease"
+    assert (
+        not one.ask(Ask("w", "b", 1, 2000.0), 9000.0)[0].granted
+        and one.ask(Ask("w", "b", 2, 2000.0), 9000.0)[0].granted
+    )
+    assert (
+        not one.ask(Ask("w", "a", 1, release=True), 9000.0)[0].granted
+        and one.running("w", 9000.0) is not None
+    )
     one.ask(Ask("w", "b", 2, release=True), 9000.0)
     assert one.running("w", 9000.0) is None and one.ask(Ask("v", "b", 1, 2000.0), 9000.0)[0].granted
 
@@ -65,8 +76,14 @@
         ask = turn
 
 
-@given(st.integers(0, 2**32), st.integers(2, 5), st.lists(st.tuples(st.integers(0, 4), st.integers(0, 2)), max_size=60))
-def test_two_never_hold_at_once_whoever_is_deaf_to_whom(seed: int, candidates: int, events: list[tuple[int, int]]) -> None:
+@given(
+    st.integers(0, 2**32),
+    st.integers(2, 5),
+    st.lists(st.tuples(st.integers(0, 4), st.integers(0, 2)), max_size=60),
+)
+def test_two_never_hold_at_once_whoever_is_deaf_to_whom(
+    seed: int, candidates: int, events: list[tuple[int, int]]
+) -> None:
     rng = random.Random(seed)
     made, now = keepers(), 4000.0
     leases = [Lease("w", f"c{n}", 3, 1500.0, rng, now, n) for n in range(candidates)]
@@ -112,7 +129,14 @@
 
 def test_a_fence_refuses_lower_numbers_also_of_the_same_owner_and_after_a_start() -> None:
     fence = Fence({"w": 3})
-    assert [fence.admits("w", number) for number in (2, 3, 5, 3, 5, 4)] == [False, True, True, False, True, False]
+    assert [fence.admits("w", number) for number in (2, 3, 5, 3, 5, 4)] == [
+        False,
+        True,
+        True,
+        False,
+        True,
+        False,
+    ]
     assert fence.refused == 3 and fence.raises("w", 6) and not fence.raises("w", 5) and fence.admits("v", 1)
     assert not Fence(fence.numbers).admits("w", 4)
 
--- a/tests/purges/test_director.py
+++ b/tests/purges/test_director.py
@@ -27,7 +27,14 @@
 def operator(tmp: Path, *ports: int, **more: Any) -> Operator:
     tokens(tmp)
     feeds = [f"127.0.0.1:{port}" for port in ports]
-    text = {"feeds": feeds, "token_file": str(tmp / "tokens"), "strict": ["film"], "delay_ms": 2000, "start_wait_ms": 300, **more}
+    text = {
+        "feeds": feeds,
+        "token_file": str(tmp / "tokens"),
+        "strict": ["film"],
+        "delay_ms": 2000,
+        "start_wait_ms": 300,
+        **more,
+    }
     return read_operator(json.dumps({"purges": text}).encode())
 
 
@@ -63,7 +70,9 @@
                 await client.next()
                 began = time.time()
                 await send(one.port, "group:9 & parts:0-7")
-                await until(lambda: node.director.router.purges.newest("film", 9, 5, 3, node.clock.now()) > 0.0)
+                await until(
+                    lambda: node.director.router.purges.newest("film", 9, 5, 3, node.clock.now()) > 0.0
+                )
                 assert time.time() - began < 1.0
                 client.ask(3, o="1111111111111111", tag="9")
                 await client.next()
@@ -99,7 +108,9 @@
     await node.close()
 
 
-def test_cut_off_from_all_feeds_strict_classes_take_young_copies_only_within_a_limit_and_come_back(tmp_path: Path) -> None:
+def test_cut_off_from_all_feeds_strict_classes_take_young_copies_only_within_a_limit_and_come_back(
+    tmp_path: Path,
+) -> None:
     async def scene() -> None:
         cache = Cache(fresh)
         address = await cache.start()
@@ -110,7 +121,9 @@
                 client.ask(stream, o=f"{stream:016x}")
                 codes.append((await client.next())[2])
             served = codes.index(0) + 1
-            assert 1 <= codes.count(0) <= 3 and codes.count(0) + codes.count(1) == 8  # half a second's worth at most
+            assert (
+                1 <= codes.count(0) <= 3 and codes.count(0) + codes.count(1) == 8
+            )  # half a second's worth at most
             client.ask(10, o=f"{served:016x}")  # what was renewed is not counted again
             assert (await client.next())[2] == 0
             assert all(int(seen[1]["accept"]) <= 2000 for seen in cache.seen)
@@ -122,7 +135,11 @@
             cache.script = fresh
             client.ask(20, c="sheet", k="5c")  # not strict: goes on
             await client.next()
-            assert node.director.router.pending == {} and node.purges is not None and node.purges.renewal.refused >= 5
+            assert (
+                node.director.router.pending == {}
+                and node.purges is not None
+                and node.purges.renewal.refused >= 5
+            )
 
     asyncio.run(scene())
 
@@ -137,12 +154,16 @@
     link.update(100.0, 2101.0)
     assert link.link is Link.CUT_OFF and link.oldest_ms("film") == 2000.0 and link.oldest_ms("page") == 0.0
     link.update(5000.0, 5000.0)
-    assert link.link is Link.RETURNING and link.oldest_ms("film") == 0.0  # what is known binds; what is not is none
+    assert (
+        link.link is Link.RETURNING and link.oldest_ms("film") == 0.0
+    )  # what is known binds; what is not is none
     link.update(15_100.0, 5000.0 + LIFT_MS + 1.0)
     assert link.link is Link.FOLLOWS and lines == ["feeds", "cut", "feeds"]
 
 
-def test_what_a_director_stored_binds_again_before_any_feed_answers_and_it_asks_only_for_the_rest(tmp_path: Path) -> None:
+def test_what_a_director_stored_binds_again_before_any_feed_answers_and_it_asks_only_for_the_rest(
+    tmp_path: Path,
+) -> None:
     async def scene() -> None:
         disk, feed_disk = SimDisk(), SimDisk()
         index_of = Node(read_config(config({"r0": REFUSED})))
@@ -159,7 +180,9 @@
             holder._tasks[-1].cancel()  # no chance to store more: the process dies here
             left = disk.after_crash(Lost.ALL, False)
             again = Holder(options, type(index_of.director.router.purges)(), index_of.clock.now, left)
-            assert len(again.standing) == 300 and again.standing.index.newest("film", 0, 7, 0, index_of.clock.now())
+            assert len(again.standing) == 300 and again.standing.index.newest(
+                "film", 0, 7, 0, index_of.clock.now()
+            )
             told_: list[int] = []
             take = again.take
             again.followers[0]._take = lambda purges: (told_.append(len(purges)), take(purges))[1]
--- a/tests/purges/test_feed.py
+++ b/tests/purges/test_feed.py
@@ -22,7 +22,7 @@
 from gladelane.durable.files import Folder
 from gladelane.lab.simdisk import SimDisk
 from gladelane.purges import feed as feed_module
-from gladelane.purges.feed import Feed, OWN
+from gladelane.purges.feed import OWN, Feed
 from gladelane.purges.follow import Follower
 from gladelane.purges.http import Refused, fetch
 from gladelane.purges.order import Purge, Stamps
@@ -53,7 +53,9 @@
 
 async def send(port: int, scope: str, key: str = "", token: str = TOKEN, **tags: str) -> dict[str, Any]:
     body = json.dumps({"scope": scope, "tags": tags}).encode()
-    told: dict[str, Any] = json.loads(await fetch("127.0.0.1", port, "POST", "/purges", token, body, {"Idempotency-Key": key}))
+    told: dict[str, Any] = json.loads(
+        await fetch("127.0.0.1", port, "POST", "/purges", token, body, {"Idempotency-Key": key})
+    )
     return told
 
 
@@ -99,8 +101,17 @@
                 await send(one.port, "group:4", "k1")
             assert refused.value.status == 409
             status = json.loads(await fetch("127.0.0.1", one.port, "GET", "/status", TOKEN))
-            assert status["standing"] == 2 and status["followers"] == 1 and status["takes"] and not status["gaps"]
-            why = json.loads(await fetch("127.0.0.1", one.port, "GET", "/explain?object=7f00000000000000&class=page", TOKEN))
+            assert (
+                status["standing"] == 2
+                and status["followers"] == 1
+                and status["takes"]
+                and not status["gaps"]
+            )
+            why = json.loads(
+                await fetch(
+                    "127.0.0.1", one.port, "GET", "/explain?object=7f00000000000000&class=page", TOKEN
+                )
+            )
             assert [purge[2] for purge in why] == [1]
             await watcher.close()
 
@@ -215,7 +226,9 @@
     run(scene())
 
 
-def test_a_backlog_of_many_reaches_a_late_follower_and_one_slower_than_the_feed_loses_none(tmp_path: Path) -> None:
+def test_a_backlog_of_many_reaches_a_late_follower_and_one_slower_than_the_feed_loses_none(
+    tmp_path: Path,
+) -> None:
     async def scene() -> None:
         disk = SimDisk()
         stamps = Stamps("a", (), 0.0, time.time() * 1000.0)
@@ -228,7 +241,9 @@
             patch.setattr(feed_module, "UNSENT_BYTES", 1000)
             async with feed(tmp_path, disk=disk) as one:
                 reader, writer = await asyncio.open_connection("127.0.0.1", one.port, limit=2**12)
-                writer.write(f"GET /follow?from= HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {TOKEN}\r\n\r\n".encode())
+                writer.write(
+                    f"GET /follow?from= HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {TOKEN}\r\n\r\n".encode()
+                )
                 await until(lambda: one.followers == 1)  # and reads nothing more for now
                 watcher = Watcher(one.port)
                 await until(lambda: len(watcher.standing) == 50_000, 60.0)
@@ -239,7 +254,7 @@
                 while len(seen) < 50_120:
                     line = await asyncio.wait_for(read_event(reader), 10.0)
                     if b'"purges"' in line:
-                        seen |= {(p[0], p[1], p[2]) for p in json.loads(line[line.index(b"{"):])["purges"]}
+                        seen |= {(p[0], p[1], p[2]) for p in json.loads(line[line.index(b"{") :])["purges"]}
                 writer.close()
                 await watcher.close()
 
@@ -315,7 +330,13 @@
     async def scene() -> None:
         disk = SimDisk()
         async with feed(tmp_path, disk=disk) as one:
-            one._told([Purge("x", 1, 1, 1e12, "rubbish"), Purge("", 1, 1, 1e12, "all"), Purge("x", 1, 2, 1e12, "group:1")])
+            one._told(
+                [
+                    Purge("x", 1, 1, 1e12, "rubbish"),
+                    Purge("", 1, 1, 1e12, "all"),
+                    Purge("x", 1, 2, 1e12, "group:1"),
+                ]
+            )
             await until(lambda: one.standing.positions.taken("x", 1, 2))
         records = feed_module.recover(disk)[1].records
         assert [msgspec.msgpack.decode(r, type=Purge).seq for r in records if not r.startswith(OWN)] == [2]
--- a/tests/purges/test_hard_cases.py
+++ b/tests/purges/test_hard_cases.py
@@ -41,7 +41,9 @@
     origin = Shelf()
     hub = Shelf({"r0": origin}, 0.01)
     cache = Shelf({"p0": hub, "r0": origin}, 0.3)
-    cache.eager = True  # the director asks for no joining once it knows of the purge: caches may join all the same
+    cache.eager = (
+        True  # the director asks for no joining once it knows of the purge: caches may join all the same
+    )
     thing = "7f3a9c21e0b4d655"
     shelves = {"c0": cache, "p0": hub, "r0": origin}
     standins = {name: Standin(name, shelf.answer) for name, shelf in shelves.items()}
@@ -57,7 +59,9 @@
         await asyncio.sleep(0.05)
         other.ask(2, d="3000")  # joins that fill
         answers = [await client.next(), await other.next()]
-        assert answers[0][2] == 0 and float(answers[0][4][1:]) < purged  # it was sent before the purge was told
+        assert (
+            answers[0][2] == 0 and float(answers[0][4][1:]) < purged
+        )  # it was sent before the purge was told
         assert cache.joins >= 1 and Status.ERROR in {o[2] for o in outcomes(events)}
         assert answers[1][2] != 0 or float(answers[1][4][1:]) >= purged - 5.0
         other.ask(3, d="3000")
@@ -88,7 +92,9 @@
 
 
 @trial
-async def test_orders_that_get_lost_are_sent_again_and_a_server_that_came_back_gets_all_before_it_counts() -> None:
+async def test_orders_that_get_lost_are_sent_again_and_a_server_that_came_back_gets_all_before_it_counts() -> (
+    None
+):
     standin, dropped = Standin("c0"), []
     standin.drop = dropped.append
     address = await standin.listen(Family.V4)
@@ -115,13 +121,18 @@
     await standin.close()
 
 
-def test_a_feed_that_dies_at_any_write_keeps_all_that_it_answered_and_gives_no_number_twice(tmp_path: Path) -> None:
+def test_a_feed_that_dies_at_any_write_keeps_all_that_it_answered_and_gives_no_number_twice(
+    tmp_path: Path,
+) -> None:
     """Every operation on its disk in turn, each with every fate of what was not synced."""
 
     async def life(disk: SimDisk, answered: dict[str, Purge]) -> None:
         feed = Feed("a", disk, tokens(tmp_path), clock=lambda: 1e12, first=True)
         for turn in range(6):
-            waiting = [_Waiting(f"group:{turn}", f"k{turn}-{n}", asyncio.get_running_loop().create_future()) for n in range(2)]
+            waiting = [
+                _Waiting(f"group:{turn}", f"k{turn}-{n}", asyncio.get_running_loop().create_future())
+                for n in range(2)
+            ]
             await feed._commit(waiting)
             for one in waiting:
                 assert one.done is not None
@@ -161,7 +172,11 @@
     )  # fmt: skip
     cert, private = folder / "cert.pem", folder / "key.pem"
     cert.write_bytes(made.public_bytes(serialization.Encoding.PEM))
-    private.write_bytes(key.private_bytes(serialization.Encoding.PEM, serialization.PrivateFormat.PKCS8, serialization.NoEncryption()))
+    private.write_bytes(
+        key.private_bytes(
+            serialization.Encoding.PEM, serialization.PrivateFormat.PKCS8, serialization.NoEncryption()
+        )
+    )
     return cert, private
 
 
@@ -183,9 +198,13 @@
     asyncio.run(scene())
 
 
-def test_a_director_that_dies_at_any_write_knows_of_no_purge_less_than_its_position_says(tmp_path: Path) -> None:
+def test_a_director_that_dies_at_any_write_knows_of_no_purge_less_than_its_position_says(
+    tmp_path: Path,
+) -> None:
     """A position past a purge that was not stored would never ask for it again."""
-    options = Options((("127.0.0.1", 1),), str(tmp_path / "tokens"), "", 1e9, 0.0, 3000.0, frozenset(), 1.0, 1.0)
+    options = Options(
+        (("127.0.0.1", 1),), str(tmp_path / "tokens"), "", 1e9, 0.0, 3000.0, frozenset(), 1.0, 1.0
+    )
     tokens(tmp_path)
 
     async def life(disk: SimDisk, stored: list[int]) -> None:
--- a/tests/purges/test_horizon.py
+++ b/tests/purges/test_horizon.py
@@ -18,7 +18,19 @@
 from gladelane.lab.modelcheck import Violation, search
 from gladelane.lab.simdisk import SimDisk
 from gladelane.purges.feed import Feed
-from gladelane.purges.horizon import SEEN, Folder, Foreign, Horizon, Loss, Mark, Peer, behind, check, judged, vouched_by
+from gladelane.purges.horizon import (
+    SEEN,
+    Folder,
+    Foreign,
+    Horizon,
+    Loss,
+    Mark,
+    Peer,
+    behind,
+    check,
+    judged,
+    vouched_by,
+)
 from gladelane.purges.http import Refused, fetch
 from gladelane.purges.index import Index
 from gladelane.purges.markfile import BadMark, MarkFile
@@ -41,9 +53,13 @@
 
 
 @given(LOSSES, LOSSES, LOSSES)
-def test_losses_join_in_any_order_any_number_of_times_and_only_fall(one: list[Loss], two: list[Loss], three: list[Loss]) -> None:
+def test_losses_join_in_any_order_any_number_of_times_and_only_fall(
+    one: list[Loss], two: list[Loss], three: list[Loss]
+) -> None:
     whole = held(one, two, three)
-    assert whole.losses() == held(three, one, two, one).losses() == held(held(two, one).losses(), three).losses()
+    assert (
+        whole.losses() == held(three, one, two, one).losses() == held(held(two, one).losses(), three).losses()
+    )
     assert whole.moment(1e9, 1e12) == max((loss.since_ms for loss in whole.losses()), default=0.0)
     for loss in (*one, *two, *three):
         kept = next(x for x in whole.losses() if (x.issuer, x.epoch) == (loss.issuer, loss.epoch))
@@ -67,23 +83,38 @@
     assert ahead.moment(1000.0, 1e12) == 61_000.0
     horizon.forget(1e9, 1000.0)
     assert not len(horizon)
-    for bad in (Loss("", 1, 1.0, 1.0), Loss("a", 0, 1.0, 1.0), Loss("a", 1, 1.0, 2.0), Loss("a", 1, 1.0, -1.0)):
+    for bad in (
+        Loss("", 1, 1.0, 1.0),
+        Loss("a", 0, 1.0, 1.0),
+        Loss("a", 1, 1.0, 2.0),
+        Loss("a", 1, 1.0, -1.0),
+    ):
         with pytest.raises(BadPurge):
             check(bad)
 
 
-@pytest.mark.parametrize(("folder", "mark", "first", "lost"), [
-    (Folder("", 0, {}, True), None, True, ""),
-    (Folder("", 0, {}, True), None, False, "nobody said"),
-    (Folder("", 0, {}, True), Mark("a", 5, 0), True, "the mark is not"),  # a first start that was said for good
-    (Folder("a", 5, {("a", 5): 3}, False), Mark("a", 5, 3), False, ""),
-    (Folder("a", 5, {("a", 5): 4}, False), Mark("a", 5, 3), False, ""),  # stored, and not answered
-    (Folder("a", 5, {("a", 5): 2}, False), Mark("a", 5, 3), False, "purge 2, the mark 5 and 3"),
-    (Folder("a", 4, {("a", 4): 2}, False), Mark("a", 5, 0), False, "start 4"),
-    (Folder("a", 5, {}, False), None, False, ""),
-    (Folder("", 0, {("a", 3): 9}, False), None, False, ""),  # of a version that wrote no starts
-])
-def test_what_a_start_makes_of_its_folder_and_its_mark(folder: Folder, mark: Mark | None, first: bool, lost: str) -> None:
+@pytest.mark.parametrize(
+    ("folder", "mark", "first", "lost"),
+    [
+        (Folder("", 0, {}, True), None, True, ""),
+        (Folder("", 0, {}, True), None, False, "nobody said"),
+        (
+            Folder("", 0, {}, True),
+            Mark("a", 5, 0),
+            True,
+            "the mark is not",
+        ),  # a first start that was said for good
+        (Folder("a", 5, {("a", 5): 3}, False), Mark("a", 5, 3), False, ""),
+        (Folder("a", 5, {("a", 5): 4}, False), Mark("a", 5, 3), False, ""),  # stored, and not answered
+        (Folder("a", 5, {("a", 5): 2}, False), Mark("a", 5, 3), False, "purge 2, the mark 5 and 3"),
+        (Folder("a", 4, {("a", 4): 2}, False), Mark("a", 5, 0), False, "start 4"),
+        (Folder("a", 5, {}, False), None, False, ""),
+        (Folder("", 0, {("a", 3): 9}, False), None, False, ""),  # of a version that wrote no starts
+    ],
+)
+def test_what_a_start_makes_of_its_folder_and_its_mark(
+    folder: Folder, mark: Mark | None, first: bool, lost: str
+) -> None:
     why = judged("a", folder, mark, first)
     assert lost in why and bool(why) == bool(lost)
 
@@ -106,14 +137,21 @@
     had = {("a", 1): 5, ("b", 2): 1}
     assert not behind("a", 9, had, [(("a", 1), 5), (("a", 9), 3), (("b", 2), 8)])
     assert "purge 1:6" in behind("a", 9, had, [(("a", 1), 6)]) and behind("a", 9, had, [(("a", 3), 1)])
-    assert not behind("a", 9, had, [(("a", 1), 6)], 2) and behind("a", 9, had, [(("a", 2), 6)], 2)  # said already
+    assert not behind("a", 9, had, [(("a", 1), 6)], 2) and behind(
+        "a", 9, had, [(("a", 2), 6)], 2
+    )  # said already
 
 
 def test_peers_vouch_only_where_none_of_them_can_lack_an_answered_purge() -> None:
     whole = Peer(True, "b", 2, False)
     assert vouched_by(2, {"x": whole, "y": whole._replace(name="c")}) == "peers b,c"
-    for peers in ({}, {"x": whole._replace(told_all=False)}, {"x": whole._replace(losing=True)},
-                  {"x": whole._replace(copies=1)}, {"x": whole, "y": whole._replace(losing=True)}):
+    for peers in (
+        {},
+        {"x": whole._replace(told_all=False)},
+        {"x": whole._replace(losing=True)},
+        {"x": whole._replace(copies=1)},
+        {"x": whole, "y": whole._replace(losing=True)},
+    ):
         assert not vouched_by(2, peers)
     assert not vouched_by(1, {"x": whole})
 
@@ -158,14 +196,18 @@
             with pytest.raises(Refused, match="no loss is open"):
                 await fetch("127.0.0.1", again.port, "POST", "/vouch", TOKEN, body)
         async with feed(tmp_path, disk=disk, first=False) as last:
-            assert last.standing.horizon.open() == [] and last.standing.horizon.losses()[0].by.endswith("sent again")
+            assert last.standing.horizon.open() == [] and last.standing.horizon.losses()[0].by.endswith(
+                "sent again"
+            )
             told: dict[str, Any] = json.loads(await fetch("127.0.0.1", last.port, "GET", "/status", TOKEN))
             assert told["horizon_ms"] == 0 and len(told["losses"]) == 1
 
     run(scene())
 
 
-def test_a_purge_is_answered_once_another_feed_has_it_and_one_that_lost_its_disk_is_made_whole_by_it(tmp_path: Path) -> None:
+def test_a_purge_is_answered_once_another_feed_has_it_and_one_that_lost_its_disk_is_made_whole_by_it(
+    tmp_path: Path,
+) -> None:
     async def scene() -> None:
         async with feed(tmp_path, "a", copies=2) as a, feed(tmp_path, "b", copies=2) as b:
             a.follow("127.0.0.1", b.port)
--- a/tests/purges/test_order.py
+++ b/tests/purges/test_order.py
@@ -76,7 +76,10 @@
     back = Stamps("a", [("a", first.epoch)], NOW, NOW - 60_000.0)  # its clock stepped back too
     late = back.next("group:3", NOW - 60_000.0)
     assert back.epoch > first.epoch and late.at_ms >= NOW
-    assert follower.take(late, NOW) and follower.positions.vector() == {("a", first.epoch): 5, ("a", back.epoch): 1}
+    assert follower.take(late, NOW) and follower.positions.vector() == {
+        ("a", first.epoch): 5,
+        ("a", back.epoch): 1,
+    }
     assert follower.index.newest("page", 4, 0x7F << 56, 0, NOW) == NOW + SKEW_MS
     other = Standing()
     other.take(late, NOW)
--- a/tests/purges/test_orders.py
+++ b/tests/purges/test_orders.py
@@ -13,7 +13,14 @@
     return [Purge("a", 1, n, 1.0, "group:1") for n in range(first, first + count)]
 
 
-@given(st.lists(st.tuples(st.sampled_from(["add", "ack", "fail", "restart", "leave", "time", "compact"]), st.integers(0, 2)), max_size=40))
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(["add", "ack", "fail", "restart", "leave", "time", "compact"]), st.integers(0, 2)
+        ),
+        max_size=40,
+    )
+)
 def test_each_run_of_each_server_gets_all_in_order_and_bounds_hold(moves: list[tuple[str, int]]) -> None:
     orders, now, total = Orders(100.0, 2, 0.0), 0.0, 0
     runs = {f"s{n}": 1.0 for n in range(3)}
@@ -54,7 +61,9 @@
         out = []
     for name, run in runs.items():
         # a server that left and came back as it was may get some again: that does no harm
-        assert orders.purged(name) and list(dict.fromkeys(got.get((name, run), []))) == list(range(1, total + 1))
+        assert orders.purged(name) and list(dict.fromkeys(got.get((name, run), []))) == list(
+            range(1, total + 1)
+        )
     assert orders.owed() == 0
 
 
--- a/tests/purges/test_scope_index.py
+++ b/tests/purges/test_scope_index.py
@@ -130,11 +130,16 @@
     assert at == high + 1 and len(pieces) <= 62
 
 
-PURGES = st.lists(st.tuples(boxes(), st.sampled_from([10.0, 20.0, 30.0]), st.sampled_from([50.0, 60.0, float("inf")])), max_size=12)
+PURGES = st.lists(
+    st.tuples(boxes(), st.sampled_from([10.0, 20.0, 30.0]), st.sampled_from([50.0, 60.0, float("inf")])),
+    max_size=12,
+)
 
 
 @given(PURGES, st.randoms(use_true_random=False))
-def test_the_index_says_what_a_scan_says_in_every_order_and_forgets_what_ended(purges: Any, rng: random.Random) -> None:
+def test_the_index_says_what_a_scan_says_in_every_order_and_forgets_what_ended(
+    purges: Any, rng: random.Random
+) -> None:
     index, other = Index(), Index()
     shuffled = purges[:]
     rng.shuffle(shuffled)
@@ -145,12 +150,18 @@
         for request in REQUESTS:
             scan = max((at for box, at, until in purges if until > now and box.covers(*request)), default=0.0)
             cls, group, object_, part = request
-            assert index.newest(cls, group, object_, part, now) == other.newest(cls, group, object_, part, now) == scan
+            assert (
+                index.newest(cls, group, object_, part, now)
+                == other.newest(cls, group, object_, part, now)
+                == scan
+            )
         while index.expire(now):
             pass
         for request in REQUESTS:
             cls, group, object_, part = request
-            assert index.newest(cls, group, object_, part, now) == other.newest(cls, group, object_, part, now)
+            assert index.newest(cls, group, object_, part, now) == other.newest(
+                cls, group, object_, part, now
+            )
     if all(until < 60.1 for _, _, until in purges):
         assert not len(index) and not index._shapes and not index._due
 
--- a/tests/recovery/test_recovery.py
+++ b/tests/recovery/test_recovery.py
@@ -20,7 +20,7 @@
 from gladelane.lab.simdisk import SimDisk
 from gladelane.purges.order import Purge
 from gladelane.purges.wire import batches
-from gladelane.recovery.keeper import KEY_FILES, KeyBook, Keeper
+from gladelane.recovery.keeper import KEY_FILES, Keeper, KeyBook
 from gladelane.recovery.phases import Phase, Phases, Reason, Seen
 from gladelane.recovery.renewal import QUIET_MS, Cause, Renewal
 from gladelane.recovery.reseed import Reseed
@@ -33,7 +33,9 @@
 # --- renewals
 
 
-def asked(budget: Renewal, at: float, per_s: int, late: float = 0.0, found: bool = False, worth: float = 1.0) -> int:
+def asked(
+    budget: Renewal, at: float, per_s: int, late: float = 0.0, found: bool = False, worth: float = 1.0
+) -> int:
     """One second of new things; how many were let through. late: the part that comes too late."""
     admitted = 0
     for n in range(per_s):
@@ -64,7 +66,10 @@
     budget = Renewal(20.0, 0.0, 0.0, random.Random(2))
     budget.begin(Cause.BACK, 0.0)
     rates = [asked(budget, second * 1000.0, 2000) for second in range(6)]
-    assert all(later > sooner for sooner, later in zip(rates, rates[1:], strict=False)) and rates[-1] > 5 * rates[0]
+    assert (
+        all(later > sooner for sooner, later in zip(rates, rates[1:], strict=False))
+        and rates[-1] > 5 * rates[0]
+    )
     was = budget.rate
     asked(budget, 6000.0, 2000, late=0.5)
     asked(budget, 7000.0, 2000, late=0.5)
@@ -113,8 +118,13 @@
     assert not budget.quiet(QUIET_MS - 1.0) and budget.quiet(QUIET_MS) and budget.idle(1000.0)
 
 
-@given(st.lists(st.tuples(st.integers(0, 5), st.floats(0.0, 400.0), st.booleans()), max_size=60), st.integers(0, 99))
-def test_over_any_stretch_no_more_is_let_through_than_the_rates_and_a_burst(steps: list[tuple[int, float, bool]], seed: int) -> None:
+@given(
+    st.lists(st.tuples(st.integers(0, 5), st.floats(0.0, 400.0), st.booleans()), max_size=60),
+    st.integers(0, 99),
+)
+def test_over_any_stretch_no_more_is_let_through_than_the_rates_and_a_burst(
+    steps: list[tuple[int, float, bool]], seed: int
+) -> None:
     budget = Renewal(10.0, 10.0, 0.0, random.Random(seed))
     budget.begin(Cause.CUT_OFF, 0.0)
     now, paid = 0.0, 0
@@ -137,19 +147,29 @@
     phases = Phases(0.0)
     told: list[tuple[Phase, Reason]] = []
     script = [
-        (0.0, WELL._replace(listens=False)), (500.0, WELL._replace(caught_up=False, follows=False)),
-        (1000.0, WELL._replace(follows=False)), (1500.0, WELL._replace(renewing=True)),
-        (2000.0, WELL._replace(asked=100.0, earned=50.0)), (2500.0, WELL._replace(asked=200.0, earned=145.0)),
-        (5000.0, WELL._replace(asked=300.0, earned=245.0)), (5100.0, WELL._replace(asked=400.0, earned=345.0)),
+        (0.0, WELL._replace(listens=False)),
+        (500.0, WELL._replace(caught_up=False, follows=False)),
+        (1000.0, WELL._replace(follows=False)),
+        (1500.0, WELL._replace(renewing=True)),
+        (2000.0, WELL._replace(asked=100.0, earned=50.0)),
+        (2500.0, WELL._replace(asked=200.0, earned=145.0)),
+        (5000.0, WELL._replace(asked=300.0, earned=245.0)),
+        (5100.0, WELL._replace(asked=400.0, earned=345.0)),
         (7000.0, WELL._replace(asked=500.0, earned=445.0)),
     ]
     for at, seen in script:
         phases.update(seen, at)
         told.append((phases.phase, phases.reason))
     assert told == [
-        (Phase.STARTING, Reason.NO_CLIENTS_YET), (Phase.CATCHING_UP, Reason.NO_FEED), (Phase.RAMPING, Reason.CUT_OFF),
-        (Phase.RAMPING, Reason.RENEWING), (Phase.RAMPING, Reason.SERVED), (Phase.RAMPING, Reason.SERVED),
-        (Phase.RAMPING, Reason.TOO_YOUNG), (Phase.RAMPING, Reason.TOO_YOUNG), (Phase.FULL, Reason.NONE),
+        (Phase.STARTING, Reason.NO_CLIENTS_YET),
+        (Phase.CATCHING_UP, Reason.NO_FEED),
+        (Phase.RAMPING, Reason.CUT_OFF),
+        (Phase.RAMPING, Reason.RENEWING),
+        (Phase.RAMPING, Reason.SERVED),
+        (Phase.RAMPING, Reason.SERVED),
+        (Phase.RAMPING, Reason.TOO_YOUNG),
+        (Phase.RAMPING, Reason.TOO_YOUNG),
+        (Phase.FULL, Reason.NONE),
     ]
     assert phases.back_ms == 7000.0
     assert not phases.update(WELL._replace(asked=600.0, earned=535.0), 7500.0)  # 0.9 for a moment: still full
@@ -204,7 +224,11 @@
     assert not apply(fresh, document(old), 2500.0)
     assert fresh.objects.keys() == old.objects.keys() and all(o.admitted for o in fresh.objects.values())
     assert fresh.stores["c0"].concurrency.limit == 9.0 and fresh.stores["c0"].down_until == 5000.0
-    assert fresh.retries == 15.0 and not fresh.pending and all(s.concurrency.out == 0 for s in fresh.stores.values())
+    assert (
+        fresh.retries == 15.0
+        and not fresh.pending
+        and all(s.concurrency.out == 0 for s in fresh.stores.values())
+    )
     assert old.retries == 30.0 and old.stores["c0"].concurrency.out > 0  # looking takes nothing away
 
 
@@ -220,7 +244,9 @@
         assert all(o.count < 9.0 * 0.51 for o in learnt.objects)
 
 
-def test_a_kept_folder_survives_a_kill_and_a_torn_or_foreign_one_is_passed_over(tmp_path: Path, caplog: pytest.LogCaptureFixture) -> None:
+def test_a_kept_folder_survives_a_kill_and_a_torn_or_foreign_one_is_passed_over(
+    tmp_path: Path, caplog: pytest.LogCaptureFixture
+) -> None:
     now = [2000.0]
 
     def keeper(router: Router, name: str = "n0") -> Keeper:
@@ -252,7 +278,9 @@
     torn.take_over(KeyWindows(KEPT_MS, 100))
     asyncio.run(torn.write())
     torn.close()
-    assert not torn.took and "set aside as" in caplog.text and (tmp_path / "warm" / "learnt.damaged-1").is_dir()
+    assert (
+        not torn.took and "set aside as" in caplog.text and (tmp_path / "warm" / "learnt.damaged-1").is_dir()
+    )
 
 
 def test_keys_are_stored_before_they_are_tried_and_two_files_take_turns(tmp_path: Path) -> None:
@@ -272,7 +300,10 @@
     full.write("half", 60_002.0, "root")
     disk.room = 10_000
     full.write("later", 60_003.0, "root")
-    assert "later" in KeyBook(disk.copy(), 60_004.0, KEPT_MS).found and "half" not in KeyBook(disk.copy(), 60_004.0, KEPT_MS).found
+    assert (
+        "later" in KeyBook(disk.copy(), 60_004.0, KEPT_MS).found
+        and "half" not in KeyBook(disk.copy(), 60_004.0, KEPT_MS).found
+    )
     book_on_disk = KeyBook(Folder(tmp_path / "keys"), 1000.0, KEPT_MS)
     book_on_disk.write("k", 1001.0, "root")
 
@@ -287,7 +318,9 @@
         reseed = Reseed(random.Random(seed))
         due = [at for at in range(0, 12_000, 100) if reseed.due(known, told, at + 1.0)]
         moments.append(due[0])
-        assert 700 <= due[0] <= 2600 and all(later - sooner >= 3600 for sooner, later in zip(due, due[1:], strict=False))
+        assert 700 <= due[0] <= 2600 and all(
+            later - sooner >= 3600 for sooner, later in zip(due, due[1:], strict=False)
+        )
     assert len(set(moments)) > 8
     reseed = Reseed(random.Random(1))
     assert not reseed.due(known, told, 1.0) and not reseed.due(known, known, 5000.0)  # another had told it
--- a/tests/test_failure.py
+++ b/tests/test_failure.py
@@ -7,8 +7,20 @@
 from conftest import Driver, members, only, some
 
 from gladelane.choice import LINGERING, SENT_TABLE, TABLE
+from gladelane.interface import (
+    Fetch,
+    ListKind,
+    Lookup,
+    Member,
+    Note,
+    Outcome,
+    Purge,
+    Refuse,
+    SetTimer,
+    Status,
+    Timer,
+)
 from gladelane.routes.concurrency import LIMIT_LEAST
-from gladelane.interface import Fetch, ListKind, Lookup, Member, Note, Outcome, Purge, Refuse, SetTimer, Status, Timer
 
 
 def late(d: Driver, fetch: Fetch, note: Note = Note.HIT, wait: float = 0.0) -> None:
@@ -323,7 +335,9 @@
     fetch = d.serve()
     asked = open_fetches(d, 8)
     again = [only(d.answer(f, Status.RESET, Note.UNTOLD, after=0.0), Fetch) for f in asked]
-    assert [(f.store, f.source) for f in again] == [(f.store, f.source) for f in asked]  # the source did nothing
+    assert [(f.store, f.source) for f in again] == [
+        (f.store, f.source) for f in asked
+    ]  # the source did nothing
     d.now += 1000.0  # the same from one that has not answered for long
     for f in again:
         d.answer(f, Status.RESET, Note.UNTOLD, after=0.0)
--- a/tests/test_interface.py
+++ b/tests/test_interface.py
@@ -10,7 +10,9 @@
 ROOT = Path(__file__).parent.parent
 
 
-@pytest.mark.parametrize("key", ["me", "zone", "origin_kind", "max_attempts", "cold_from", "fall_ms", "classes"])
+@pytest.mark.parametrize(
+    "key", ["me", "zone", "origin_kind", "max_attempts", "cold_from", "fall_ms", "classes"]
+)
 def test_a_missing_key_is_named(key: str) -> None:
     with pytest.raises(ValueError, match=key):
         Settings.read({k: v for k, v in PLAIN.items() if k != key})
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -15,14 +15,18 @@
 LINE = "tests/test_x.py::test_a | a cause | 9\n"
 
 
-@pytest.mark.parametrize("text", [LINE * 4, "tests/test_x.py::test_a | a cause\n", "tests/test_x.py::test_a |  | 9\n"])
+@pytest.mark.parametrize(
+    "text", [LINE * 4, "tests/test_x.py::test_a | a cause\n", "tests/test_x.py::test_a |  | 9\n"]
+)
 def test_a_list_that_is_too_long_or_says_too_little_is_refused(tmp_path: Path, text: str) -> None:
     (tmp_path / "list").write_text(text)
     with pytest.raises(ValueError, match="list: "):
         known_red.read(tmp_path / "list")
 
 
-def test_what_is_known_is_printed_and_no_list_is_an_empty_one(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+def test_what_is_known_is_printed_and_no_list_is_an_empty_one(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
     (tmp_path / "list").write_text(LINE * 2)
     assert known_red.read(tmp_path / "list") == ["tests/test_x.py::test_a"] * 2
     assert capsys.readouterr().out.count("known to fail: tests/test_x.py::test_a | a cause | 9") == 2
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -75,7 +75,12 @@
         d.answer(only(d.ask(object=5), Fetch), note=note)
         gained[note] = d.router.objects[5].utility
     base = gained[Note.UNTOLD]
-    assert gained == {Note.HIT: 100 * base, Note.PARENT_HELD: 10 * base, Note.FROM_ORIGIN: base, Note.UNTOLD: base}
+    assert gained == {
+        Note.HIT: 100 * base,
+        Note.PARENT_HELD: 10 * base,
+        Note.FROM_ORIGIN: base,
+        Note.UNTOLD: base,
+    }
     assert base == 2.0  # the class's worth times one counted request
 
 
@@ -113,7 +118,9 @@
     driver = Driver(straight=True, classes=[*others, {**sale, "deadline_ms": deadline}])
     tries, actions = 1, driver.ask("sale", part=0)
     while lookups := [a for a in actions if isinstance(a, Lookup)]:
-        waits = [a for a in driver.answer(lookups[0], Status.FULL, Note.UNTOLD, 5.0) if isinstance(a, SetTimer)]
+        waits = [
+            a for a in driver.answer(lookups[0], Status.FULL, Note.UNTOLD, 5.0) if isinstance(a, SetTimer)
+        ]
         if not waits:
             break
         assert waits[0].due_ms - driver.now == pytest.approx(deadline / 30 * tries)
--- a/tests/test_net_parsers.py
+++ b/tests/test_net_parsers.py
@@ -15,8 +15,16 @@
 from gladelane.net.config import BadConfig, host_port, read_config
 from gladelane.net.ends import STATUS, End
 from gladelane.net.exchange import Code, Final
-from gladelane.net.frames import BadRequest, FrameDecoder, FramingLost, decode_fields, decode_request
-from gladelane.net.frames import encode_answer, encode_fields, encode_frame
+from gladelane.net.frames import (
+    BadRequest,
+    FrameDecoder,
+    FramingLost,
+    decode_fields,
+    decode_request,
+    encode_answer,
+    encode_fields,
+    encode_frame,
+)
 from gladelane.net.lines import Garbled, ReplyDecoder, encode_fetch
 from gladelane.settings_wire import settings_from_wire
 from gladelane.sse import EventStream
@@ -51,7 +59,9 @@
         decode_fields(payload)
 
 
-@given(st.dictionaries(st.text(min_size=1, max_size=9), st.text(max_size=99), max_size=9), st.binary(max_size=9))
+@given(
+    st.dictionaries(st.text(min_size=1, max_size=9), st.text(max_size=99), max_size=9), st.binary(max_size=9)
+)
 def test_fields_come_back_as_they_were(fields: dict[str, str], body: bytes) -> None:
     assert decode_fields(encode_fields(fields) + body) == (fields, body)
 
@@ -69,7 +79,9 @@
 
 
 def test_a_request_is_taken_as_worded() -> None:
-    ask = decode_request(encode_fields({**GOOD, "o": "7F3a9c21e0b4d655", "k": "5c0f", "known": "4be0"}) + b"x", SETTINGS)
+    ask = decode_request(
+        encode_fields({**GOOD, "o": "7F3a9c21e0b4d655", "k": "5c0f", "known": "4be0"}) + b"x", SETTINGS
+    )
     assert (ask.id, ask.object, ask.part, ask.group) == (GOOD["i"], "7F3a9c21e0b4d655", 3, 17)
     assert (ask.key, ask.known, ask.body, ask.wait_ms, ask.size_kb) == ("5c0f", "4be0", b"x", 1500.0, 0.0)
 
@@ -86,7 +98,10 @@
 
 
 LINES = [
-    (b"a1 served digest=x,dated=5,remark=f,first=12.5 3\r\nab\n\r\n", ("a1", End.SERVED, Note.PARENT_HELD, 12.5, b"ab\n", 5.0)),
+    (
+        b"a1 served digest=x,dated=5,remark=f,first=12.5 3\r\nab\n\r\n",
+        ("a1", End.SERVED, Note.PARENT_HELD, 12.5, b"ab\n", 5.0),
+    ),
     (b"a1 still_good digest=x,remark=h 0\r\n\r\n", ("a1", End.STILL_GOOD, Note.HIT, 0.0, b"", 0.0)),
     (b"a1 not_here - 0\r\n\r\n", ("a1", End.NOT_HERE, Note.UNTOLD, 0.0, b"", 0.0)),
     (b"a1 not_here remark=j 0\r\n\r\n", ("a1", End.NOT_HERE, Note.JOINED, 0.0, b"", 0.0)),
@@ -158,4 +173,8 @@
 
 def test_the_example_configuration_is_a_good_one() -> None:
     told = read_config((Path(__file__).parent.parent / "example" / "config.json").read_bytes())
-    assert [i.instance_id for n in told.known.notices if n.pool for i in n.pool.instances] == ["cache-1", "depot-1", "bank"]
+    assert [i.instance_id for n in told.known.notices if n.pool for i in n.pool.instances] == [
+        "cache-1",
+        "depot-1",
+        "bank",
+    ]
--- a/tests/test_net_rules.py
+++ b/tests/test_net_rules.py
@@ -61,7 +61,7 @@
     async with running(config({"c0": await cache.start(), "p0": REFUSED, "r0": REFUSED})) as (node, client):
         client.ask(1, i="9B1f03aa5c7e2d41", k="5c0f6e1a", body=b"\r\nabort\x00")
         assert await client.next() == SERVED
-        (id_, fields, body), = cache.seen
+        ((id_, fields, body),) = cache.seen
         assert (id_, body) == ("9B1f03aa5c7e2d41", b"\r\nabort\x00")
         assert 1 <= int(fields.pop("max")) <= 2000
         assert fields == {"profile": "film", "thing": "7f3a9c21e0b4d655", "nth": "3", "replay": "5c0f6e1a",
@@ -75,7 +75,7 @@
     async with running(config({"c0": REFUSED, "r0": await origin.start()})) as (_, client):
         client.ask(1, c="sheet", k="5c0f6e1a", body=b"answers")
         assert await client.next() == SERVED
-        (_, fields, body), = origin.seen
+        ((_, fields, body),) = origin.seen
         assert fields["replay"] == "5c0f6e1a" and "parent" not in fields and body == b"answers"
 
 
@@ -334,7 +334,9 @@
 
 
 def test_ages_are_whole_and_never_nothing() -> None:
-    exchange = Exchange(Ask("1", "film", 1.0, "2", 0, 0), Request(1, "film", 2, 100.0), lambda final: None, SPEC, 8)
+    exchange = Exchange(
+        Ask("1", "film", 1.0, "2", 0, 0), Request(1, "film", 2, 100.0), lambda final: None, SPEC, 8
+    )
     for told_age, sent in ((0.0, None), (0.3, "1"), (1.9, "1"), (20.99, "20")):
         attempt = Attempt(exchange, 0, "c0", 0.0, 100.0, max_age_ms=told_age)
         assert attempt.fields(0.0).get("accept") == sent
@@ -342,12 +344,18 @@
 
 @trial
 async def test_sends_past_the_end_or_beyond_the_most_attempts_are_moot() -> None:
-    async with running(config({"c0": REFUSED, "c1": REFUSED, "r0": REFUSED}, max_attempts=1)) as (node, client):
+    async with running(config({"c0": REFUSED, "c1": REFUSED, "r0": REFUSED}, max_attempts=1)) as (
+        node,
+        client,
+    ):
         events = told(node.director)
         node.director.router.settings = replace(node.director.settings, max_attempts=6)
         client.ask(1)
         assert (await client.next())[:3] == (17, 1, 1)
-        assert [(n, s) for n, _, s, _ in outcomes(events)][:2] == [(0, Status.CONNECT_FAILED), (1, Status.MOOT)]
+        assert [(n, s) for n, _, s, _ in outcomes(events)][:2] == [
+            (0, Status.CONNECT_FAILED),
+            (1, Status.MOOT),
+        ]
 
 
 @trial
@@ -481,7 +489,12 @@
         now = node.clock.now()
         ends = {c: (c.proven, bool(c.partial_ms)) for c in node.front.connections}
         assert sorted(ends.values()) == [(False, False), (False, True), (True, False)]
-        for after, closed in ((1500.0, []), (2600.0, [(False, False), (False, True)]), (4100.0, []), (5000.0, [(True, False)])):
+        for after, closed in (
+            (1500.0, []),
+            (2600.0, [(False, False), (False, True)]),
+            (4100.0, []),
+            (5000.0, [(True, False)]),
+        ):
             for conn in list(ends):
                 conn.sweep(now + after)
             assert sorted(v for c, v in ends.items() if c.shut_ms) == closed
@@ -589,7 +602,9 @@
         patch.setattr(board_module, "BACKOFF_S", 0.01)
         async with running(config({"r0": REFUSED})) as (node, _):
             events = told(node.director)
-            board = Board(*await feed.start(), lambda: node.director.rev, node.director.notice, random.Random(1))
+            board = Board(
+                *await feed.start(), lambda: node.director.rev, node.director.notice, random.Random(1)
+            )
             task = asyncio.create_task(board.run())
             await until(lambda: len(feed.asked) >= 5)
             task.cancel()
@@ -781,9 +796,17 @@
         assert odd.pool is not None
         odd.pool.instances += notice(2, good).pool.instances  # type: ignore[union-attr]
         node.director.notice(odd)
-        for rev, purge in ((3, {"asset": "x"}), (4, {}), (5, {"asset": "7f3a9c21e0b4d655"}), (6, {"collection": 0})):
+        for rev, purge in (
+            (3, {"asset": "x"}),
+            (4, {}),
+            (5, {"asset": "7f3a9c21e0b4d655"}),
+            (6, {"collection": 0}),
+        ):
             node.director.notice(Notice(rev, flush=notice_flush(ms=1, **purge)))
-        assert [(e.object, e.group) for e in events if isinstance(e, Purge)] == [(0x7F3A9C21E0B4D656, 0), (0, 0)]
+        assert [(e.object, e.group) for e in events if isinstance(e, Purge)] == [
+            (0x7F3A9C21E0B4D656, 0),
+            (0, 0),
+        ]
         client.ask(1)
         assert await client.next() == SERVED
 
@@ -794,7 +817,13 @@
     cache = Cache(hit)
     address = await cache.start()
     async with running(config({"c0": address, "r0": REFUSED})) as (node, client):
-        odd = {"instanceId": "c0", "hostPort": address, "zone": "moon", "machineType": "box", "lifecycle": "in_service"}
+        odd = {
+            "instanceId": "c0",
+            "hostPort": address,
+            "zone": "moon",
+            "machineType": "box",
+            "lifecycle": "in_service",
+        }
         draining = {**odd, "zone": "edge", "lifecycle": "terminating"}
         for rev, instances in ((2, []), (3, [odd]), (4, [odd, {**odd, "lifecycle": "asleep"}])):
             pool = {"reset": True, "instances": instances}
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -58,25 +58,42 @@
         return told.digest
 
     moved = (FEEDS % "dir: '/a'").replace("127.0.0.1:1", "127.0.0.1:2").replace("'t'", "'u'")
-    assert digest(FEEDS % "dir: ''") == digest(FEEDS % "") == digest(moved) != digest(FEEDS % "alone: 'strict'")
+    assert (
+        digest(FEEDS % "dir: ''") == digest(FEEDS % "") == digest(moved) != digest(FEEDS % "alone: 'strict'")
+    )
 
 
 def test_the_example_has_every_key_at_its_default() -> None:
     operator = read_operator(EXAMPLE.read_bytes())
     assert operator.options == Options() and len(operator.rules.rules) == 3
-    for name in ("endpoints", "rules", "prefer", "first_family_count", "family_few", "delay", "pause", "logs"):
+    for name in (
+        "endpoints",
+        "rules",
+        "prefer",
+        "first_family_count",
+        "family_few",
+        "delay",
+        "pause",
+        "logs",
+    ):
         assert f"{name}:" in EXAMPLE.read_text()
 
 
 def test_check_and_explain_say_who_gets_what_and_fail_in_one_line(tmp_path: Path) -> None:
     good, bad = tmp_path / "good.json5", tmp_path / "bad.json5"
-    good.write_text("{endpoints: {rules: [{name: 'box', match: {id: 'c*'}, add: ['unix:@shared', '[fd00::{octet4}]:{port}']}]}}")
+    good.write_text(
+        "{endpoints: {rules: [{name: 'box', match: {id: 'c*'}, add: ['unix:@shared', '[fd00::{octet4}]:{port}']}]}}"
+    )
     bad.write_text("{endpoints: {rules: 1}}")
     known = tmp_path / "config.json"
     known.write_bytes(config({"c0": "10.0.0.1:80", "c1": "10.0.0.2:80", "r0": "10.0.0.3:80"}))
     run = CliRunner().invoke
     done = run(build(), ["check", str(good), "--config", str(known)])
-    assert done.exit_code == 0 and "3 servers" in done.output and "unix:@shared: c1 owns it, c0 claims it too" in done.output
+    assert (
+        done.exit_code == 0
+        and "3 servers" in done.output
+        and "unix:@shared: c1 owns it, c0 claims it too" in done.output
+    )
     done = run(build(), ["addresses", "explain", str(good), "c*", "x9=10.0.0.9:1", "--config", str(known)])
     lines = done.output.splitlines()
     assert done.exit_code == 0 and "  box: 10.0.0.1:80 unix:@shared [fd00::1]:80" in lines
@@ -93,8 +110,18 @@
 def test_the_platforms_start_imports_none_of_the_heavy_parts() -> None:
     code = "import sys, gladelane.__main__; print(sorted(m for m in sys.modules if '.' not in m or 'gladelane' in m))"
     done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, cwd=ROOT, check=True)
-    for heavy in ("typer", "rich", "structlog", "pyjson5", "netaddr", "gladelane.lab", "gladelane.cli", "gladelane.settings", "gladelane.fleet",
-                  "gladelane.ownership"):
+    for heavy in (
+        "typer",
+        "rich",
+        "structlog",
+        "pyjson5",
+        "netaddr",
+        "gladelane.lab",
+        "gladelane.cli",
+        "gladelane.settings",
+        "gladelane.fleet",
+        "gladelane.ownership",
+    ):
         assert f"'{heavy}'" not in done.stdout
 
 
@@ -111,7 +138,12 @@
         assert len(lines) == logs.LINES_A_SECOND
         if form == "json":
             event = json.loads(lines[0])
-            assert (event["event"], event["peer"], event["open"], event["level"]) == ("mute", "10.0.0.1:80", "3", "warning")
+            assert (event["event"], event["peer"], event["open"], event["level"]) == (
+                "mute",
+                "10.0.0.1:80",
+                "3",
+                "warning",
+            )
         elif form == "keyvalue":
             assert "event='mute'" in lines[0] and "peer='10.0.0.1:80'" in lines[0]
         else:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -263,7 +263,9 @@
                 self.told.pop(name, None)
             else:
                 self.told.setdefault(name, d.now)
-            changed = Member(name, member.zone, member.kind, state=state, came_up_ms=d.now if what == "restart" else 0)
+            changed = Member(
+                name, member.zone, member.kind, state=state, came_up_ms=d.now if what == "restart" else 0
+            )
             self.tell(Members(ListKind.CHANGES, (changed,)))
         elif what == "lost":
             self.tell(Members(ListKind.FAILED))
@@ -280,7 +282,9 @@
 
 
 @given(st.integers(0, 3), st.integers(0, 2), SITE, st.lists(STEP, max_size=80))
-def test_random_sequences_keep_the_rules(caches: int, parents: int, changes: dict[str, Any], steps: list[Any]) -> None:
+def test_random_sequences_keep_the_rules(
+    caches: int, parents: int, changes: dict[str, Any], steps: list[Any]
+) -> None:
     w = Watched(caches, parents, changes)
     for step in steps:
         w.step(*step)
@@ -328,6 +332,12 @@
     kinds = ["ask", "ask", "ask", "end", "end", "purge", "group", "drain", "restart", "lost", "wait", "gone"]
     w = Watched(*UNLIKE[name])
     for _ in range(600):
-        w.step(draw.choice(kinds), draw.randrange(12), draw.choice(list(Status)), draw.choice(list(Note)), draw.choice([1.0, 40.0, 300.0]))
+        w.step(
+            draw.choice(kinds),
+            draw.randrange(12),
+            draw.choice(list(Status)),
+            draw.choice(list(Note)),
+            draw.choice([1.0, 40.0, 300.0]),
+        )
     w.run_timers(w.d.now + 8000.0)
     assert w.count and not w.open and not w.d.router.pending
--- a/tests/test_simhost.py
+++ b/tests/test_simhost.py
@@ -48,7 +48,13 @@
 
 
 def test_malformed_lines_end_with_one_message_and_the_failure_action() -> None:
-    for bad in ("HELLO 1", "INBOUND x film - 9 4010", "INBOUND 1 song - 9 4010", "VIEW 9 1 total", "ENDED 1 999"):
+    for bad in (
+        "HELLO 1",
+        "INBOUND x film - 9 4010",
+        "INBOUND 1 song - 9 4010",
+        "VIEW 9 1 total",
+        "ENDED 1 999",
+    ):
         done = run(start() + f"CLOCK 1010\nABOUT 3\n{bad}\nYOUR_TURN\n")
         assert done.returncode != 0
         assert bad in done.stderr and len(done.stderr.splitlines()) == 1
--- a/tests/upgrade/test_handover.py
+++ b/tests/upgrade/test_handover.py
@@ -53,10 +53,14 @@
             decode(HEAD.pack(head[0], version, *head[2:]) + data[HEAD.size :], "n0 a:1", NOW)
     for now in (NOW + LEARNT_MS + 1.0, NOW - 1.0):
         old = decode(data, "n0 a:1", now)
-        assert old.learnt is None and old.out == {"c0": 5.0} and old.failed_ms == 7.0  # orders hold however old
+        assert (
+            old.learnt is None and old.out == {"c0": 5.0} and old.failed_ms == 7.0
+        )  # orders hold however old
 
 
-def test_the_file_is_replaced_as_a_whole_and_what_is_unusable_is_one_line(tmp_path: Path, caplog: pytest.LogCaptureFixture) -> None:
+def test_the_file_is_replaced_as_a_whole_and_what_is_unusable_is_one_line(
+    tmp_path: Path, caplog: pytest.LogCaptureFixture
+) -> None:
     assert file.read(str(tmp_path), "n0 a:1", NOW) is None and not caplog.records
     assert file.write(str(tmp_path), WHOLE) and file.read(str(tmp_path), "n0 a:1", NOW) == WHOLE
     assert [path.name for path in tmp_path.iterdir()] == [file.NAME]
@@ -83,7 +87,9 @@
     new = Router(old.settings, 9)
     new.handle(old.now, Members(ListKind.COMPLETE, members(2)))
     give(new, take(old))
-    assert new.retries + old.retries == pytest.approx(retries) and new.hedges + old.hedges == pytest.approx(hedges)
+    assert new.retries + old.retries == pytest.approx(retries) and new.hedges + old.hedges == pytest.approx(
+        hedges
+    )
     assert new.stores["c0"].tokens.left == old.stores["c0"].tokens.left == 40.0
     assert new.stores["c1"].resting(old.now) and new.work_of == old.work_of
     assert new.objects.keys() == old.objects.keys() and list(new.objects) == list(old.objects)
--- a/tests/upgrade/test_two_processes.py
+++ b/tests/upgrade/test_two_processes.py
@@ -51,7 +51,11 @@
                 assert load.served > before
             await asyncio.sleep(0.2)
             await load.stop()
-            assert not load.lost and load.crossed <= 2 * times and load.served > 50, (load.lost, load.crossed, load.served)
+            assert not load.lost and load.crossed <= 2 * times and load.served > 50, (
+                load.lost,
+                load.crossed,
+                load.served,
+            )
             assert ("has the listening socket" in director.log(0)) != bool(spoil)
 
     test()
@@ -69,7 +73,9 @@
     @trial
     async def test() -> None:
         cache = Cache(hit)
-        async with fleet(tmp_path, config({"c0": await cache.start(), "p0": REFUSED, "r0": REFUSED})) as director:
+        async with fleet(
+            tmp_path, config({"c0": await cache.start(), "p0": REFUSED, "r0": REFUSED})
+        ) as director:
             load = Load(director.port)
             assert await (await director.start(board="nowhere")).wait() == 1
             assert "board" in director.log() or "nowhere" in director.log()
@@ -81,7 +87,11 @@
             before = load.served
             await asyncio.sleep(0.3)
             await load.stop()
-            assert load.served > before and not load.lost and (await director.call("GET", "/healthcheck", 0))[0] == 200
+            assert (
+                load.served > before
+                and not load.lost
+                and (await director.call("GET", "/healthcheck", 0))[0] == 200
+            )
 
     test()
 
@@ -105,7 +115,9 @@
         assert await meeting is None and made[0].peers == made[1].peers == 0
         with pytest.raises(Unusable):
             read_message(b'{"kind":"order","version":0}', "n0")
-        assert read_message(b'{"kind":"order","word":"maint","store":"x"}', "n0") == Message("order", word="maint", store="x")
+        assert read_message(b'{"kind":"order","word":"maint","store":"x"}', "n0") == Message(
+            "order", word="maint", store="x"
+        )
         made[0].close()
 
 
@@ -131,11 +143,15 @@
 async def test_an_upgrade_of_an_upgrade_while_the_first_still_leaves() -> None:
     held = Cache(lambda command: None if command[1]["thing"].endswith("ff") else hit(command))
     with tempfile.TemporaryDirectory() as folder:
-        async with fleet(Path(folder), config({"c0": await held.start(), "p0": REFUSED, "r0": REFUSED})) as director:
+        async with fleet(
+            Path(folder), config({"c0": await held.start(), "p0": REFUSED, "r0": REFUSED})
+        ) as director:
             first = director.all[0]
             busy = await Client.to(director.port)
             asked = 0
-            while not held.seen:  # it keeps the first process for a while; on a slow machine it is refused first
+            while (
+                not held.seen
+            ):  # it keeps the first process for a while; on a slow machine it is refused first
                 asked += 1
                 busy.ask(asked, i=f"aa{asked:014x}", o="00000000000000ff", d="2500", m="1")
                 await asyncio.sleep(0.1)
@@ -164,7 +180,9 @@
 def test_who_is_ended_before_the_new_ones_yes_leaves_newcomers_to_the_shared_queue(tmp_path: Path) -> None:
     @trial
     async def test() -> None:
-        async with fleet(tmp_path, config({"c0": await Cache(hit).start(), "p0": REFUSED, "r0": REFUSED})) as director:
+        async with fleet(
+            tmp_path, config({"c0": await Cache(hit).start(), "p0": REFUSED, "r0": REFUSED})
+        ) as director:
             old = director.all[0]
             load = Load(director.port)
             await director.start()
@@ -227,7 +245,9 @@
 def test_a_drain_goes_over_and_ends_at_the_new_process(tmp_path: Path) -> None:
     @trial
     async def test() -> None:
-        async with fleet(tmp_path, config({"c0": await Cache(hit).start(), "p0": REFUSED, "r0": REFUSED})) as director:
+        async with fleet(
+            tmp_path, config({"c0": await Cache(hit).start(), "p0": REFUSED, "r0": REFUSED})
+        ) as director:
             old = director.all[0]
             assert (await director.call("POST", "/healthcheck/fail"))[0] == 200
             await director.start()
