recovery and purges no longer import each other; the renewal budget moves to routes/

Seen by tests/test_layers.py: purges.holder -> recovery.renewal and recovery.reseed, while recovery.service imports purges.holder. The budget of renewals knows nothing of purges and stands with the other budgets (routes/renewal.py); when a feed is filled again is a matter of purges (purges/reseed.py). Both files are moved unchanged but for an import. recovery.service asks a protocol (recovery/purge_source.py). The operator's options of purges get a module of their own, so settings no longer load the whole holder.

Two exceptions of the layers' test are gone, two are left.

--- a/gladelane/__main__.py
+++ b/gladelane/__main__.py
@@ -22,7 +22,7 @@
     from .ownership.options import Options as OwnerOptions
     from .ownership.owner import Owner
     from .purges.holder import Holder
-    from .purges.holder import Options as HolderOptions
+    from .purges.options import Options as HolderOptions
     from .recovery.service import Recovery
     from .settings.operator import Operator
     from .upgrade.succession import Succession
--- a/gladelane/purges/cutoff.py
+++ b/gladelane/purges/cutoff.py
@@ -5,7 +5,7 @@
 was heard of within the delay, all that it took before is known here. Beyond that a strict class accepts only
 copies younger than the delay: a copy that is younger was made after any purge that is older than the delay,
 known or not. Other classes go on, and the log says so. What the strict ones ask of the origin then, and after
-the return, has one budget with all that makes copies void: `recovery/renewal.py`.
+the return, has one budget with all that makes copies void: `routes/renewal.py`.
 """
 
 from __future__ import annotations
--- a/gladelane/purges/holder.py
+++ b/gladelane/purges/holder.py
@@ -7,23 +7,23 @@
 import logging
 import random
 from collections.abc import Callable, Mapping
-from typing import Literal
 
 import msgspec
 
 from ..durable import without_gc
 from ..durable.files import Disk
 from ..durable.log import Broken, Log, recover
-from ..recovery.renewal import Cause, Renewal, Thing
-from ..recovery.reseed import Reseed
+from ..routes.renewal import Cause, Renewal, Thing
 from .cutoff import CutOff, Link
 from .deliver import Deliver
 from .follow import LOST, Follower
 from .horizon import Loss
 from .http import fetch
 from .index import Index
+from .options import Options
 from .order import BadPurge, Purge, Vector, vector_text
 from .orders import Orders
+from .reseed import Reseed
 from .scope import BadScope
 from .standing import Standing
 from .tokens import Tokens
@@ -37,24 +37,6 @@
 ORDERS_AT_ONCE = 8
 
 
-class Options(msgspec.Struct, frozen=True):
-    """What the operator's file says. Times in ms; feeds as (host, port)."""
-
-    feeds: tuple[tuple[str, int], ...]
-    token_file: str
-    folder: str
-    retention_ms: float
-    skew_ms: float
-    delay_ms: float
-    strict: frozenset[str]
-    cut_off_per_s: float
-    start_wait_ms: float
-    order_kinds: frozenset[str] = frozenset()
-    orders_per_s: float = 50.0
-    origin_per_s: float = 0.0  # renewals that the origin bears from all directors; 0: not known
-    lost: Literal["void", "serve"] = "void"  # what strict classes make of copies from before a loss
-
-
 class _Stored(msgspec.Struct, array_like=True):
     """A record of the director's log: purges as they were taken, and how far a feed had told all."""
 
--- a/gladelane/recovery/service.py
+++ b/gladelane/recovery/service.py
@@ -10,10 +10,10 @@
 from ..durable.files import InUse
 from ..net.director import Director
 from ..operations.figures import SUCCESS
-from ..purges.holder import Holder
 from .keeper import Keeper
 from .options import Options
 from .phases import Phase, Phases, Seen
+from .purge_source import PurgeSource
 
 log = logging.getLogger(__name__)
 
@@ -27,7 +27,7 @@
         options: Options,
         name: str,
         director: Director,
-        purges: Holder | None,
+        purges: PurgeSource | None,
         clock: Callable[[], float],
         listens: Callable[[], bool],
     ) -> None:
--- a/gladelane/settings/operator.py
+++ b/gladelane/settings/operator.py
@@ -18,7 +18,7 @@
 from ..endpoints.rules import Network, Preference, Rule, Rules, check_template
 from ..fleet.options import Options as FleetOptions
 from ..ownership.options import Options as OwnerOptions
-from ..purges.holder import Options as HolderOptions
+from ..purges.options import Options as HolderOptions
 from ..recovery.options import Options as RecoveryOptions
 
 MOST_BYTES = 4_000_000
--- a/tests/purges/test_hard_cases.py
+++ b/tests/purges/test_hard_cases.py
@@ -29,9 +29,10 @@
 from gladelane.net.config import Notice
 from gladelane.purges.deliver import Deliver
 from gladelane.purges.feed import Feed, _Waiting
-from gladelane.purges.holder import Holder, Options
+from gladelane.purges.holder import Holder
 from gladelane.purges.http import fetch
 from gladelane.purges.index import Index
+from gladelane.purges.options import Options
 from gladelane.purges.order import Purge
 from gladelane.purges.orders import Orders
 
--- a/tests/recovery/test_recovery.py
+++ b/tests/recovery/test_recovery.py
@@ -19,13 +19,13 @@
 from gladelane.interface import ListKind, Members, Request
 from gladelane.lab.simdisk import SimDisk
 from gladelane.purges.order import Purge
+from gladelane.purges.reseed import Reseed
 from gladelane.purges.wire import batches
 from gladelane.recovery.keeper import KEY_FILES, Keeper, KeyBook
 from gladelane.recovery.phases import Phase, Phases, Reason, Seen
-from gladelane.recovery.renewal import QUIET_MS, Cause, Renewal
-from gladelane.recovery.reseed import Reseed
 from gladelane.recovery.warm import FORMAT, Warm, aged, apply, digest, unfit
 from gladelane.routes.keys import KeyWindows
+from gladelane.routes.renewal import QUIET_MS, Cause, Renewal
 from gladelane.upgrade.learnt import look
 
 KEPT_MS = 10_000.0
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -40,8 +40,6 @@
     {
         "purges.feed -> fleet.collector (for types only)",
         "purges.feed -> ownership.desk (for types only)",
-        "purges.holder -> recovery.renewal (when loaded)",
-        "purges.holder -> recovery.reseed (when loaded)",
     }
 )
 
