The decision module takes its purge index by a protocol of interface.py

Router took the concrete purges.index.Index. It asks three things of it (add_one, newest, expire), which interface.PurgeIndex now names; Router's parameter and attribute are of that type. The default, an index of its own, stays: to drop it takes a change at each place that makes a router. The fleet's purges need an index that takes scopes too, so the holder checks that it was given one (scope_index).

--- a/gladelane/choice.py
+++ b/gladelane/choice.py
@@ -35,6 +35,7 @@
     Note,
     Outcome,
     Purge,
+    PurgeIndex,
     Refuse,
     Request,
     SetTimer,
@@ -189,9 +190,9 @@
 class Router:
     """The decisions of one proxy. `handle` takes the clock and one event and returns what to do."""
 
-    def __init__(self, settings: Settings, seed: int, purges: Index | None = None) -> None:
+    def __init__(self, settings: Settings, seed: int, purges: PurgeIndex | None = None) -> None:
         self.settings = settings
-        self.purges = Index() if purges is None else purges  # shared; objects count from 0 there
+        self.purges: PurgeIndex = Index() if purges is None else purges  # shared; objects count from 0 there
         self.random = random.Random(seed)
         self.now = 0.0
         self.actions: list[Action] = []
--- a/gladelane/interface.py
+++ b/gladelane/interface.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 from enum import Enum
 from types import MappingProxyType
-from typing import Any
+from typing import Any, Protocol
 
 
 class Effect(Enum):
@@ -481,3 +481,19 @@
 
 
 Action = Lookup | Fetch | Cancel | Probe | Refuse | Fail | SetTimer | Subscribe | AskList | Tell | Log
+
+
+# --- what the decisions ask of the fleet's purges
+
+
+class PurgeIndex(Protocol):
+    """The newest moment that any purge in force sets. Objects count from 0 here; times are Unix ms."""
+
+    def add_one(self, object_: int, group: int, at: float, until: float) -> None:
+        """Copies from before `at` are out of date up to `until`: of one object, or below 0 of a group."""
+
+    def newest(self, cls: str, group: int, object_: int, part: int, now: float) -> float:
+        """The newest moment from before which no copy may be served, 0: none."""
+
+    def expire(self, now: float) -> int:
+        """Forgets some of what has ended; gives how many."""
--- a/gladelane/purges/holder.py
+++ b/gladelane/purges/holder.py
@@ -13,13 +13,14 @@
 from ..durable import without_gc
 from ..durable.files import Disk
 from ..durable.log import Broken, Log, recover
+from ..interface import PurgeIndex
 from ..routes.renewal import Cause, Renewal, Thing
 from .cutoff import CutOff, Link
 from .deliver import Deliver
 from .follow import LOST, Follower
 from .horizon import Loss
 from .http import fetch
-from .index import Index
+from .index import scope_index
 from .options import Options
 from .order import BadPurge, Purge, Vector, vector_text
 from .orders import Orders
@@ -49,18 +50,18 @@
     def __init__(
         self,
         options: Options,
-        index: Index,
+        index: PurgeIndex,
         clock: Callable[[], float],
         disk: Disk | None = None,
         directors: int = 1,
         rng: random.Random | None = None,
     ) -> None:
-        """Recovers from the disk, if there is one. directors: who share the origin. Raises Damaged, BadTokens
-        and OSError."""
+        """Recovers from the disk, if there is one. directors: who share the origin. Raises Damaged,
+        BadTokens, OSError, and TypeError for an index that takes no scopes."""
         self.options, self.clock = options, clock
         now = clock()
         rng = rng or random.Random()
-        self.standing = Standing(index, True, options.retention_ms, options.skew_ms)
+        self.standing = Standing(scope_index(index), True, options.retention_ms, options.skew_ms)
         self.orders = Orders(options.orders_per_s, ORDERS_AT_ONCE, now)
         self.cut_off = CutOff(options.delay_ms, options.strict, log.warning)
         part = options.origin_per_s / max(directors, 1)
--- a/gladelane/purges/index.py
+++ b/gladelane/purges/index.py
@@ -13,6 +13,7 @@
 from collections.abc import Iterator
 from typing import TypeVar
 
+from ..interface import PurgeIndex
 from ..structures.stepmap import StepMap
 from .bounds import NOTHING, Bound, join, newest, standing
 from .scope import OBJECT_MOST, PART_MOST, Box, Scope
@@ -243,3 +244,10 @@
                 if not facets:
                     del self._shapes[shape]
         return gone
+
+
+def scope_index(index: PurgeIndex) -> Index:
+    """A router's index as the one that takes scopes. Raises TypeError for any other."""
+    if not isinstance(index, Index):
+        raise TypeError(f"{type(index).__name__} takes no scopes; expected {Index.__name__}")
+    return index
