HTTP and tokens of the control servers move from purges/ to a package of their own, control/

The audit and the leases imported purges/http.py and purges/follow.py for nothing but calls to a server. control/http.py and control/tokens.py hold these now, below purges; what a call can end with is CALL_ERRORS there.

--- a/benchmarks/purges.py
+++ b/benchmarks/purges.py
@@ -31,6 +31,7 @@
 import uvloop
 
 from benchmarks import conclude
+from gladelane.control.http import Refused, fetch
 from gladelane.durable import without_gc
 from gladelane.durable.files import Folder
 from gladelane.durable.log import recover
@@ -40,7 +41,6 @@
 from gladelane.lab.fleet.rules import SLACK_MS, Made, Purged, stale
 from gladelane.lab.shelf import Shelf, now_ms
 from gladelane.lab.standins import Fault, Standin
-from gladelane.purges.http import Refused, fetch
 from gladelane.purges.order import Purge, Stamps
 from gladelane.purges.scope import parse
 from gladelane.purges.standing import Standing
--- a/gladelane/__main__.py
+++ b/gladelane/__main__.py
@@ -307,10 +307,10 @@
     """Follows the fleet's purges. Raises BadConfig for what the files say, and OSError."""
     from pathlib import Path
 
+    from .control.tokens import BadTokens
     from .durable.files import Folder, set_aside
     from .durable.log import Damaged
     from .purges.holder import Holder
-    from .purges.tokens import BadTokens
 
     unknown = sorted(options.strict - director.settings.classes.keys())
     if unknown:
--- a/gladelane/cli/fleet.py
+++ b/gladelane/cli/fleet.py
@@ -9,7 +9,7 @@
 import typer
 from rich.table import Table
 
-from ..purges.http import Refused, fetch
+from ..control.http import Refused, fetch
 from ..recovery.phases import Phase, Reason
 from . import out
 from .purge import place_of
--- a/gladelane/cli/purge.py
+++ b/gladelane/cli/purge.py
@@ -15,17 +15,17 @@
 import typer
 from rich.table import Table
 
+from ..control.http import Refused, fetch
+from ..control.tokens import BadTokens, Tokens
 from ..durable.files import Folder
 from ..durable.log import Damaged
 from ..endpoints.address import BadAddress, Family, parse
 from ..logs import set_up
 from ..purges.feed import Feed
 from ..purges.horizon import Foreign
-from ..purges.http import Refused, fetch
 from ..purges.markfile import BadMark, MarkFile
 from ..purges.scope import BadScope
 from ..purges.scope import parse as parse_scope
-from ..purges.tokens import BadTokens, Tokens
 from . import fail, out
 
 app = typer.Typer(no_args_is_help=True, help="Fleet-wide purges: a feed, and speaking to one.")
--- a/gladelane/purges/http.py
+++ b/gladelane/control/http.py
@@ -1,4 +1,4 @@
-"""The little HTTP/1.1 that feeds and their clients speak, on h11: one request a connection, bounded in size
+"""HTTP/1.1 as control servers and their clients speak it, on h11: one request a connection, bounded in size
 and time."""
 
 from __future__ import annotations
@@ -10,28 +10,43 @@
 from typing import NamedTuple
 
 import h11
+import msgspec
 
 READ_BYTES = 65_536
-DIAL_S = 1.0
+CONNECT_TIMEOUT_S = 1.0
+MAX_ERROR_TEXT = 2_000  # bytes of an error's text that are kept
 
 
 class Refused(Exception):
-    """An answer that is an error: its status, and its text in one line."""
+    """An answer that is an error. status: of HTTP; the message is its text, in one line."""
 
     def __init__(self, status: int, text: str) -> None:
         super().__init__(text)
         self.status = status
 
 
-class Asked(NamedTuple):
+class TooLarge(Refused):
+    """The body is longer than the route takes."""
+
+    def __init__(self, max_bytes: int) -> None:
+        super().__init__(413, f"a body of more than {max_bytes} bytes")
+
+
+#: What a call can end with where the other side is away, refuses, or answers what cannot be read.
+CALL_ERRORS = (OSError, Refused, TimeoutError, msgspec.MsgspecError)
+
+
+class Request(NamedTuple):
+    """headers: their names in lower case."""
+
     method: str
     path: str
     query: str
-    headers: dict[str, str]  # names in lower case
+    headers: dict[str, str]
     body: bytes
 
 
-async def read_request(reader: asyncio.StreamReader, most: int) -> tuple[h11.Connection, Asked]:
+async def read_request(reader: asyncio.StreamReader, max_body_bytes: int) -> Request:
     """Raises Refused, h11's errors and OSError; stops reading at the bound of the body."""
     http = h11.Connection(h11.SERVER)
     head: h11.Request | None = None
@@ -44,25 +59,29 @@
                 pass
             case h11.Data(data=data):
                 body += data
-                if len(body) > most:
-                    raise Refused(413, f"a body of more than {most} bytes")
+                if len(body) > max_body_bytes:
+                    raise TooLarge(max_body_bytes)
             case h11.EndOfMessage() if head is not None:
                 path, _, query = head.target.decode("ascii").partition("?")
                 headers = {name.decode(): value.decode("latin-1") for name, value in head.headers}
-                return http, Asked(head.method.decode(), path, query, headers, bytes(body))
+                return Request(head.method.decode(), path, query, headers, bytes(body))
             case _:
                 raise OSError("the connection ended")
 
 
-def answer(status: int, kind: str, body: bytes | None) -> bytes:
-    """A whole answer, or without a body the head of a stream that ends with the connection."""
-    lines = [f"HTTP/1.1 {status} {HTTPStatus(status).phrase}", f"Content-Type: {kind}", "Connection: close"]
+def encode_response(status: int, content_type: str, body: bytes | None) -> bytes:
+    """A whole response, or without a body the head of a stream that ends with the connection."""
+    lines = [
+        f"HTTP/1.1 {status} {HTTPStatus(status).phrase}",
+        f"Content-Type: {content_type}",
+        "Connection: close",
+    ]
     if body is not None:
         lines.append(f"Content-Length: {len(body)}")
     return ("\r\n".join(lines) + "\r\n\r\n").encode() + (body or b"")
 
 
-async def ask(
+async def stream_response(
     host: str,
     port: int,
     method: str,
@@ -72,8 +91,8 @@
     headers: dict[str, str] | None = None,
     tls: ssl.SSLContext | None = None,
 ) -> AsyncGenerator[bytes, None]:
-    """The body of an answer with status 200, as it comes. Raises Refused, OSError and TimeoutError."""
-    async with asyncio.timeout(DIAL_S):
+    """The body of a response with status 200, as it comes. Raises Refused, OSError and TimeoutError."""
+    async with asyncio.timeout(CONNECT_TIMEOUT_S):
         reader, writer = await asyncio.open_connection(host, port, ssl=tls)
     try:
         http = h11.Connection(h11.CLIENT)
@@ -82,7 +101,7 @@
             lines.append(("Authorization", f"Bearer {token}"))
         writer.write(http.send(h11.Request(method=method, target=target, headers=lines)) or b"")
         writer.write((http.send(h11.Data(data=body)) or b"") + (http.send(h11.EndOfMessage()) or b""))
-        status, said = 0, bytearray()
+        status, error_text = 0, bytearray()
         while True:
             match http.next_event():
                 case h11.NEED_DATA:
@@ -92,11 +111,12 @@
                 case h11.Data(data=data) if status == 200:
                     yield bytes(data)
                 case h11.Data(data=data):
-                    said += data[: max(2000 - len(said), 0)]
+                    error_text += data[: max(MAX_ERROR_TEXT - len(error_text), 0)]
                 case h11.EndOfMessage() | h11.ConnectionClosed():
                     break
         if status != 200:
-            raise Refused(status, " ".join(said.decode("utf-8", "replace").split()) or f"status {status}")
+            text = " ".join(error_text.decode("utf-8", "replace").split())
+            raise Refused(status, text or f"status {status}")
     except h11.RemoteProtocolError as error:
         raise OSError(f"the answer is cut or unreadable: {error}") from None
     finally:
@@ -114,6 +134,7 @@
     tls: ssl.SSLContext | None = None,
     within_s: float = 5.0,
 ) -> bytes:
-    """The whole body of an answer."""
+    """The whole body of a response. Raises what `stream_response` does."""
     async with asyncio.timeout(within_s):
-        return b"".join([part async for part in ask(host, port, method, target, token, body, headers, tls)])
+        parts = stream_response(host, port, method, target, token, body, headers, tls)
+        return b"".join([part async for part in parts])
--- a/gladelane/purges/tokens.py
+++ b/gladelane/control/tokens.py
@@ -1,4 +1,4 @@
-"""Who may speak to a feed: tokens from a file, one `NAME TOKEN` a line, read again when the file changes."""
+"""Who may call a control server: tokens from a file, one `NAME TOKEN` a line, read again when it changes."""
 
 from __future__ import annotations
 
@@ -7,7 +7,7 @@
 import os
 from pathlib import Path
 
-LEAST = 16  # characters of a token
+MIN_TOKEN_CHARS = 16
 
 
 class BadTokens(ValueError):
@@ -39,8 +39,8 @@
             words = line.split()
             if not words or words[0].startswith("#"):
                 continue
-            if len(words) != 2 or len(words[1]) < LEAST or words[0] in hashes:
-                wanted = f"expected a new NAME and a TOKEN of {LEAST} or more characters"
+            if len(words) != 2 or len(words[1]) < MIN_TOKEN_CHARS or words[0] in hashes:
+                wanted = f"expected a new NAME and a TOKEN of {MIN_TOKEN_CHARS} or more characters"
                 raise BadTokens(f"{self.path}: line {number}: {wanted}")
             hashes[words[0]] = hashlib.sha256(words[1].encode()).digest()
             first = first or words[1]
@@ -64,5 +64,5 @@
         return found if kind.lower() == "bearer" else ""
 
     def own(self) -> str:
-        """The file's first token, as who follows or sends shows it."""
+        """The file's first token, as who subscribes or sends shows it."""
         return self._first
--- a/gladelane/fleet/collector.py
+++ b/gladelane/fleet/collector.py
@@ -21,11 +21,10 @@
 
 import msgspec
 
+from ..control.http import CALL_ERRORS, Refused, Request, fetch
 from ..durable import without_gc
 from ..durable.files import Disk
 from ..durable.log import Broken, Log, recover
-from ..purges.follow import LOST
-from ..purges.http import Asked, Refused, fetch
 from ..purges.order import Vector
 from ..structures.backoff import Backoff
 from .ledger import BadReport, Ledger, Row, Run
@@ -145,16 +144,16 @@
 
     # --- taking
 
-    async def answer(self, asked: Asked, caller: str) -> bytes:
+    async def answer(self, request: Request, caller: str) -> bytes:
         """Raises Refused, and ValueError for what cannot be."""
-        given = {name: values[0] for name, values in parse_qs(asked.query).items()}
-        match asked.method, asked.path:
+        given = {name: values[0] for name, values in parse_qs(request.query).items()}
+        match request.method, request.path:
             case "POST", "/reports":
-                return encode_json(await self._report(report_decoder.decode(asked.body)))
+                return encode_json(await self._report(report_decoder.decode(request.body)))
             case "POST", "/handed":
-                return encode_json(await self._handed(handed_decoder.decode(asked.body)))
+                return encode_json(await self._handed(handed_decoder.decode(request.body)))
             case "POST", "/fleet/expect":
-                return encode_json(await self._expect(expect_decoder.decode(asked.body), caller))
+                return encode_json(await self._expect(expect_decoder.decode(request.body), caller))
             case "GET", "/fleet/marks":
                 marks = [Mark(*run, upto) for run, upto in self.ledger.marks().items()]
                 return encode_json(Marks(self.name, self.epoch, marks, whole=True))
@@ -168,7 +167,7 @@
                 return encode_json(self._explain(given.get("director", "")))
             case "GET", "/fleet/verify":
                 return encode_json(self._said(wrong=self.ledger.verify()))
-        raise Refused(404, f"{asked.method} {asked.path}: no such thing here")
+        raise Refused(404, f"{request.method} {request.path}: no such thing here")
 
     async def _report(self, report: Report) -> Answer:
         now = self.clock()
@@ -292,7 +291,7 @@
         while True:
             try:
                 heard = await self._hand(peer)
-            except LOST as error:
+            except CALL_ERRORS as error:
                 if peer.whole:
                     log.warning(
                         "audit: feed did not take feed=%s:%d: %s %s",
--- a/gladelane/fleet/service.py
+++ b/gladelane/fleet/service.py
@@ -12,12 +12,11 @@
 from pathlib import Path
 from typing import Protocol
 
+from ..control.http import CALL_ERRORS, fetch
 from ..durable.files import InUse
 from ..interface import Settings
 from ..net.director import Director
-from ..purges.follow import LOST
 from ..purges.holder import Holder
-from ..purges.http import fetch
 from ..purges.order import vector_text
 from ..recovery.warm import vars_of
 from ..structures.backoff import Backoff
@@ -268,7 +267,7 @@
             headers = {"Content-Type": "application/json"}
             told = await fetch(host, port, "POST", "/reports", token, body, headers, within_s=within_s)
             answer = answer_decoder.decode(told)
-        except LOST as error:
+        except CALL_ERRORS as error:
             self.tenure.unanswered(asked, self._length_ms)
             self._at = (self._at + 1) % len(self._feeds)
             why = type(error).__name__
--- a/gladelane/lab/fleet/audited.py
+++ b/gladelane/lab/fleet/audited.py
@@ -21,13 +21,13 @@
 
 import msgspec
 
+from ...control.http import Refused, fetch
 from ...durable.files import Folder
 from ...fleet.collector import recovered
 from ...fleet.ledger import Known, Ledger, Row
 from ...fleet.tenure import Stage
 from ...fleet.trail import Span, sealed
 from ...fleet.view import positions
-from ...purges.http import Refused, fetch
 from .day import play
 from .fleet import TOKEN, Fleet, Shape
 from .load import Load
--- a/gladelane/lab/fleet/fleet.py
+++ b/gladelane/lab/fleet/fleet.py
@@ -22,7 +22,7 @@
 from random import Random
 from typing import Any
 
-from ...purges.http import Refused, fetch
+from ...control.http import Refused, fetch
 from ..client import Answer, Client
 from ..processes import ROOT
 from .faults import Step
--- a/gladelane/lab/fleet/load.py
+++ b/gladelane/lab/fleet/load.py
@@ -8,9 +8,9 @@
 from collections import Counter
 from random import Random
 
+from ...control.http import Refused, fetch
 from ...interface import Status
 from ...net.config import read_config
-from ...purges.http import Refused, fetch
 from ...purges.scope import parse
 from ..checks import Broken, Monitor
 from ..processes import ROOT
--- a/gladelane/lab/fleet/owned.py
+++ b/gladelane/lab/fleet/owned.py
@@ -9,7 +9,7 @@
 from contextlib import suppress
 from typing import NamedTuple
 
-from ...purges.http import Refused, fetch
+from ...control.http import Refused, fetch
 from .fleet import TOKEN, Fleet
 from .load import Load
 
--- a/gladelane/ownership/desk.py
+++ b/gladelane/ownership/desk.py
@@ -11,10 +11,9 @@
 
 import msgspec
 
+from ..control.http import CALL_ERRORS, Refused, Request, fetch
 from ..durable.files import Disk
 from ..durable.log import Broken, Log, recover
-from ..purges.follow import LOST
-from ..purges.http import Asked, Refused, fetch
 from .keeper import Keeper
 from .wire import (
     MOST_ASKS,
@@ -120,7 +119,7 @@
                             within_s=1.0,
                         )
                     )
-                except LOST as error:
+                except CALL_ERRORS as error:
                     log.debug("keeper not heard feed=%s:%d: %s", peer.host, peer.port, error)
                     continue
                 self.keeper.learn(told.keeper, told.numbers)
@@ -130,11 +129,11 @@
             await asyncio.sleep(LOOK_S)
         log.info("keeper has heard all others works=%d", len(self.keeper.numbers))
 
-    async def answer(self, asked: Asked) -> bytes:
+    async def answer(self, request: Request) -> bytes:
         """Raises Refused, and ValueError for what cannot be."""
-        match asked.method, asked.path:
+        match request.method, request.path:
             case "POST", "/leases":
-                return encode_json(await self._ask(asks_decoder.decode(asked.body)))
+                return encode_json(await self._ask(asks_decoder.decode(request.body)))
             case "GET", "/leases/numbers":
                 return encode_json(Numbers(self.keeper.name, self.keeper.numbers, self.progress))
             case "GET", "/leases":
@@ -145,7 +144,7 @@
                         "owners": self.owners(),
                     }
                 )
-        raise Refused(404, f"{asked.method} {asked.path}: no such thing here")
+        raise Refused(404, f"{request.method} {request.path}: no such thing here")
 
     async def _ask(self, asks: Asks) -> Replies:
         if len(asks.asks) > MOST_ASKS or any(len(text) > MOST_PROGRESS for text in asks.progress.values()):
--- a/gladelane/ownership/owner.py
+++ b/gladelane/ownership/owner.py
@@ -8,8 +8,7 @@
 import random
 from collections.abc import Callable
 
-from ..purges.follow import LOST
-from ..purges.http import fetch
+from ..control.http import CALL_ERRORS, fetch
 from .keeper import Ask, majority
 from .lease import Lease
 from .wire import Asks, Replies, encode_json, replies_decoder
@@ -121,7 +120,7 @@
         try:
             told = await fetch(*place, "POST", "/leases", self._token(), body, headers, within_s=ANSWER_S)
             replies = replies_decoder.decode(told)
-        except LOST as error:
+        except CALL_ERRORS as error:
             log.debug("keeper did not answer feed=%s:%d: %s", *place, error)
             return None
         self._heard_ms[place] = self._steady()
--- a/gladelane/purges/feed.py
+++ b/gladelane/purges/feed.py
@@ -31,19 +31,19 @@
 import h11
 import msgspec
 
+from ..control.http import Refused, Request, encode_response, read_request
+from ..control.tokens import Tokens
 from ..durable import without_gc
 from ..durable.files import Disk
 from ..durable.log import Broken, Log, Policy, recover
 from ..sse import encode_event
 from .follow import Follower
 from .horizon import SEEN, Folder, Loss, Mark, Peer, behind, judged, vouched_by
-from .http import Asked, Refused, answer, read_request
 from .index import TooOdd
 from .markfile import MarkFile
 from .order import BadPurge, Purge, Stamps, Vector, check, read_vector, vector_text
 from .scope import BadScope, Catalog, parse
 from .standing import RETENTION_MS, Standing
-from .tokens import Tokens
 from .wire import (
     A_BATCH,
     BEAT_S,
@@ -529,7 +529,7 @@
         try:
             try:
                 async with asyncio.timeout(REQUEST_S):
-                    _, asked = await read_request(reader, MOST_EVENT)
+                    asked = await read_request(reader, MOST_EVENT)
                     if len(asked.body) > MOST_BODY and asked.path not in LARGE:
                         raise Refused(413, f"a body of more than {MOST_BODY} bytes")
                     if len(self._open) > MOST_CONNECTIONS:
@@ -542,15 +542,15 @@
                         await self._settled.wait()
                     await self._tell(writer, _from(asked))
                     return
-                writer.write(answer(200, "application/json", await self._answer(asked, caller)))
+                writer.write(encode_response(200, "application/json", await self._answer(asked, caller)))
             except (BadScope, TooOdd, BadPurge, msgspec.MsgspecError, ValueError) as error:
-                writer.write(answer(400, "text/plain", f"{error}\n".encode()))
+                writer.write(encode_response(400, "text/plain", f"{error}\n".encode()))
             except Refused as error:
-                writer.write(answer(error.status, "text/plain", f"{error}\n".encode()))
+                writer.write(encode_response(error.status, "text/plain", f"{error}\n".encode()))
             except TimeoutError:
-                writer.write(answer(408, "text/plain", b"the request did not end in time\n"))
+                writer.write(encode_response(408, "text/plain", b"the request did not end in time\n"))
             except h11.RemoteProtocolError as error:
-                writer.write(answer(400, "text/plain", f"{error}\n".encode()))
+                writer.write(encode_response(400, "text/plain", f"{error}\n".encode()))
             with suppress(TimeoutError):
                 async with asyncio.timeout(REQUEST_S):
                     await writer.drain()
@@ -560,7 +560,7 @@
             self._open.discard(task)
             writer.close()
 
-    async def _answer(self, asked: Asked, caller: str) -> bytes:
+    async def _answer(self, asked: Request, caller: str) -> bytes:
         match asked.method, asked.path:
             case "POST", "/purges":
                 wanted = submit_decoder.decode(asked.body)
@@ -636,7 +636,7 @@
     async def _tell(self, writer: asyncio.StreamWriter, vector: dict[tuple[str, int], int]) -> None:
         """All that the follower lacks, then what comes, at the follower's pace."""
         writer.transport.set_write_buffer_limits(high=UNSENT_BYTES)
-        writer.write(answer(200, "text/event-stream", None))
+        writer.write(encode_response(200, "text/event-stream", None))
         self.followers += 1
         told = -1  # the version of the horizon that it was told
         try:
@@ -672,7 +672,7 @@
         await writer.drain()
 
 
-def _from(asked: Asked) -> dict[tuple[str, int], int]:
+def _from(asked: Request) -> dict[tuple[str, int], int]:
     given = [item.partition("=") for item in asked.query.split("&")]
     return read_vector(unquote(next((value for name, _, value in given if name == "from"), "")))
 
--- a/gladelane/purges/follow.py
+++ b/gladelane/purges/follow.py
@@ -10,17 +10,15 @@
 from collections.abc import Callable
 from contextlib import aclosing
 
-import msgspec
-
+from ..control.http import CALL_ERRORS, stream_response
 from ..sse import EventStream
 from ..structures.backoff import Backoff
-from .http import Refused, ask
 from .order import BadPurge, Purge, Vector, read_vector, vector_text
 from .wire import SILENT_S, Event, event_decoder
 
 log = logging.getLogger(__name__)
 
-LOST = (OSError, Refused, TimeoutError, BadPurge, msgspec.MsgspecError)
+LOST = (*CALL_ERRORS, BadPurge)
 BACKOFF_S, BACKOFF_MOST_S = 0.1, 1.0
 
 
@@ -85,7 +83,9 @@
         reached = {} if self._again else self._vector()
         self._again = False
         target = f"/follow?from={vector_text(reached)}{self._as_peer}"
-        async with aclosing(ask(self.host, self.port, "GET", target, self._token(), tls=self._tls)) as stream:
+        async with aclosing(
+            stream_response(self.host, self.port, "GET", target, self._token(), tls=self._tls)
+        ) as stream:
             while True:
                 async with asyncio.timeout(SILENT_S):
                     data = await anext(stream, None)
--- a/gladelane/purges/holder.py
+++ b/gladelane/purges/holder.py
@@ -10,6 +10,8 @@
 
 import msgspec
 
+from ..control.http import CALL_ERRORS, fetch
+from ..control.tokens import Tokens
 from ..durable import without_gc
 from ..durable.files import Disk
 from ..durable.log import Broken, Log, recover
@@ -17,9 +19,8 @@
 from ..routes.renewal import Cause, Renewal, Thing
 from .cutoff import CutOff, Link
 from .deliver import Deliver
-from .follow import LOST, Follower
+from .follow import Follower
 from .horizon import Loss
-from .http import fetch
 from .index import scope_index
 from .options import Options
 from .order import BadPurge, Purge, Vector, vector_text
@@ -27,7 +28,6 @@
 from .reseed import Reseed
 from .scope import BadScope
 from .standing import Standing
-from .tokens import Tokens
 from .wire import Event, batches, encode_json
 
 log = logging.getLogger(__name__)
@@ -317,7 +317,7 @@
                     body,
                     {"Content-Type": "application/json"},
                 )
-        except LOST as error:
+        except CALL_ERRORS as error:
             log.warning("feed not told feed=%s:%d: %s %s", one.host, one.port, type(error).__name__, error)
             return
         sent = sum(len(event.purges) for event in events)
--- a/tests/fleet/test_audit.py
+++ b/tests/fleet/test_audit.py
@@ -19,6 +19,7 @@
 from harness import Cache, Command, config, running, trial, until
 from test_coming_back import fleet_of, said, struck
 
+from gladelane.control.http import Refused, fetch
 from gladelane.fleet.options import Options
 from gladelane.fleet.service import Service
 from gladelane.fleet.steady import steady_ms
@@ -30,7 +31,6 @@
 from gladelane.lab.fleet.load import Load
 from gladelane.lab.fleet.relay import State
 from gladelane.lab.processes import ROOT
-from gladelane.purges.http import Refused, fetch
 
 SHORT = {"tenure_ms": 2000.0, "behind_ms": 4000.0}
 
--- a/tests/purges/test_feed.py
+++ b/tests/purges/test_feed.py
@@ -19,15 +19,15 @@
 import pytest
 from harness import until
 
+from gladelane.control.http import Refused, fetch
+from gladelane.control.tokens import BadTokens, Tokens
 from gladelane.durable.files import Folder
 from gladelane.lab.simdisk import SimDisk
 from gladelane.purges import feed as feed_module
 from gladelane.purges.feed import OWN, Feed
 from gladelane.purges.follow import Follower
-from gladelane.purges.http import Refused, fetch
 from gladelane.purges.order import Purge, Stamps
 from gladelane.purges.standing import Standing
-from gladelane.purges.tokens import BadTokens, Tokens
 from gladelane.purges.wire import encode_purge
 
 TOKEN = "a-token-of-the-operators"
@@ -292,7 +292,7 @@
 
     async def scene() -> None:
         code = ("import asyncio, sys\nfrom pathlib import Path\nfrom gladelane.durable.files import Folder\n"
-                "from gladelane.purges.feed import Feed\nfrom gladelane.purges.tokens import Tokens\n"
+                "from gladelane.purges.feed import Feed\nfrom gladelane.control.tokens import Tokens\n"
                 "async def main():\n f = Feed('a', Folder(sys.argv[1]), Tokens(sys.argv[2]), first=True)\n"
                 " print(await f.start('127.0.0.1', 0), flush=True)\n await asyncio.Event().wait()\nasyncio.run(main())")  # fmt: skip
         tokens(tmp_path)
--- a/tests/purges/test_hard_cases.py
+++ b/tests/purges/test_hard_cases.py
@@ -19,6 +19,7 @@
 from test_feed import TOKEN, tokens
 from test_net_rules import notice_flush, outcomes, told
 
+from gladelane.control.http import fetch
 from gladelane.endpoints.address import Family
 from gladelane.endpoints.plan import Endpoints
 from gladelane.endpoints.rules import Listing
@@ -30,7 +31,6 @@
 from gladelane.purges.deliver import Deliver
 from gladelane.purges.feed import Feed, _Waiting
 from gladelane.purges.holder import Holder
-from gladelane.purges.http import fetch
 from gladelane.purges.index import Index
 from gladelane.purges.options import Options
 from gladelane.purges.order import Purge
--- a/tests/purges/test_horizon.py
+++ b/tests/purges/test_horizon.py
@@ -14,6 +14,7 @@
 from hypothesis import strategies as st
 from test_feed import TOKEN, feed, run, send
 
+from gladelane.control.http import Refused, fetch
 from gladelane.lab.losses import Plant, World, broken, steps
 from gladelane.lab.modelcheck import Violation, search
 from gladelane.lab.simdisk import SimDisk
@@ -31,7 +32,6 @@
     judged,
     vouched_by,
 )
-from gladelane.purges.http import Refused, fetch
 from gladelane.purges.index import Index
 from gladelane.purges.markfile import BadMark, MarkFile
 from gladelane.purges.order import BadPurge
