A control server of its own; purges, the audit and leases plug into it by a protocol

purges/feed.py (633 lines) did HTTP, commits, replication and streams, and was the host of the audit and the leases, whose packages imported it back. Now: control/server.py serves, and hands each request to the ControlPart (control/part.py) that has its route; control/group_commit.py stores in batches, for purges and reports alike (it was written twice); control/replication.py knows what peers have stored; control/event_stream.py sends events. purges/purge_log.py takes and commits, with entries typed by kind (entries.py) in place of one tuple of optional fields; purge_store.py has the files, purge_stream.py the subscribers, control_part.py the calls. fleet/collector.py and ownership/desk.py are parts; the audit hears of purges as a listener of the log.

No change of behaviour but one at the edge: a body of 64 KB to 2 MB sent to a part that a server does not have is now refused with 413, where it was 404.

KNOWN in tests/test_layers.py is empty now.

--- a/gladelane/cli/purge.py
+++ b/gladelane/cli/purge.py
@@ -16,18 +16,23 @@
 from rich.table import Table
 
 from ..control.http import Refused, fetch
+from ..control.part import ControlPart
+from ..control.server import ControlServer
 from ..control.tokens import BadTokens, Tokens
 from ..durable.files import Folder
 from ..durable.log import Damaged
 from ..endpoints.address import BadAddress, Family, parse
 from ..logs import set_up
-from ..purges.feed import Feed
+from ..purges.control_part import PurgePart
 from ..purges.horizon import Foreign
 from ..purges.markfile import BadMark, MarkFile
+from ..purges.purge_log import PurgeLog
 from ..purges.scope import BadScope
 from ..purges.scope import parse as parse_scope
 from . import fail, out
 
+log = logging.getLogger(__name__)
+
 app = typer.Typer(no_args_is_help=True, help="Fleet-wide purges: a feed, and speaking to one.")
 
 FeedAt = Annotated[str, typer.Option("--feed", envvar="GL_FEED", help="A feed's IP:PORT.")]
@@ -110,7 +115,7 @@
         if tls_cert is not None:
             tls = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
             tls.load_cert_chain(tls_cert, tls_key)
-        feed = Feed(
+        purge_log = PurgeLog(
             name,
             Folder(dir),
             Tokens(tokens),
@@ -120,43 +125,48 @@
             copies=copies,
             mark=MarkFile(mark) if mark is not None else None,
         )
+        parts: list[ControlPart] = [PurgePart(purge_log)]
         if audit is not None:
             from ..fleet.collector import Collector
             from ..fleet.straggle import ladder_of
 
-            feed.audit = Collector(
+            collector = Collector(
                 name,
                 Folder(audit),
-                feed.tokens.own,
-                feed.clock,
+                purge_log.tokens.own,
+                purge_log.clock,
                 ladder_of(behind_ms, share, tenure_ms),
                 tenure_ms,
             )
             for place in peers:
-                feed.audit.hand_to(*place, tls=_trust(tls_ca))
+                collector.hand_to(*place, tls=_trust(tls_ca))
+            purge_log.listeners.append(collector)
+            parts.append(collector)
         if keeper is not None:
             from ..fleet.steady import steady_ms
             from ..ownership.desk import Desk
 
-            feed.keeper = Desk(
+            leases = Desk(
                 name,
                 Folder(keeper),
-                feed.tokens.own,
+                purge_log.tokens.own,
                 steady_ms,
                 lease_ms,
                 peers,
                 _trust(tls_ca),
                 first,
-                feed.clock(),
+                purge_log.clock(),
             )
+            parts.append(leases)
         stop = asyncio.Event()
         for number in (signal.SIGTERM, signal.SIGINT):
             asyncio.get_running_loop().add_signal_handler(number, stop.set)
         for place in peers:
-            feed.follow(*place, tls=_trust(tls_ca))
-        await feed.start(host, port, tls)
+            purge_log.follow(*place, tls=_trust(tls_ca))
+        server = ControlServer(purge_log.tokens, parts)
+        log_ready(purge_log, host, await server.start(host, port, tls))
         await stop.wait()
-        await feed.close()
+        await server.close()
 
     try:
         asyncio.run(run())
@@ -164,6 +174,17 @@
         fail(error)
 
 
+def log_ready(purge_log: PurgeLog, host: str, port: int) -> None:
+    log.info(
+        "feed ready name=%s listen=%s:%d epoch=%d recovered=%s",
+        purge_log.name,
+        host,
+        port,
+        purge_log.epoch,
+        purge_log.store.recovered,
+    )
+
+
 def ask_feed(
     feed: str, tokens: Path, ca: Path | None, method: str, target: str, body: bytes = b"", key: str = ""
 ) -> Any:
--- a/gladelane/fleet/collector.py
+++ b/gladelane/fleet/collector.py
@@ -1,5 +1,5 @@
-"""A feed's part of the audit: takes directors' reports, stores what is new before it answers, hands it on to
-the other feeds, judges, and answers questions. Decisions stand in `ledger` and `straggle`.
+"""The audit as a part of a control server: takes directors' reports, stores what is new before it answers,
+hands it on to the other feeds, judges, and answers questions. Decisions stand in `ledger` and `straggle`.
 
     POST /reports, /handed, /fleet/expect
     GET  /fleet/marks                                 how far each start is stored here
@@ -14,14 +14,16 @@
 import logging
 import random
 import ssl
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from contextlib import suppress
 from typing import Any, NamedTuple
 from urllib.parse import parse_qs
 
 import msgspec
 
+from ..control.group_commit import GroupCommit
 from ..control.http import CALL_ERRORS, Refused, Request, fetch
+from ..control.part import MAX_LARGE_BODY_BYTES, Route, StreamRoute
 from ..durable import without_gc
 from ..durable.files import Disk
 from ..durable.log import Broken, Log, recover
@@ -55,7 +57,6 @@
 FORGET_S = 60.0
 TWINS_MS = 10_000.0  # for which two processes of one name may be an upgrade
 MOST_ROWS = 20_000
-PATHS = ("/reports", "/handed")
 
 
 class _Waiting(NamedTuple):
@@ -102,7 +103,7 @@
         self._log, words, self._records = recovered(disk, self.ledger)
         for word in words:
             self.judge.told.expect(word)
-        self._queue: asyncio.Queue[_Waiting] = asyncio.Queue(MOST_WAITING)
+        self._committer = GroupCommit(self._commit, self._commit_failed, MOST_WAITING, A_BATCH)
         self._peers: list[_Peer] = []
         self._tasks: list[asyncio.Task[None]] = []
         self._failed = False
@@ -121,7 +122,7 @@
         self.judge.rank = names.index(self.name) if known else len(names) - 1
 
     def start(self) -> None:
-        self._tasks = [asyncio.create_task(self._commit_all()), asyncio.create_task(self._look_all())]
+        self._tasks = [asyncio.create_task(self._committer.run()), asyncio.create_task(self._look_all())]
         self._tasks += [asyncio.create_task(self._hand_all(peer)) for peer in self._peers]
         log.info(
             "audit ready name=%s directors=%d spans=%d",
@@ -144,30 +145,49 @@
 
     # --- taking
 
-    async def answer(self, request: Request, caller: str) -> bytes:
-        """Raises Refused, and ValueError for what cannot be."""
-        given = {name: values[0] for name, values in parse_qs(request.query).items()}
-        match request.method, request.path:
-            case "POST", "/reports":
-                return encode_json(await self._report(report_decoder.decode(request.body)))
-            case "POST", "/handed":
-                return encode_json(await self._handed(handed_decoder.decode(request.body)))
-            case "POST", "/fleet/expect":
-                return encode_json(await self._expect(expect_decoder.decode(request.body), caller))
-            case "GET", "/fleet/marks":
-                marks = [Mark(*run, upto) for run, upto in self.ledger.marks().items()]
-                return encode_json(Marks(self.name, self.epoch, marks, whole=True))
-            case "GET", "/fleet/audit":
-                return encode_json(self._audit(given))
-            case "GET", "/fleet/versions":
-                return encode_json(self._versions())
-            case "GET", "/fleet/stragglers":
-                return encode_json(self._stragglers())
-            case "GET", "/fleet/explain":
-                return encode_json(self._explain(given.get("director", "")))
-            case "GET", "/fleet/verify":
-                return encode_json(self._said(wrong=self.ledger.verify()))
-        raise Refused(404, f"{request.method} {request.path}: no such thing here")
+    def routes(self) -> Sequence[Route]:
+        return (
+            Route("POST", "/reports", self._on_report, MAX_LARGE_BODY_BYTES),
+            Route("POST", "/handed", self._on_handed, MAX_LARGE_BODY_BYTES),
+            Route("POST", "/fleet/expect", self._on_expect),
+            Route("GET", "/fleet/marks", self._on_marks),
+            Route("GET", "/fleet/audit", self._on_audit),
+            Route("GET", "/fleet/versions", self._on_versions),
+            Route("GET", "/fleet/stragglers", self._on_stragglers),
+            Route("GET", "/fleet/explain", self._on_explain),
+            Route("GET", "/fleet/verify", self._on_verify),
+        )
+
+    def streams(self) -> Sequence[StreamRoute]:
+        return ()
+
+    async def _on_report(self, request: Request, caller: str) -> bytes:
+        return encode_json(await self._report(report_decoder.decode(request.body)))
+
+    async def _on_handed(self, request: Request, caller: str) -> bytes:
+        return encode_json(await self._handed(handed_decoder.decode(request.body)))
+
+    async def _on_expect(self, request: Request, caller: str) -> bytes:
+        return encode_json(await self._expect(expect_decoder.decode(request.body), caller))
+
+    async def _on_marks(self, request: Request, caller: str) -> bytes:
+        marks = [Mark(*run, upto) for run, upto in self.ledger.marks().items()]
+        return encode_json(Marks(self.name, self.epoch, marks, whole=True))
+
+    async def _on_audit(self, request: Request, caller: str) -> bytes:
+        return encode_json(self._audit(_parameters(request)))
+
+    async def _on_versions(self, request: Request, caller: str) -> bytes:
+        return encode_json(self._versions())
+
+    async def _on_stragglers(self, request: Request, caller: str) -> bytes:
+        return encode_json(self._stragglers())
+
+    async def _on_explain(self, request: Request, caller: str) -> bytes:
+        return encode_json(self._explain(_parameters(request).get("director", "")))
+
+    async def _on_verify(self, request: Request, caller: str) -> bytes:
+        return encode_json(self._said(wrong=self.ledger.verify()))
 
     async def _report(self, report: Report) -> Answer:
         now = self.clock()
@@ -227,7 +247,7 @@
         if new or words:
             done: asyncio.Future[None] = asyncio.get_running_loop().create_future()
             try:
-                self._queue.put_nowait(_Waiting(new, words, done, source))
+                self._committer.put(_Waiting(new, words, done, source))
             except asyncio.QueueFull:
                 raise Refused(503, "too many reports wait to be stored") from None
             await asyncio.shield(done)
@@ -246,23 +266,16 @@
                 if report.spans[0].number <= peer.upto.get(run, 0) + 1:
                     peer.upto[run] = max(peer.upto.get(run, 0), last)
 
-    async def _commit_all(self) -> None:
-        while True:
-            batch = [await self._queue.get()]
-            while not self._queue.empty() and len(batch) < A_BATCH:
-                batch.append(self._queue.get_nowait())
-            try:
-                await self._commit(batch)
-            except Exception as error:
-                if not isinstance(error, OSError | Broken):
-                    log.exception("audit: could not store")
-                elif not self._failed:
-                    log.error("audit: not stored: %s", error)
-                self._failed = True
-                self._log.drop()
-                for waiting in batch:
-                    if not waiting.done.done():
-                        waiting.done.set_exception(Refused(507, f"not stored: {error}"))
+    def _commit_failed(self, batch: list[_Waiting], error: Exception) -> None:
+        if not isinstance(error, OSError | Broken):
+            log.error("audit: could not store", exc_info=error)
+        elif not self._failed:
+            log.error("audit: not stored: %s", error)
+        self._failed = True
+        self._log.drop()
+        for waiting in batch:
+            if not waiting.done.done():
+                waiting.done.set_exception(Refused(507, f"not stored: {error}"))
 
     async def _commit(self, batch: list[_Waiting]) -> None:
         for waiting in batch:
@@ -428,6 +441,10 @@
         return self._said(explained=told, ladder=self.judge.ladder, source=self.judge.source)
 
 
+def _parameters(request: Request) -> dict[str, str]:
+    return {name: values[0] for name, values in parse_qs(request.query).items()}
+
+
 def recovered(disk: Disk, ledger: Ledger) -> tuple[Log, list[Expect], int]:
     """What a feed had stored, into an empty ledger: the log, operators' words, records in the log. Raises
     Damaged and OSError."""
--- a/gladelane/ownership/desk.py
+++ b/gladelane/ownership/desk.py
@@ -1,17 +1,18 @@
-"""A feed's part of ownership: it is a keeper. Numbers and progress are stored before an answer leaves;
-leases are not, a start sits them out. Decisions stand in `keeper`."""
+"""Leases as a part of a control server, which is a keeper. Numbers and progress are stored before an answer
+leaves; leases are not, a start sits them out. Decisions stand in `keeper`."""
 
 from __future__ import annotations
 
 import asyncio
 import logging
 import ssl
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
 import msgspec
 
 from ..control.http import CALL_ERRORS, Refused, Request, fetch
+from ..control.part import MAX_LARGE_BODY_BYTES, Route, StreamRoute
 from ..durable.files import Disk
 from ..durable.log import Broken, Log, recover
 from .keeper import Keeper
@@ -21,6 +22,7 @@
     Asks,
     Numbers,
     Owned,
+    Owners,
     Replies,
     asks_decoder,
     encode_json,
@@ -129,22 +131,25 @@
             await asyncio.sleep(LOOK_S)
         log.info("keeper has heard all others works=%d", len(self.keeper.numbers))
 
-    async def answer(self, request: Request) -> bytes:
-        """Raises Refused, and ValueError for what cannot be."""
-        match request.method, request.path:
-            case "POST", "/leases":
-                return encode_json(await self._ask(asks_decoder.decode(request.body)))
-            case "GET", "/leases/numbers":
-                return encode_json(Numbers(self.keeper.name, self.keeper.numbers, self.progress))
-            case "GET", "/leases":
-                return encode_json(
-                    {
-                        "keeper": self.keeper.name,
-                        "ready": self.keeper.ready(self._steady()),
-                        "owners": self.owners(),
-                    }
-                )
-        raise Refused(404, f"{request.method} {request.path}: no such thing here")
+    def routes(self) -> Sequence[Route]:
+        return (
+            Route("POST", "/leases", self._on_ask, MAX_LARGE_BODY_BYTES),
+            Route("GET", "/leases/numbers", self._on_numbers),
+            Route("GET", "/leases", self._on_owners),
+        )
+
+    def streams(self) -> Sequence[StreamRoute]:
+        return ()
+
+    async def _on_ask(self, request: Request, caller: str) -> bytes:
+        return encode_json(await self._ask(asks_decoder.decode(request.body)))
+
+    async def _on_numbers(self, request: Request, caller: str) -> bytes:
+        return encode_json(Numbers(self.keeper.name, self.keeper.numbers, self.progress))
+
+    async def _on_owners(self, request: Request, caller: str) -> bytes:
+        ready = self.keeper.ready(self._steady())
+        return encode_json(Owners(self.keeper.name, ready, self.owners()))
 
     async def _ask(self, asks: Asks) -> Replies:
         if len(asks.asks) > MOST_ASKS or any(len(text) > MOST_PROGRESS for text in asks.progress.values()):
--- a/gladelane/ownership/wire.py
+++ b/gladelane/ownership/wire.py
@@ -46,6 +46,14 @@
     since_ms: float  # ago, of this number
 
 
+class Owners(msgspec.Struct):
+    """All works that a keeper knows. ready: it grants leases."""
+
+    keeper: str
+    ready: bool
+    owners: list[Owned]
+
+
 asks_decoder: msgspec.json.Decoder[Asks] = msgspec.json.Decoder(Asks)
 replies_decoder: msgspec.json.Decoder[Replies] = msgspec.json.Decoder(Replies)
 numbers_decoder: msgspec.json.Decoder[Numbers] = msgspec.json.Decoder(Numbers)
--- a/tests/purges/test_feed.py
+++ b/tests/purges/test_feed.py
@@ -7,6 +7,7 @@
 import json
 import os
 import signal
+import ssl
 import subprocess
 import sys
 import time
@@ -19,14 +20,18 @@
 import pytest
 from harness import until
 
+from gladelane.control import event_stream, server
 from gladelane.control.http import Refused, fetch
+from gladelane.control.server import ControlServer
 from gladelane.control.tokens import BadTokens, Tokens
 from gladelane.durable.files import Folder
 from gladelane.lab.simdisk import SimDisk
-from gladelane.purges import feed as feed_module
-from gladelane.purges.feed import OWN, Feed
+from gladelane.purges import purge_stream
+from gladelane.purges.control_part import PurgePart
 from gladelane.purges.follow import Follower
 from gladelane.purges.order import Purge, Stamps
+from gladelane.purges.purge_log import PurgeLog
+from gladelane.purges.purge_store import OWN, recover
 from gladelane.purges.standing import Standing
 from gladelane.purges.wire import encode_purge
 
@@ -41,14 +46,28 @@
     return Tokens(path)
 
 
+class ServedLog(PurgeLog):
+    """A purge log that is the one part of a control server."""
+
+    port = 0
+
+    async def serve(self, tls: ssl.SSLContext | None = None) -> int:
+        self._control = ControlServer(self.tokens, [PurgePart(self)])
+        self.port = await self._control.start("127.0.0.1", 0, tls)
+        return self.port
+
+    async def end(self) -> None:
+        await self._control.close()
+
+
 @asynccontextmanager
-async def feed(tmp: Path, name: str = "a", disk: Any = None, **more: Any) -> AsyncIterator[Feed]:
-    one = Feed(name, SimDisk() if disk is None else disk, tokens(tmp), **{"first": True, **more})
-    await one.start("127.0.0.1", 0)
+async def feed(tmp: Path, name: str = "a", disk: Any = None, **more: Any) -> AsyncIterator[ServedLog]:
+    one = ServedLog(name, SimDisk() if disk is None else disk, tokens(tmp), **{"first": True, **more})
+    await one.serve()
     try:
         yield one
     finally:
-        await one.close()
+        await one.end()
 
 
 async def send(port: int, scope: str, key: str = "", token: str = TOKEN, **tags: str) -> dict[str, Any]:
@@ -144,7 +163,7 @@
             assert (await reader.read(64)).startswith(b"HTTP/1.1 400")
             writer.close()
             with pytest.MonkeyPatch.context() as patch:
-                patch.setattr(feed_module, "REQUEST_S", 0.1)
+                patch.setattr(server, "REQUEST_TIMEOUT_S", 0.1)
                 reader, writer = await asyncio.open_connection("127.0.0.1", one.port)
                 writer.write(b"POST /purges HTTP/1.1\r\nHost: x\r\n")
                 assert (await reader.read(64)).startswith(b"HTTP/1.1 408")
@@ -232,19 +251,19 @@
     async def scene() -> None:
         disk = SimDisk()
         stamps = Stamps("a", (), 0.0, time.time() * 1000.0)
-        log = feed_module.recover(disk)[0]
+        log = recover(disk)[0]
         for n in range(50_000):
             log.append(encode_purge(stamps.next(f"object:{n:016x}", time.time() * 1000.0)))
         log.commit()
         with pytest.MonkeyPatch.context() as patch:
-            patch.setattr(feed_module, "TAIL", 20)
-            patch.setattr(feed_module, "UNSENT_BYTES", 1000)
+            patch.setattr(purge_stream, "MAX_RECENT", 20)
+            patch.setattr(event_stream, "MAX_UNSENT_BYTES", 1000)
             async with feed(tmp_path, disk=disk) as one:
                 reader, writer = await asyncio.open_connection("127.0.0.1", one.port, limit=2**12)
                 writer.write(
                     f"GET /follow?from= HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {TOKEN}\r\n\r\n".encode()
                 )
-                await until(lambda: one.followers == 1)  # and reads nothing more for now
+                await until(lambda: one.stream.subscribers == 1)  # and reads nothing more for now
                 watcher = Watcher(one.port)
                 await until(lambda: len(watcher.standing) == 50_000, 60.0)
                 for n in range(120):
@@ -292,9 +311,12 @@
 
     async def scene() -> None:
         code = ("import asyncio, sys\nfrom pathlib import Path\nfrom gladelane.durable.files import Folder\n"
-                "from gladelane.purges.feed import Feed\nfrom gladelane.control.tokens import Tokens\n"
-                "async def main():\n f = Feed('a', Folder(sys.argv[1]), Tokens(sys.argv[2]), first=True)\n"
-                " print(await f.start('127.0.0.1', 0), flush=True)\n await asyncio.Event().wait()\nasyncio.run(main())")  # fmt: skip
+                "from gladelane.control.server import ControlServer\nfrom gladelane.control.tokens import Tokens\n"
+                "from gladelane.purges.control_part import PurgePart\nfrom gladelane.purges.purge_log import PurgeLog\n"
+                "async def main():\n known = Tokens(sys.argv[2])\n"
+                " purges = PurgeLog('a', Folder(sys.argv[1]), known, first=True)\n"
+                " server = ControlServer(known, [PurgePart(purges)])\n"
+                " print(await server.start('127.0.0.1', 0), flush=True)\n await asyncio.Event().wait()\nasyncio.run(main())")  # fmt: skip
         tokens(tmp_path)
         answered: dict[str, int] = {}
         for turn in range(5):
@@ -317,7 +339,7 @@
             process.wait()
             process.stdout.close()
         folder = Folder(tmp_path / "log")
-        back = Feed("a", folder, tokens(tmp_path))
+        back = PurgeLog("a", folder, tokens(tmp_path))
         kept = {p.key: p.seq for p in back.standing.beyond({})}
         assert len(answered) > 25 and {key: kept.get(key) for key in answered} == answered
         folder.close()
@@ -330,7 +352,7 @@
     async def scene() -> None:
         disk = SimDisk()
         async with feed(tmp_path, disk=disk) as one:
-            one._told(
+            one.receive(
                 [
                     Purge("x", 1, 1, 1e12, "rubbish"),
                     Purge("", 1, 1, 1e12, "all"),
@@ -338,7 +360,7 @@
                 ]
             )
             await until(lambda: one.standing.positions.taken("x", 1, 2))
-        records = feed_module.recover(disk)[1].records
+        records = recover(disk)[1].records
         assert [msgspec.msgpack.decode(r, type=Purge).seq for r in records if not r.startswith(OWN)] == [2]
 
     run(scene())
--- a/tests/purges/test_hard_cases.py
+++ b/tests/purges/test_hard_cases.py
@@ -16,7 +16,7 @@
 from cryptography.hazmat.primitives.asymmetric import ec
 from cryptography.x509.oid import NameOID
 from harness import Client, config, running, trial, until
-from test_feed import TOKEN, tokens
+from test_feed import TOKEN, ServedLog, tokens
 from test_net_rules import notice_flush, outcomes, told
 
 from gladelane.control.http import fetch
@@ -29,12 +29,13 @@
 from gladelane.lab.standins import Fault, Standin
 from gladelane.net.config import Notice
 from gladelane.purges.deliver import Deliver
-from gladelane.purges.feed import Feed, _Waiting
+from gladelane.purges.entries import NewPurge
 from gladelane.purges.holder import Holder
 from gladelane.purges.index import Index
 from gladelane.purges.options import Options
 from gladelane.purges.order import Purge
 from gladelane.purges.orders import Orders
+from gladelane.purges.purge_log import PurgeLog
 
 
 @trial
@@ -128,19 +129,18 @@
     """Every operation on its disk in turn, each with every fate of what was not synced."""
 
     async def life(disk: SimDisk, answered: dict[str, Purge]) -> None:
-        feed = Feed("a", disk, tokens(tmp_path), clock=lambda: 1e12, first=True)
+        feed = PurgeLog("a", disk, tokens(tmp_path), clock=lambda: 1e12, first=True)
         for turn in range(6):
             waiting = [
-                _Waiting(f"group:{turn}", f"k{turn}-{n}", asyncio.get_running_loop().create_future())
+                NewPurge(f"group:{turn}", f"k{turn}-{n}", asyncio.get_running_loop().create_future())
                 for n in range(2)
             ]
-            await feed._commit(waiting)
+            await feed.commit(waiting)
             for one in waiting:
-                assert one.done is not None
-                told = one.done.result()
+                told = one.accepted.result()
                 answered[one.key] = Purge(told.issuer, told.epoch, told.seq, told.at_ms, told.scope, one.key)
             if turn == 3:
-                await asyncio.to_thread(feed.log.snapshot, feed.standing.snapshot())
+                await asyncio.to_thread(feed.store.log.snapshot, feed.standing.snapshot())
 
     whole = SimDisk()
     asyncio.run(life(whole, {}))
@@ -151,7 +151,7 @@
                 disk, answered = SimDisk(at), dict[str, Purge]()
                 with pytest.raises(Crash):
                     asyncio.run(life(disk, answered))
-                back = Feed("a", disk.after_crash(lost, names_kept), tokens(tmp_path), clock=lambda: 1e12)
+                back = PurgeLog("a", disk.after_crash(lost, names_kept), tokens(tmp_path), clock=lambda: 1e12)
                 kept = {purge.key: purge for purge in back.standing.beyond({})}
                 assert {key: kept.get(key) for key in answered} == answered, (at, lost, names_kept)
                 assert back._stamps.epoch > max((p.epoch for p in kept.values()), default=0)
@@ -186,15 +186,15 @@
         cert, key = certificate(tmp_path)
         serving = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
         serving.load_cert_chain(cert, key)
-        feed = Feed("a", SimDisk(), tokens(tmp_path))
-        await feed.start("127.0.0.1", 0, serving)
+        feed = ServedLog("a", SimDisk(), tokens(tmp_path))
+        await feed.serve(serving)
         trusting = ssl.create_default_context(cafile=str(cert))
         assert b'"name":"a"' in await fetch("127.0.0.1", feed.port, "GET", "/status", TOKEN, tls=trusting)
         with pytest.raises(ssl.SSLError):
             await fetch("127.0.0.1", feed.port, "GET", "/status", TOKEN, tls=ssl.create_default_context())
         with pytest.raises(OSError):
             await fetch("127.0.0.1", feed.port, "GET", "/status", TOKEN)
-        await feed.close()
+        await feed.end()
 
     asyncio.run(scene())
 
--- a/tests/purges/test_horizon.py
+++ b/tests/purges/test_horizon.py
@@ -18,7 +18,6 @@
 from gladelane.lab.losses import Plant, World, broken, steps
 from gladelane.lab.modelcheck import Violation, search
 from gladelane.lab.simdisk import SimDisk
-from gladelane.purges.feed import Feed
 from gladelane.purges.horizon import (
     SEEN,
     Folder,
@@ -35,6 +34,7 @@
 from gladelane.purges.index import Index
 from gladelane.purges.markfile import BadMark, MarkFile
 from gladelane.purges.order import BadPurge
+from gladelane.purges.purge_log import PurgeLog
 from gladelane.purges.standing import Standing
 
 LOSSES = st.lists(
@@ -188,7 +188,7 @@
             lost = one.standing.horizon.open("a")
             assert len(lost) == 1
             await send(one.port, "group:1")
-            await asyncio.to_thread(one.log.snapshot, one.standing.snapshot())
+            await asyncio.to_thread(one.store.log.snapshot, one.standing.snapshot())
         async with feed(tmp_path, disk=disk, first=False) as again:  # not empty now, and still in doubt
             assert again.standing.horizon.open("a") == lost
             body = json.dumps({"since_ms": 0, "why": "sent again"}).encode()
@@ -240,13 +240,13 @@
             older = disk.copy()
             await send(a.port, "group:2")
             known = list(a.standing.beyond({}))
-        with_mark = Feed("a", older.copy(), a.tokens, mark=mark)
+        with_mark = PurgeLog("a", older.copy(), a.tokens, mark=mark)
         assert with_mark.standing.horizon.open("a")
         async with feed(tmp_path, "a", disk=older, first=False) as back:
             assert not back.standing.horizon.open()
-            back._told([known[0]])  # what its folder had
+            back.receive([known[0]])  # what its folder had
             assert not back.standing.horizon.open()
-            back._told([known[1]])
+            back.receive([known[1]])
             assert back.standing.horizon.open("a")
             await until(lambda: len(back.standing) == 2)
 
@@ -262,8 +262,8 @@
             with pytest.raises(Refused, match="not stored"):
                 await send(a.port, "group:1")
             disk.room = 100_000
-            await until(lambda: not a._unsaved.start[0])
-        again = Feed("a", disk, a.tokens)
+            await until(lambda: not a.store.owes_start())
+        again = PurgeLog("a", disk, a.tokens)
         assert again.standing.horizon.open("a") and again.standing.start[0] == "a"
 
     run(scene())
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -36,12 +36,7 @@
 )
 
 #: Imports that still go upward, as they are printed. May only shrink.
-KNOWN: frozenset[str] = frozenset(
-    {
-        "purges.feed -> fleet.collector (for types only)",
-        "purges.feed -> ownership.desk (for types only)",
-    }
-)
+KNOWN: frozenset[str] = frozenset()
 
 
 class Kind(Enum):
