Positions and gaps move to control/: neither the audit nor the leases need purges any more

fleet/collector.py, straggle.py, view.py, tenure.py and ledger.py imported purges/order.py for nothing but version vectors and their reading. control/positions.py holds Positions, Gap, Vector, read_vector and vector_text now, with an error of its own (BadPosition); a purge or loss that cannot be is still BadPurge. Who caught BadPurge of either kind catches both.

tests/test_layers.py: from a part of the control server (purges.control_part, fleet.collector, ownership.desk) no import leads to another's package. Seen to fail with an import of purges planted in fleet/ledger.py. test_order and fuzz name BadPosition where a vector or positions are refused.

--- a/benchmarks/fuzz.py
+++ b/benchmarks/fuzz.py
@@ -17,11 +17,12 @@
 
 import msgspec
 
+from gladelane.control.positions import BadPosition, read_vector, vector_text
 from gladelane.durable.log import Damaged, recover
 from gladelane.endpoints.address import BadAddress
 from gladelane.endpoints.address import parse as parse_address
 from gladelane.lab.simdisk import SimDisk
-from gladelane.purges.order import BadPurge, read_vector, vector_text
+from gladelane.purges.order import BadPurge
 from gladelane.purges.scope import BadScope
 from gladelane.purges.scope import parse as parse_scope
 from gladelane.purges.standing import Standing
@@ -112,8 +113,8 @@
 
 TRIES: dict[str, tuple[Callable[[bytes], Any], tuple[type[Exception], ...]]] = {
     "scope": (try_scope, (BadScope,)),
-    "vector": (try_vector, (BadPurge,)),
-    "event": (try_event, (msgspec.MsgspecError, BadPurge, BadScope)),
+    "vector": (try_vector, (BadPosition,)),
+    "event": (try_event, (msgspec.MsgspecError, BadPurge, BadPosition, BadScope)),
     "submit": (submit_decoder.decode, (msgspec.MsgspecError,)),
     "address": (lambda data: parse_address(data.decode("utf-8", "replace")), (BadAddress,)),
     "operator": (read_operator, (BadOperatorFile,)),
--- a/gladelane/control/replication.py
+++ b/gladelane/control/replication.py
@@ -4,21 +4,19 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Mapping
 from typing import Generic, NamedTuple, TypeVar
 
 from .http import Refused
+from .positions import Stream, Vector
 
 Result = TypeVar("Result")
-Stream = tuple[str, int]  # an issuer and the epoch of one of its starts
-Position = Mapping[Stream, int]  # the last number of each stream up to which all is stored
 
 
 class PeerReport(NamedTuple):
     """A peer's latest. position: up to where it has told all, None: not yet; copies: how many servers store
     an entry before it answers for it."""
 
-    position: Position | None = None
+    position: Vector | None = None
     name: str = ""
     copies: int = 1
 
--- a/gladelane/fleet/collector.py
+++ b/gladelane/fleet/collector.py
@@ -24,10 +24,10 @@
 from ..control.group_commit import GroupCommit
 from ..control.http import CALL_ERRORS, Refused, Request, fetch
 from ..control.part import MAX_LARGE_BODY_BYTES, Route, StreamRoute
+from ..control.positions import Vector
 from ..durable import without_gc
 from ..durable.files import Disk
 from ..durable.log import Broken, Log, recover
-from ..purges.order import Vector
 from ..structures.backoff import Backoff
 from .ledger import BadReport, Ledger, Row, Run
 from .straggle import EXPECTED, Judge, Ladder
--- a/gladelane/fleet/ledger.py
+++ b/gladelane/fleet/ledger.py
@@ -18,7 +18,7 @@
 
 import msgspec
 
-from ..purges.order import ISSUER
+from ..control.positions import ISSUER
 from .trail import Count, Lost, Span, first_seal, is_sealed
 from .view import View, name_of
 from .wire import Report
--- a/gladelane/fleet/service.py
+++ b/gladelane/fleet/service.py
@@ -13,11 +13,11 @@
 from typing import Protocol
 
 from ..control.http import CALL_ERRORS, fetch
+from ..control.positions import vector_text
 from ..durable.files import InUse
 from ..interface import Settings
 from ..net.director import Director
 from ..purges.holder import Holder
-from ..purges.order import vector_text
 from ..recovery.warm import vars_of
 from ..structures.backoff import Backoff
 from .book import Book, Page
--- a/gladelane/fleet/straggle.py
+++ b/gladelane/fleet/straggle.py
@@ -28,7 +28,7 @@
 
 import msgspec
 
-from ..purges.order import BadPurge, Stream, Vector, vector_text
+from ..control.positions import BadPosition, Stream, Vector, vector_text
 from .tenure import Lacks, Stage, Verdict
 from .view import View, positions
 from .wire import Expect
@@ -136,7 +136,7 @@
             found["list"] = at[place]
         try:
             since = self._purges_since(positions(view.purges))
-        except BadPurge:
+        except BadPosition:
             since = self._began_ms
         if since < math.inf:
             found["purges"] = since
--- a/gladelane/fleet/tenure.py
+++ b/gladelane/fleet/tenure.py
@@ -19,7 +19,7 @@
 
 import msgspec
 
-from ..purges.order import BadPurge
+from ..control.positions import BadPosition
 from .view import View, positions, reaches
 
 DRIFT = 0.001  # by which two clocks that do not step may run apart, as a part of the time
@@ -74,7 +74,7 @@
         try:
             if not reaches(positions(view.purges), positions(lacks.purges)):
                 found.append("purges")
-        except BadPurge:
+        except BadPosition:
             pass
     if lacks.horizon_ms > view.horizon_ms:
         found.append("horizon")
--- a/gladelane/fleet/view.py
+++ b/gladelane/fleet/view.py
@@ -16,7 +16,7 @@
 
 import msgspec
 
-from ..purges.order import Vector, read_vector
+from ..control.positions import Vector, read_vector
 
 DIGEST_BYTES = 8
 
@@ -71,7 +71,7 @@
 
 @lru_cache(maxsize=4096)
 def positions(text: str) -> Vector:
-    """Raises BadPurge."""
+    """Raises BadPosition."""
     return read_vector(text)
 
 
@@ -94,7 +94,7 @@
 
 
 def compare_part(part: Part, one: View, other: View) -> Order:
-    """How `one` stands to `other`. Raises BadPurge for positions that are none."""
+    """How `one` stands to `other`. Raises BadPosition for positions that are none."""
     match part:
         case Part.LIST:
             if one.board != other.board or (one.rev == other.rev and one.list != other.list):
--- a/gladelane/lab/tenures.py
+++ b/gladelane/lab/tenures.py
@@ -17,10 +17,10 @@
 from dataclasses import dataclass, field, replace
 from enum import Enum, auto
 
+from ..control.positions import vector_text
 from ..fleet.straggle import Judge, Ladder, Watched
 from ..fleet.tenure import Stage, Tenure, Verdict
 from ..fleet.view import View
-from ..purges.order import vector_text
 from .modelcheck import Violation, search
 
 TICK_MS = 1_000.0
--- a/gladelane/ownership/shards.py
+++ b/gladelane/ownership/shards.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from ..purges.order import BadPurge, Vector, read_vector, vector_text
+from ..control.positions import BadPosition, Vector, read_vector, vector_text
 from ..purges.orders import Orders
 
 
@@ -78,7 +78,7 @@
         try:
             left = _left_decoder.decode(text)
             vectors = {server: read_vector(one.vector) for server, one in left.items()}
-        except (msgspec.MsgspecError, BadPurge):
+        except (msgspec.MsgspecError, BadPosition):
             return
         for server, vector in vectors.items():
             if self.work(server) == work:
--- a/gladelane/purges/control_part.py
+++ b/gladelane/purges/control_part.py
@@ -16,7 +16,8 @@
 from ..control.event_stream import EventSink
 from ..control.http import Refused, Request
 from ..control.part import MAX_LARGE_BODY_BYTES, Route, StreamRoute
-from .order import Purge, Vector, read_vector
+from ..control.positions import Vector, read_vector
+from .order import Purge
 from .purge_log import PurgeLog
 from .scope import parse
 from .wire import encode_json, event_decoder, submit_decoder, vouch_decoder
@@ -91,6 +92,6 @@
 
 
 def _known_vector(query: str) -> Vector:
-    """What a subscriber says that it knows. Raises BadPurge."""
+    """What a subscriber says that it knows. Raises BadPosition."""
     given = [item.partition("=") for item in query.split("&")]
     return read_vector(unquote(next((value for name, _, value in given if name == "from"), "")))
--- a/gladelane/purges/entries.py
+++ b/gladelane/purges/entries.py
@@ -5,8 +5,9 @@
 import asyncio
 from typing import NamedTuple
 
+from ..control.positions import Vector
 from .horizon import Loss
-from .order import Purge, Vector
+from .order import Purge
 from .wire import Accepted
 
 
--- a/gladelane/purges/follow.py
+++ b/gladelane/purges/follow.py
@@ -11,14 +11,15 @@
 from contextlib import aclosing
 
 from ..control.http import CALL_ERRORS, stream_response
+from ..control.positions import BadPosition, Vector, read_vector, vector_text
 from ..sse import EventStream
 from ..structures.backoff import Backoff
-from .order import BadPurge, Purge, Vector, read_vector, vector_text
+from .order import BadPurge, Purge
 from .wire import SILENT_S, Event, event_decoder
 
 log = logging.getLogger(__name__)
 
-LOST = (*CALL_ERRORS, BadPurge)
+LOST = (*CALL_ERRORS, BadPurge, BadPosition)
 BACKOFF_S, BACKOFF_MOST_S = 0.1, 1.0
 
 
--- a/gladelane/purges/holder.py
+++ b/gladelane/purges/holder.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from ..control.http import CALL_ERRORS, fetch
+from ..control.positions import BadPosition, Vector, vector_text
 from ..control.tokens import Tokens
 from ..durable import without_gc
 from ..durable.files import Disk
@@ -23,7 +24,7 @@
 from .horizon import Loss
 from .index import scope_index
 from .options import Options
-from .order import BadPurge, Purge, Vector, vector_text
+from .order import BadPurge, Purge
 from .orders import Orders
 from .reseed import Reseed
 from .scope import BadScope
@@ -151,7 +152,7 @@
         for purge in purges:
             try:
                 new = self.standing.take(purge, now)
-            except (BadPurge, BadScope) as error:
+            except (BadPurge, BadPosition, BadScope) as error:
                 log.error("bad purge issuer=%.64s seq=%s: %s", purge.issuer, purge.seq, error)
                 continue
             if new and self._log is not None:
--- a/gladelane/purges/horizon.py
+++ b/gladelane/purges/horizon.py
@@ -18,7 +18,8 @@
 
 import msgspec
 
-from .order import ISSUER, BadPurge, Stream, Vector
+from ..control.positions import ISSUER, Stream, Vector
+from .order import BadPurge
 
 MOST_LOSSES = 4_096
 SEEN = "seen by a director"  # `by` of a loss that other feeds did not show: they lack what they should have
--- a/gladelane/purges/orders.py
+++ b/gladelane/purges/orders.py
@@ -11,7 +11,8 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import NamedTuple
 
-from .order import Purge, Vector
+from ..control.positions import Vector
+from .order import Purge
 
 A_BATCH = 200  # purges in one order
 RETRY_FIRST_MS, RETRY_MOST_MS = 200.0, 10_000.0
--- a/gladelane/purges/purge_log.py
+++ b/gladelane/purges/purge_log.py
@@ -21,6 +21,7 @@
 
 from ..control.group_commit import GroupCommit
 from ..control.http import Refused
+from ..control.positions import BadPosition, Vector, read_vector, vector_text
 from ..control.replication import PeerReport, PendingReplication, Replication
 from ..control.tokens import Tokens
 from ..durable.files import Disk
@@ -29,7 +30,7 @@
 from .follow import Follower
 from .horizon import SEEN, Folder, Loss, Mark, Peer, behind, judged, vouched_by
 from .markfile import MarkFile
-from .order import BadPurge, Purge, Stamps, Vector, check, read_vector, vector_text
+from .order import BadPurge, Purge, Stamps, check
 from .purge_store import OwnRecord, PurgeStore, encode_own
 from .purge_stream import PurgeStream
 from .scope import BadScope, Catalog, parse
@@ -264,7 +265,7 @@
             self._put(ReceivedPurge(purge))
 
     def receive_event(self, event: Event) -> None:
-        """What a director knows and this log lacks. Raises BadPurge and Refused."""
+        """What a director knows and this log lacks. Raises BadPosition, BadPurge and Refused."""
         vector = read_vector(event.mark) if event.mark is not None else None
         before = len(self.standing)
         try:
@@ -353,7 +354,7 @@
     def _take(self, purge: Purge, now: float) -> None:
         try:
             new = self.standing.take(purge, now)
-        except (BadPurge, BadScope) as error:
+        except (BadPurge, BadPosition, BadScope) as error:
             log.error("bad purge issuer=%.64s seq=%s: %s", purge.issuer, purge.seq, error)
             return
         if not new:
--- a/gladelane/purges/purge_stream.py
+++ b/gladelane/purges/purge_stream.py
@@ -6,7 +6,8 @@
 from contextlib import suppress
 
 from ..control.event_stream import EventSink
-from .order import Purge, Vector, vector_text
+from ..control.positions import Vector, vector_text
+from .order import Purge
 from .standing import Standing
 from .wire import BEAT_S, Event, batches, encode_json
 
--- a/gladelane/purges/reseed.py
+++ b/gladelane/purges/reseed.py
@@ -6,7 +6,7 @@
 
 import random
 
-from .order import Vector
+from ..control.positions import Vector
 
 WAIT_MS = (700.0, 2_500.0)  # from seeing that a feed lacks something: it may be under way from another feed
 AGAIN_MS = 3_000.0  # from one sending to the next
--- a/gladelane/purges/standing.py
+++ b/gladelane/purges/standing.py
@@ -16,9 +16,10 @@
 
 import msgspec
 
+from ..control.positions import Positions, Stream, Vector
 from .horizon import Horizon, Loss
 from .index import Index, TooOdd
-from .order import Positions, Purge, Stream, Vector, check
+from .order import Purge, check
 from .scope import BadScope, parse
 
 AHEAD_MS = 60_000.0
@@ -63,7 +64,8 @@
         return len(self._purges)
 
     def take(self, purge: Purge, now_ms: float) -> bool:
-        """Whether it is new; it binds from here on. Raises BadPurge or BadScope and changes nothing."""
+        """Whether it is new; it binds from here on. Raises BadPurge, BadPosition or BadScope and changes
+        nothing."""
         check(purge)
         if self.positions.taken(purge.issuer, purge.epoch, purge.seq):
             return False
--- a/tests/purges/test_order.py
+++ b/tests/purges/test_order.py
@@ -9,7 +9,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from gladelane.purges.order import BadPurge, Gap, Positions, Purge, Stamps, read_vector, vector_text
+from gladelane.control.positions import BadPosition, Gap, Positions, read_vector, vector_text
+from gladelane.purges.order import BadPurge, Purge, Stamps
 from gladelane.purges.scope import BadScope
 from gladelane.purges.standing import AHEAD_MS, SKEW_MS, Standing, merged
 
@@ -139,7 +140,7 @@
     assert read_vector(vector_text(vector)) == vector and read_vector("") == {}
     try:
         assert read_vector(vector_text(read_vector(text))) == read_vector(text)
-    except BadPurge as error:
+    except BadPosition as error:
         assert "expected issuer:epoch=number" in str(error)
 
 
@@ -148,5 +149,5 @@
     assert merged([{("a", 1): 3}, {("a", 1): 2, ("b", 1): 1}]) == {("a", 1): 3, ("b", 1): 1}
     for epoch in range(1, 4097):
         positions.take("a", epoch, 1)
-    with pytest.raises(BadPurge, match="epochs"):
+    with pytest.raises(BadPosition, match="epochs"):
         positions.take("a", 5000, 1)
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -155,6 +155,32 @@
     assert cycle([one for one in imports_of(ROOT) if str(one) not in KNOWN]) == []
 
 
+def reached(start: str, imports: list[Import]) -> set[str]:
+    """All modules that a module loads, itself and through others."""
+    found, waiting = set(), [start]
+    while waiting:
+        module = waiting.pop()
+        if module not in found:
+            found.add(module)
+            waiting += [one.imported for one in imports if one.importer == module]
+    return found
+
+
+#: The parts of the control server, and the packages of the others.
+PARTS = {
+    "purges.control_part": {"fleet", "ownership"},
+    "fleet.collector": {"purges", "ownership"},
+    "ownership.desk": {"purges", "fleet"},
+}
+
+
+@pytest.mark.parametrize("part", PARTS)
+def test_no_part_of_the_control_server_needs_another(part: str) -> None:
+    modules = reached(part, imports_of(ROOT))
+    assert "control.part" in modules
+    assert not {unit_of(module) for module in modules} & PARTS[part]
+
+
 PLANTED = {
     "from ..net.director import Director": "purges.planted -> net.director (when loaded)",
     "from .. import choice": "purges.planted -> choice (when loaded)",
