Names: standing purges are ActivePurges, bounds that still bind are in_force

Renames only: purges/standing.py is purges/active_purges.py, class Standing is ActivePurges, the purge log's attribute is active, bounds.standing is bounds.in_force. The word in the status, in figures and in the log lines stays, as does the attribute of the director's holder that __main__ reads.

--- a/benchmarks/fuzz.py
+++ b/benchmarks/fuzz.py
@@ -22,10 +22,10 @@
 from gladelane.endpoints.address import BadAddress
 from gladelane.endpoints.address import parse as parse_address
 from gladelane.lab.simdisk import SimDisk
+from gladelane.purges.active_purges import ActivePurges
 from gladelane.purges.order import BadPurge
 from gladelane.purges.scope import BadScope
 from gladelane.purges.scope import parse as parse_scope
-from gladelane.purges.standing import Standing
 from gladelane.purges.wire import event_decoder, submit_decoder
 from gladelane.settings.operator import BadOperatorFile, read_operator
 from gladelane.sse import EventStream
@@ -90,10 +90,10 @@
 
 def try_event(data: bytes) -> None:
     event = event_decoder.decode(data)
-    standing = Standing()
+    standing = ActivePurges()
     for purge in event.purges:
         standing.take(purge, 1.7e12)
-    Standing().restore(standing.snapshot(), 1.7e12)
+    ActivePurges().restore(standing.snapshot(), 1.7e12)
 
 
 def try_stream(data: bytes) -> None:
--- a/benchmarks/purges.py
+++ b/benchmarks/purges.py
@@ -41,9 +41,9 @@
 from gladelane.lab.fleet.rules import SLACK_MS, Made, Purged, stale
 from gladelane.lab.shelf import Shelf, now_ms
 from gladelane.lab.standins import Fault, Standin
+from gladelane.purges.active_purges import ActivePurges
 from gladelane.purges.order import Purge, Stamps
 from gladelane.purges.scope import parse
-from gladelane.purges.standing import Standing
 from gladelane.purges.wire import encode_purge, purge_decoder
 
 ROOT = Path(__file__).parent.parent
@@ -452,12 +452,12 @@
     stamps = Stamps("bench", (), 0.0, now)
     purges = [stamps.next(parse(mixed(rng)).text(), now + n / 100.0) for n in range(count)]
     tracemalloc.start()
-    standing = Standing(keep=False)
+    standing = ActivePurges(keep=False)
     for purge in purges[: count // 5]:
         standing.take(purge, now)
     held = tracemalloc.get_traced_memory()[0] / (count // 5)
     tracemalloc.stop()
-    standing = Standing(keep=False)
+    standing = ActivePurges(keep=False)
     for purge in purges:
         standing.take(purge, now)
     popular = [rng.getrandbits(64) for _ in range(20_000)]
@@ -486,7 +486,7 @@
         found = recover(Folder(folder))[1]
         recovery = (time.perf_counter() - began) * 1000.0
         began = time.perf_counter()
-        again = Standing()
+        again = ActivePurges()
         with without_gc():
             for record in found.records:
                 again.take(purge_decoder.decode(record), now)
--- a/gladelane/purges/standing.py
+++ b/gladelane/purges/active_purges.py
@@ -1,4 +1,4 @@
-"""All purges that stand: the index that answers, the positions, and, where they are told on, the records.
+"""All purges in force: the index that answers, the positions, and, where they are told on, the records.
 
 Retention. A purge is forgotten `retention_ms` after its moment. That alone would let a copy without a fresh
 limit, or a server that comes back with old copies, outlive it; so no copy older than the retention is
@@ -40,8 +40,8 @@
     start: tuple[str, int] = ("", 0)  # of a feed: whose folder it is, and the epoch of its latest start
 
 
-class Standing:
-    """`take` is the one way in. keep: whether records are kept, for followers and snapshots."""
+class ActivePurges:
+    """`take` is the one way in. keep: whether records are kept, for subscribers and snapshots."""
 
     def __init__(
         self,
@@ -92,7 +92,7 @@
             self.index.add(type(scope)(plain), at, until)
 
     def beyond(self, vector: Vector) -> Iterator[Purge]:
-        """Those that a follower at a position lacks, oldest first."""
+        """Those that a subscriber at a position lacks, oldest first."""
         lacking = [p for p in self._purges.values() if p.seq > vector.get((p.issuer, p.epoch), 0)]
         return iter(sorted(lacking, key=lambda p: (p.at_ms, p.issuer, p.epoch, p.seq)))
 
--- a/gladelane/purges/bounds.py
+++ b/gladelane/purges/bounds.py
@@ -31,7 +31,7 @@
     return tuple(kept)
 
 
-def standing(bound: Bound, now: float) -> Bound:
+def in_force(bound: Bound, now: float) -> Bound:
     """What of a bound still binds."""
     return bound if all(until > now for _, until in bound) else tuple(p for p in bound if p[1] > now)
 
--- a/gladelane/purges/control_part.py
+++ b/gladelane/purges/control_part.py
@@ -68,13 +68,13 @@
         return encode_json(await self._log.vouch(word.since_ms, by))
 
     async def _list(self, request: Request, caller: str) -> bytes:
-        return encode_json(list(self._log.standing.beyond({})))
+        return encode_json(list(self._log.active.beyond({})))
 
     async def _status(self, request: Request, caller: str) -> bytes:
         return encode_json(self._log.status())
 
     async def _explain(self, request: Request, caller: str) -> bytes:
-        return encode_json(binding(self._log.standing.beyond({}), request.query))
+        return encode_json(binding(self._log.active.beyond({}), request.query))
 
     async def _subscribe(self, request: Request, sink: EventSink) -> None:
         if "peer=1" not in request.query.split("&"):
--- a/gladelane/purges/holder.py
+++ b/gladelane/purges/holder.py
@@ -1,5 +1,5 @@
 """What a director holds of the fleet's purges: follows every feed, binds at once what it hears, and stores it
-where a lasting folder is set. Decisions stand in `standing` and `cutoff`."""
+where a lasting folder is set. Decisions stand in `active_purges` and `cutoff`."""
 
 from __future__ import annotations
 
@@ -18,6 +18,7 @@
 from ..durable.log import Broken, Log, recover
 from ..interface import PurgeIndex
 from ..routes.renewal import Cause, Renewal, Thing
+from .active_purges import ActivePurges
 from .cutoff import CutOff, Link
 from .deliver import Deliver
 from .follow import Follower
@@ -28,7 +29,6 @@
 from .orders import Orders
 from .reseed import Reseed
 from .scope import BadScope
-from .standing import Standing
 from .wire import Event, batches, encode_json
 
 log = logging.getLogger(__name__)
@@ -62,7 +62,7 @@
         self.options, self.clock = options, clock
         now = clock()
         rng = rng or random.Random()
-        self.standing = Standing(scope_index(index), True, options.retention_ms, options.skew_ms)
+        self.standing = ActivePurges(scope_index(index), True, options.retention_ms, options.skew_ms)
         self.orders = Orders(options.orders_per_s, ORDERS_AT_ONCE, now)
         self.cut_off = CutOff(options.delay_ms, options.strict, log.warning)
         part = options.origin_per_s / max(directors, 1)
--- a/gladelane/purges/index.py
+++ b/gladelane/purges/index.py
@@ -1,4 +1,4 @@
-"""For a request, the newest moment that any standing purge sets.
+"""For a request, the newest moment that any active purge sets.
 
 Boxes are filed by facet: class, group and a dyadic range of parts, each given or not. A look-up asks the few
 facets that a request falls under; each holds single objects in a dict, ranges of objects in a step map, and
@@ -15,7 +15,7 @@
 
 from ..interface import PurgeIndex
 from ..structures.stepmap import StepMap
-from .bounds import NOTHING, Bound, join, newest, standing
+from .bounds import NOTHING, Bound, in_force, join, newest
 from .scope import OBJECT_MOST, PART_MOST, Box, Scope
 
 MOST_MASKS = 64  # different masks of globs: each costs every look-up of its facet
@@ -75,7 +75,7 @@
             self.ended += 1
             if self.ended * 4 >= len(self.ranges):
                 self.ended = 0
-                self.ranges.keep(lambda bound: standing(bound, now))
+                self.ranges.keep(lambda bound: in_force(bound, now))
                 if len(self.ranges) == 1 and not self.ranges.at(0):
                     self.ranges = None
 
@@ -84,7 +84,7 @@
 
 
 def _left(bounds: dict[Key, Bound], key: Key, now: float) -> None:
-    left = standing(bounds.get(key, NOTHING), now)
+    left = in_force(bounds.get(key, NOTHING), now)
     if left:
         bounds[key] = left
     else:
--- a/gladelane/purges/orders.py
+++ b/gladelane/purges/orders.py
@@ -65,13 +65,13 @@
     def add(self, purges: Iterable[Purge]) -> None:
         self._all += purges
 
-    def compact(self, standing: Iterable[Purge], count: int) -> None:
+    def compact(self, active: Iterable[Purge], count: int) -> None:
         """Makes the list anew from what stands, once much of it no longer does. Who had all of it still has;
         others begin again: an order repeated does no harm."""
         if len(self._all) <= 2 * count + SLACK or self._out:
             return
         done = [server for server in self._servers.values() if server.place >= len(self._all)]
-        self._all = list(standing)
+        self._all = list(active)
         for server in self._servers.values():
             server.place = 0
         for server in done:
--- a/gladelane/purges/purge_log.py
+++ b/gladelane/purges/purge_log.py
@@ -1,5 +1,5 @@
 """A purge log: takes purges, answers once they are stored, and tells its subscribers. It decides nothing
-about order or what is in force; `order`, `standing`, `horizon` and `durable` do.
+about order or what is in force; `order`, `active_purges`, `horizon` and `durable` do.
 
 Logs that name one another follow one another: what one took reaches the subscribers of all, and one that
 comes back gets from its peers what it missed, also of its own earlier epochs. Only the committer changes the
@@ -26,6 +26,7 @@
 from ..control.tokens import Tokens
 from ..durable.files import Disk
 from ..durable.log import Broken, Policy
+from .active_purges import RETENTION_MS, ActivePurges
 from .entries import LogEntry, LossUpdate, NewPurge, ReachedPosition, ReceivedPurge, fail
 from .follow import Follower
 from .horizon import SEEN, Folder, Loss, Mark, Peer, behind, judged, vouched_by
@@ -34,7 +35,6 @@
 from .purge_store import OwnRecord, PurgeStore, encode_own
 from .purge_stream import PurgeStream
 from .scope import BadScope, Catalog, parse
-from .standing import RETENTION_MS, Standing
 from .wire import A_BATCH, Accepted, Event, Status, encode_purge
 
 log = logging.getLogger(__name__)
@@ -70,17 +70,17 @@
         OSError."""
         self.name, self.tokens, self.catalog, self.clock = name, tokens, catalog, clock
         self.copies = copies
-        self.standing = Standing(retention_ms=retention_ms)
+        self.active = ActivePurges(retention_ms=retention_ms)
         now = clock()
-        self.store = PurgeStore(disk, sync, self.standing, mark, now)
+        self.store = PurgeStore(disk, sync, self.active, mark, now)
         self.settled = asyncio.Event()  # subscribers may be told what is lost
-        self.stream = PurgeStream(self.standing, name, copies)
+        self.stream = PurgeStream(self.active, name, copies)
         self.listeners: list[StateListener] = []
         self._committer: GroupCommit[LogEntry] = GroupCommit(
             self.commit, self._commit_failed, MAX_WAITING, A_BATCH
         )
         self._replication: Replication[Accepted] = Replication(copies)
-        self._by_key = {p.key: p for p in self.standing.beyond({}) if p.key and p.issuer == name}
+        self._by_key = {p.key: p for p in self.active.beyond({}) if p.key and p.issuer == name}
         self._submitting: dict[str, asyncio.Future[Accepted]] = {}  # by key, while it is being stored
         self._peers: list[Follower] = []
         self._tasks: list[asyncio.Task[None]] = []
@@ -88,16 +88,16 @@
 
     def _begin_epoch(self, first: bool, now: float) -> None:
         """Judges what the folder held, and stores that a new start began."""
-        had = self._recovered_vector = self.standing.positions.vector()
-        whose, latest = self.standing.start
+        had = self._recovered_vector = self.active.positions.vector()
+        whose, latest = self.active.start
         folder = Folder(whose, latest, had, self.store.was_empty)
         lost = judged(self.name, folder, self.store.read_mark(), first)
         known = [*had, (self.name, latest)] if latest else had
-        self._stamps = Stamps(self.name, known, self.standing.last_at_ms, now)
-        self.standing.start = self.name, self._stamps.epoch
+        self._stamps = Stamps(self.name, known, self.active.last_at_ms, now)
+        self.active.start = self.name, self._stamps.epoch
         if lost:
             self._lose(lost)
-        own = OwnRecord(self.standing.start, self.standing.horizon.open(self.name))
+        own = OwnRecord(self.active.start, self.active.horizon.open(self.name))
         self.store.save_start(own, self._mark())
 
     @property
@@ -136,7 +136,7 @@
             host,
             port,
             self.tokens.own,
-            self.standing.positions.vector,
+            self.active.positions.vector,
             self.receive,
             told_mark,
             self.clock,
@@ -159,7 +159,7 @@
     def _lose(self, why: str, by: str = "") -> list[Loss]:
         now = self.clock()
         log.error("purges may be lost: %s", why)
-        return self.standing.horizon.tell([Loss(self.name, self._stamps.epoch, now, now, by)], now)
+        return self.active.horizon.tell([Loss(self.name, self._stamps.epoch, now, now, by)], now)
 
     async def _settle(self) -> None:
         """Subscribers wait while peers can show that nothing is missing: else each loss of one disk would
@@ -170,7 +170,7 @@
         self.settled.set()
 
     def _join(self, losses: list[Loss]) -> None:
-        changed = self.standing.horizon.tell(losses, self.clock())
+        changed = self.active.horizon.tell(losses, self.clock())
         if changed:
             self._keep(changed)
 
@@ -181,13 +181,13 @@
 
     def _suspect(self, told: Iterable[tuple[tuple[str, int], int]], by: str = "") -> None:
         """Others know more of this log's own purges than its folder did: it is an older one."""
-        own = (loss.epoch for loss in self.standing.horizon.losses() if loss.issuer == self.name)
+        own = (loss.epoch for loss in self.active.horizon.losses() if loss.issuer == self.name)
         why = behind(self.name, self._stamps.epoch, self._recovered_vector, told, max(own, default=0))
         if why:
             self._keep(self._lose(why, by))
 
     def _close_losses(self) -> None:
-        horizon, positions = self.standing.horizon, self.standing.positions
+        horizon, positions = self.active.horizon, self.active.positions
         reports = self._replication.peers
         if horizon.open(self.name):
             peers = {
@@ -212,11 +212,11 @@
 
     async def vouch(self, since_ms: float, by: str) -> list[Loss]:
         """An operator's word, once it is stored. Raises Refused."""
-        closed = self.standing.horizon.close(since_ms, by)
+        closed = self.active.horizon.close(since_ms, by)
         if not closed:
             raise Refused(409, "no loss is open that this would close")
         stored: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        self._keep(self.standing.horizon.tell(closed, self.clock()), stored)
+        self._keep(self.active.horizon.tell(closed, self.clock()), stored)
         log.warning("vouched by=%s since=%.0f", by, since_ms)
         await asyncio.shield(stored)
         return closed
@@ -228,7 +228,7 @@
         if self.store.broken:
             raise Refused(503, f"this feed takes nothing more: {self.store.broken}")
         parsed = parse(scope, {**self.catalog(), **(tags or {})})
-        self.standing.index.check(parsed)
+        self.active.index.check(parsed)
         canonical = parsed.text()
         if key and (known := self._by_key.get(key)) is not None:
             if known.scope != canonical:
@@ -254,7 +254,7 @@
         """What a peer or a director tells. Raises OSError where too much waits."""
         self._suspect(((purge.issuer, purge.epoch), purge.seq) for purge in purges)
         for purge in purges:
-            if self.standing.positions.taken(purge.issuer, purge.epoch, purge.seq):
+            if self.active.positions.taken(purge.issuer, purge.epoch, purge.seq):
                 continue
             try:  # before it is stored: a log must hold nothing that a start would choke on
                 check(purge)
@@ -267,7 +267,7 @@
     def receive_event(self, event: Event) -> None:
         """What a director knows and this log lacks. Raises BadPosition, BadPurge and Refused."""
         vector = read_vector(event.mark) if event.mark is not None else None
-        before = len(self.standing)
+        before = len(self.active)
         try:
             self._join(event.losses)
             # logs that had stored these with us would have told them
@@ -282,7 +282,7 @@
     def _reached(self, vector: Vector) -> None:
         """Behind what was told before it, which is not stored yet."""
         self._suspect(vector.items())
-        if not self.standing.positions.reaches(vector):
+        if not self.active.positions.reaches(vector):
             self._put(ReachedPosition(vector))
 
     def _put(self, entry: LogEntry) -> None:
@@ -339,7 +339,7 @@
                 )
         for entry in batch:
             if isinstance(entry, ReachedPosition):
-                self.standing.positions.adopt(entry.vector)
+                self.active.positions.adopt(entry.vector)
             elif isinstance(entry, LossUpdate) and entry.stored is not None and not entry.stored.done():
                 entry.stored.set_result(None)
         self._tell_all()
@@ -353,7 +353,7 @@
 
     def _take(self, purge: Purge, now: float) -> None:
         try:
-            new = self.standing.take(purge, now)
+            new = self.active.take(purge, now)
         except (BadPurge, BadPosition, BadScope) as error:
             log.error("bad purge issuer=%.64s seq=%s: %s", purge.issuer, purge.seq, error)
             return
@@ -368,8 +368,8 @@
 
     def _tell_listeners(self) -> None:
         for listener in self.listeners:
-            horizon = self.standing.horizon.moment(self.clock(), self.standing.retention_ms)
-            listener.reached(self.standing.positions.vector(), horizon)
+            horizon = self.active.horizon.moment(self.clock(), self.active.retention_ms)
+            listener.reached(self.active.positions.vector(), horizon)
 
     def _tell_all(self) -> None:
         self._tell_listeners()
@@ -385,26 +385,26 @@
             if asyncio.get_running_loop().time() < due:
                 continue
             due += FORGET_S
-            self.standing.forget(self.clock())
-            past = self.clock() - self.standing.retention_ms
+            self.active.forget(self.clock())
+            past = self.clock() - self.active.retention_ms
             self._by_key = {key: purge for key, purge in self._by_key.items() if purge.at_ms > past}
 
     # --- questions
 
     def status(self) -> Status:
-        gaps = [f"{g.issuer}:{g.epoch}={g.first}-{g.last}" for g in self.standing.positions.gaps()]
+        gaps = [f"{g.issuer}:{g.epoch}={g.first}-{g.last}" for g in self.active.positions.gaps()]
         return Status(
             self.name,
             self._stamps.epoch,
-            len(self.standing),
-            vector_text(self.standing.positions.vector()),
+            len(self.active),
+            vector_text(self.active.positions.vector()),
             gaps,
             self.stream.subscribers,
             {f"{p.host}:{p.port}": p.state for p in self._peers},
             not self.store.broken,
             self.store.recovered,
-            self.standing.known_since(self.clock()),
-            self.standing.horizon.losses(),
+            self.active.known_since(self.clock()),
+            self.active.horizon.losses(),
             self.copies,
         )
 
--- a/gladelane/purges/purge_store.py
+++ b/gladelane/purges/purge_store.py
@@ -11,9 +11,9 @@
 from ..durable import without_gc
 from ..durable.files import Disk
 from ..durable.log import Broken, Log, Policy, recover
+from .active_purges import ActivePurges
 from .horizon import Loss, Mark
 from .markfile import MarkFile
-from .standing import Standing
 from .wire import purge_decoder
 
 log = logging.getLogger(__name__)
@@ -38,34 +38,34 @@
     """broken: why nothing more is stored, empty: it is. unsaved: a start that could not be stored yet."""
 
     def __init__(
-        self, disk: Disk, sync: Policy, standing: Standing, mark_file: MarkFile | None, now_ms: float
+        self, disk: Disk, sync: Policy, active: ActivePurges, mark_file: MarkFile | None, now_ms: float
     ) -> None:
-        """Recovers into `standing`, which is empty. Raises Damaged, InUse and OSError."""
+        """Recovers into `active_purges`, which is empty. Raises Damaged, InUse and OSError."""
         self.log: Log
         self.log, found = recover(disk, sync)
         self.broken = ""
         self.unsaved = OwnRecord()
         self.was_empty = found.snapshot is None and not found.records
-        self._standing, self._mark_file = standing, mark_file
+        self._active, self._mark_file = active, mark_file
         self._records = len(found.records)
         with without_gc():
             if found.snapshot is not None:
-                standing.restore(found.snapshot, now_ms)
+                active.restore(found.snapshot, now_ms)
             for record in found.records:
                 self._replay(record, now_ms)
-        self.recovered = f"{len(standing)} purges, {len(found.records)} from the log"
+        self.recovered = f"{len(active)} purges, {len(found.records)} from the log"
         if found.cut:
             self.recovered += f", {found.cut} bytes cut at {found.cut_at}"
             log.warning("torn tail cut bytes=%d at=%s", found.cut, found.cut_at)
 
     def _replay(self, record: bytes, now_ms: float) -> None:
         if not record.startswith(OWN):
-            self._standing.take(purge_decoder.decode(record), now_ms)
+            self._active.take(purge_decoder.decode(record), now_ms)
             return
         own: OwnRecord = msgspec.msgpack.decode(record[len(OWN) :], type=OwnRecord)
-        self._standing.horizon.tell(own.losses, now_ms)
+        self._active.horizon.tell(own.losses, now_ms)
         if own.start[0]:
-            self._standing.start = own.start
+            self._active.start = own.start
 
     def read_mark(self) -> Mark | None:
         """Raises BadMark and OSError."""
@@ -107,7 +107,7 @@
             log.error("purges not stored: %s", error)
             unsaved = [*self.unsaved.losses, *losses]
             if unsaved:
-                self.unsaved = OwnRecord(self._standing.start, unsaved)
+                self.unsaved = OwnRecord(self._active.start, unsaved)
             raise
 
     def _write(self, mark: Mark, moves_mark: bool) -> None:
@@ -130,7 +130,7 @@
         """So many purges were stored and are in force; takes a snapshot once the log is long."""
         self._records += stored
         if self._records >= SNAPSHOT_AFTER:
-            payload = await asyncio.to_thread(self._standing.snapshot)
+            payload = await asyncio.to_thread(self._active.snapshot)
             await asyncio.to_thread(self.log.snapshot, payload)
             self._records = 0
 
--- a/gladelane/purges/purge_stream.py
+++ b/gladelane/purges/purge_stream.py
@@ -7,8 +7,8 @@
 
 from ..control.event_stream import EventSink
 from ..control.positions import Vector, vector_text
+from .active_purges import ActivePurges
 from .order import Purge
-from .standing import Standing
 from .wire import BEAT_S, Event, batches, encode_json
 
 MAX_RECENT = 10_000  # purges kept as they came; a subscriber further behind is served from those in force
@@ -40,9 +40,9 @@
 class PurgeStream:
     """One purge log's subscribers. name, copies: of the log, as its events say."""
 
-    def __init__(self, standing: Standing, name: str, copies: int) -> None:
+    def __init__(self, active: ActivePurges, name: str, copies: int) -> None:
         self.subscribers = 0
-        self._standing, self._name, self._copies = standing, name, copies
+        self._active, self._name, self._copies = active, name, copies
         self._recent = RecentPurges()
         self._changed = asyncio.Event()
 
@@ -64,11 +64,11 @@
             self.subscribers -= 1
 
     async def _tell(self, sink: EventSink, vector: Vector) -> None:
-        horizon, positions = self._standing.horizon, self._standing.positions
+        horizon, positions = self._active.horizon, self._active.positions
         told_version = -1  # of the horizon
         place = self._recent.end
         reached = positions.vector()
-        backlog = list(self._standing.beyond(vector))
+        backlog = list(self._active.beyond(vector))
         while True:
             for batch in batches(backlog):
                 await sink.send(encode_json(Event(purges=batch)))
@@ -83,6 +83,6 @@
                     async with asyncio.timeout(BEAT_S):
                         await changed.wait()
             recent = self._recent.since(place)
-            backlog = recent if recent is not None else list(self._standing.beyond(reached))
+            backlog = recent if recent is not None else list(self._active.beyond(reached))
             place = self._recent.end
             reached = positions.vector()
--- a/tests/fleet/test_audit.py
+++ b/tests/fleet/test_audit.py
@@ -407,11 +407,11 @@
             from gladelane.interface import Settings
             from gladelane.operations.figures import Figures
             from gladelane.operations.maintenance import Register
-            from gladelane.purges.standing import Standing
+            from gladelane.purges.active_purges import ActivePurges
             from gladelane.settings_wire import settings_from_wire
 
             self.settings: Settings = settings_from_wire(WIRE)
-            self.rev, self.register, self.figures, self.standing = 1, Register(), Figures(), Standing()
+            self.rev, self.register, self.figures, self.standing = 1, Register(), Figures(), ActivePurges()
             self.options = self
             self.strict: frozenset[str] = frozenset()
             self.feeds = tuple(("127.0.0.1", port) for port in ports)
--- a/tests/purges/test_feed.py
+++ b/tests/purges/test_feed.py
@@ -27,12 +27,12 @@
 from gladelane.durable.files import Folder
 from gladelane.lab.simdisk import SimDisk
 from gladelane.purges import purge_stream
+from gladelane.purges.active_purges import ActivePurges
 from gladelane.purges.control_part import PurgePart
 from gladelane.purges.follow import Follower
 from gladelane.purges.order import Purge, Stamps
 from gladelane.purges.purge_log import PurgeLog
 from gladelane.purges.purge_store import OWN, recover
-from gladelane.purges.standing import Standing
 from gladelane.purges.wire import encode_purge
 
 TOKEN = "a-token-of-the-operators"
@@ -82,14 +82,14 @@
     """A follower with a standing set of its own, as a director has one."""
 
     def __init__(self, *ports: int) -> None:
-        self.standing = Standing()
-        self.followers = [Follower("127.0.0.1", port, lambda: TOKEN, self.standing.positions.vector, self.take,
-                                   self.standing.positions.adopt, lambda: time.time() * 1000.0) for port in ports]  # fmt: skip
+        self.active = ActivePurges()
+        self.followers = [Follower("127.0.0.1", port, lambda: TOKEN, self.active.positions.vector, self.take,
+                                   self.active.positions.adopt, lambda: time.time() * 1000.0) for port in ports]  # fmt: skip
         self.tasks = [asyncio.ensure_future(one.run()) for one in self.followers]
 
     def take(self, purges: list[Purge]) -> None:
         for purge in purges:
-            self.standing.take(purge, time.time() * 1000.0)
+            self.active.take(purge, time.time() * 1000.0)
 
     async def close(self) -> None:
         for task in self.tasks:
@@ -110,10 +110,10 @@
             assert (first["seq"], first["again"]) == (1, False)
             assert set(first["scope"].split(" | ")) == {"class:page & group:3", "class:page & objects:7f*"}
             began = time.monotonic()
-            await until(lambda: len(watcher.standing) == 1)
+            await until(lambda: len(watcher.active) == 1)
             assert time.monotonic() - began < 1.0
             again = await send(one.port, "class:page & objects:7f* | class:page & group:3", "k1")
-            assert again["again"] and again["seq"] == 1 and len(one.standing) == 1
+            assert again["again"] and again["seq"] == 1 and len(one.active) == 1
             both = await asyncio.gather(*(send(one.port, "group:9", "k2") for _ in range(8)))
             assert {b["seq"] for b in both} == {2} and sum(not b["again"] for b in both) == 1
             with pytest.raises(Refused, match="another scope") as refused:
@@ -198,18 +198,18 @@
             watcher = Watcher(one.port)
             await until(lambda: watcher.followers[0].caught_up.is_set())
             await send(one.port, "group:1")
-            await until(lambda: len(watcher.standing) == 1)
+            await until(lambda: len(watcher.active) == 1)
             await watcher.close()
             await send(one.port, "group:2", "key")
-            epoch, vector = one._stamps.epoch, watcher.standing.positions.vector()
+            epoch, vector = one._stamps.epoch, watcher.active.positions.vector()
         async with feed(tmp_path, disk=disk) as back:
-            assert back._stamps.epoch > epoch and len(back.standing) == 2
+            assert back._stamps.epoch > epoch and len(back.active) == 2
             assert (await send(back.port, "group:2", "key"))["again"]  # keys outlive a restart
             await send(back.port, "group:3")
             late = Watcher(back.port)
-            late.standing.positions.adopt(vector)
+            late.active.positions.adopt(vector)
             await until(lambda: late.followers[0].caught_up.is_set())
-            assert sorted(p.scope for p in late.standing.beyond({})) == ["group:2", "group:3"]
+            assert sorted(p.scope for p in late.active.beyond({})) == ["group:2", "group:3"]
             await late.close()
 
     run(scene())
@@ -227,19 +227,19 @@
                 b.follow("127.0.0.1", a.port)
                 a.follow("127.0.0.1", b.port)
                 await asyncio.gather(send(a.port, "group:2"), send(b.port, "group:3"))
-                await until(lambda: len(a.standing) == len(b.standing) == 3)
+                await until(lambda: len(a.active) == len(b.active) == 3)
             await send(b.port, "group:4")  # while a is down
             async with feed(tmp_path, "a", restored) as back:
-                assert sorted(p.scope for p in back.standing.beyond({})) == ["group:1"]
+                assert sorted(p.scope for p in back.active.beyond({})) == ["group:1"]
                 back.follow("127.0.0.1", b.port)
                 await send(back.port, "group:5")
                 b.follow("127.0.0.1", back.port)
-                await until(lambda: len(back.standing) == len(b.standing) == 5)
-                assert back.standing.positions.vector() == b.standing.positions.vector()
-                assert not back.standing.positions.gaps() and not b.standing.positions.gaps()
+                await until(lambda: len(back.active) == len(b.active) == 5)
+                assert back.active.positions.vector() == b.active.positions.vector()
+                assert not back.active.positions.gaps() and not b.active.positions.gaps()
                 watcher = Watcher(b.port, back.port)  # two feeds, each purge once
                 await until(lambda: all(one.caught_up.is_set() for one in watcher.followers))
-                assert len(watcher.standing) == 5
+                assert len(watcher.active) == 5
                 await watcher.close()
 
     run(scene())
@@ -265,10 +265,10 @@
                 )
                 await until(lambda: one.stream.subscribers == 1)  # and reads nothing more for now
                 watcher = Watcher(one.port)
-                await until(lambda: len(watcher.standing) == 50_000, 60.0)
+                await until(lambda: len(watcher.active) == 50_000, 60.0)
                 for n in range(120):
                     await send(one.port, f"group:{n}")
-                await until(lambda: len(watcher.standing) == 50_120)
+                await until(lambda: len(watcher.active) == 50_120)
                 seen: set[tuple[str, int, int]] = set()
                 while len(seen) < 50_120:
                     line = await asyncio.wait_for(read_event(reader), 10.0)
@@ -301,7 +301,7 @@
             disk.room = 10_000
             assert (await send(one.port, "group:2"))["seq"] == stored + 1
         async with feed(tmp_path, disk=disk) as back:
-            assert len(back.standing) == stored + 1
+            assert len(back.active) == stored + 1
 
     run(scene())
 
@@ -340,7 +340,7 @@
             process.stdout.close()
         folder = Folder(tmp_path / "log")
         back = PurgeLog("a", folder, tokens(tmp_path))
-        kept = {p.key: p.seq for p in back.standing.beyond({})}
+        kept = {p.key: p.seq for p in back.active.beyond({})}
         assert len(answered) > 25 and {key: kept.get(key) for key in answered} == answered
         folder.close()
 
@@ -359,7 +359,7 @@
                     Purge("x", 1, 2, 1e12, "group:1"),
                 ]
             )
-            await until(lambda: one.standing.positions.taken("x", 1, 2))
+            await until(lambda: one.active.positions.taken("x", 1, 2))
         records = recover(disk)[1].records
         assert [msgspec.msgpack.decode(r, type=Purge).seq for r in records if not r.startswith(OWN)] == [2]
 
--- a/tests/purges/test_hard_cases.py
+++ b/tests/purges/test_hard_cases.py
@@ -140,7 +140,7 @@
                 told = one.accepted.result()
                 answered[one.key] = Purge(told.issuer, told.epoch, told.seq, told.at_ms, told.scope, one.key)
             if turn == 3:
-                await asyncio.to_thread(feed.store.log.snapshot, feed.standing.snapshot())
+                await asyncio.to_thread(feed.store.log.snapshot, feed.active.snapshot())
 
     whole = SimDisk()
     asyncio.run(life(whole, {}))
@@ -152,10 +152,10 @@
                 with pytest.raises(Crash):
                     asyncio.run(life(disk, answered))
                 back = PurgeLog("a", disk.after_crash(lost, names_kept), tokens(tmp_path), clock=lambda: 1e12)
-                kept = {purge.key: purge for purge in back.standing.beyond({})}
+                kept = {purge.key: purge for purge in back.active.beyond({})}
                 assert {key: kept.get(key) for key in answered} == answered, (at, lost, names_kept)
                 assert back._stamps.epoch > max((p.epoch for p in kept.values()), default=0)
-                assert not back.standing.positions.gaps()
+                assert not back.active.positions.gaps()
                 points += 1
     assert points > 150
 
--- a/tests/purges/test_horizon.py
+++ b/tests/purges/test_horizon.py
@@ -18,6 +18,7 @@
 from gladelane.lab.losses import Plant, World, broken, steps
 from gladelane.lab.modelcheck import Violation, search
 from gladelane.lab.simdisk import SimDisk
+from gladelane.purges.active_purges import ActivePurges
 from gladelane.purges.horizon import (
     SEEN,
     Folder,
@@ -35,7 +36,6 @@
 from gladelane.purges.markfile import BadMark, MarkFile
 from gladelane.purges.order import BadPurge
 from gladelane.purges.purge_log import PurgeLog
-from gladelane.purges.standing import Standing
 
 LOSSES = st.lists(
     st.builds(
@@ -185,18 +185,18 @@
     async def scene() -> None:
         disk = SimDisk()
         async with feed(tmp_path, disk=disk, first=False) as one:
-            lost = one.standing.horizon.open("a")
+            lost = one.active.horizon.open("a")
             assert len(lost) == 1
             await send(one.port, "group:1")
-            await asyncio.to_thread(one.store.log.snapshot, one.standing.snapshot())
+            await asyncio.to_thread(one.store.log.snapshot, one.active.snapshot())
         async with feed(tmp_path, disk=disk, first=False) as again:  # not empty now, and still in doubt
-            assert again.standing.horizon.open("a") == lost
+            assert again.active.horizon.open("a") == lost
             body = json.dumps({"since_ms": 0, "why": "sent again"}).encode()
             await fetch("127.0.0.1", again.port, "POST", "/vouch", TOKEN, body)
             with pytest.raises(Refused, match="no loss is open"):
                 await fetch("127.0.0.1", again.port, "POST", "/vouch", TOKEN, body)
         async with feed(tmp_path, disk=disk, first=False) as last:
-            assert last.standing.horizon.open() == [] and last.standing.horizon.losses()[0].by.endswith(
+            assert last.active.horizon.open() == [] and last.active.horizon.losses()[0].by.endswith(
                 "sent again"
             )
             told: dict[str, Any] = json.loads(await fetch("127.0.0.1", last.port, "GET", "/status", TOKEN))
@@ -216,18 +216,18 @@
             b.follow("127.0.0.1", a.port)
             assert (await send(a.port, "group:1", "k"))["again"] is True
             await send(a.port, "group:2")
-            assert len(b.standing) == 2  # before the answer, not after it
+            assert len(b.active) == 2  # before the answer, not after it
             async with feed(tmp_path, "a", first=False, copies=2) as back:
-                assert back.standing.horizon.open("a")
+                assert back.active.horizon.open("a")
                 back.follow("127.0.0.1", b.port)
-                await until(lambda: not back.standing.horizon.open())
-                assert len(back.standing) == 2 and "peers b" in back.standing.horizon.losses()[0].by
-                await until(lambda: len(b.standing.horizon) == 1 or not len(b.standing.horizon))
+                await until(lambda: not back.active.horizon.open())
+                assert len(back.active) == 2 and "peers b" in back.active.horizon.losses()[0].by
+                await until(lambda: len(b.active.horizon) == 1 or not len(b.active.horizon))
             async with feed(tmp_path, "a", first=False, copies=1) as alone:
                 alone.follow("127.0.0.1", b.port)
-                await until(lambda: len(alone.standing) == 2)
+                await until(lambda: len(alone.active) == 2)
                 await asyncio.sleep(0.1)
-                assert alone.standing.horizon.open("a")  # it may have answered for what nobody heard
+                assert alone.active.horizon.open("a")  # it may have answered for what nobody heard
 
     run(scene())
 
@@ -239,16 +239,16 @@
             await send(a.port, "group:1")
             older = disk.copy()
             await send(a.port, "group:2")
-            known = list(a.standing.beyond({}))
+            known = list(a.active.beyond({}))
         with_mark = PurgeLog("a", older.copy(), a.tokens, mark=mark)
-        assert with_mark.standing.horizon.open("a")
+        assert with_mark.active.horizon.open("a")
         async with feed(tmp_path, "a", disk=older, first=False) as back:
-            assert not back.standing.horizon.open()
+            assert not back.active.horizon.open()
             back.receive([known[0]])  # what its folder had
-            assert not back.standing.horizon.open()
+            assert not back.active.horizon.open()
             back.receive([known[1]])
-            assert back.standing.horizon.open("a")
-            await until(lambda: len(back.standing) == 2)
+            assert back.active.horizon.open("a")
+            await until(lambda: len(back.active) == 2)
 
     run(scene())
 
@@ -258,19 +258,19 @@
         disk = SimDisk()
         disk.room = 0
         async with feed(tmp_path, "a", disk=disk, first=False) as a:
-            assert a.standing.horizon.open("a")
+            assert a.active.horizon.open("a")
             with pytest.raises(Refused, match="not stored"):
                 await send(a.port, "group:1")
             disk.room = 100_000
             await until(lambda: not a.store.owes_start())
         again = PurgeLog("a", disk, a.tokens)
-        assert again.standing.horizon.open("a") and again.standing.start[0] == "a"
+        assert again.active.horizon.open("a") and again.active.start[0] == "a"
 
     run(scene())
 
 
 def test_standing_tells_the_moment_with_the_skew() -> None:
-    standing = Standing(Index(), skew_ms=50.0)
+    standing = ActivePurges(Index(), skew_ms=50.0)
     assert standing.known_since(2000.0) == 0.0
     standing.horizon.tell([Loss("a", 1, 1000.0, 1000.0)], 2000.0)
     assert standing.known_since(2000.0) == 1050.0
--- a/tests/purges/test_order.py
+++ b/tests/purges/test_order.py
@@ -10,9 +10,9 @@
 from hypothesis import strategies as st
 
 from gladelane.control.positions import BadPosition, Gap, Positions, read_vector, vector_text
+from gladelane.purges.active_purges import AHEAD_MS, SKEW_MS, ActivePurges, merged
 from gladelane.purges.order import BadPurge, Purge, Stamps
 from gladelane.purges.scope import BadScope
-from gladelane.purges.standing import AHEAD_MS, SKEW_MS, Standing, merged
 
 NOW = 1_764_576_000_000.0
 SCOPES = ["object:00000000000000aa", "objects:7f*", "group:3", "class:film & parts:0-3", "all", "objects:*a"]
@@ -25,14 +25,14 @@
     return [rng.choice(stamps).next(rng.choice(SCOPES), NOW + rng.randrange(-500, 500)) for _ in range(count)]
 
 
-def answers(standing: Standing, now: float = NOW) -> list[float]:
+def answers(standing: ActivePurges, now: float = NOW) -> list[float]:
     return [standing.index.newest(*request, now) for request in REQUESTS]
 
 
 @given(st.integers(0, 1000), st.randoms(use_true_random=False))
 def test_bounds_and_positions_do_not_depend_on_the_order_or_on_repeats(seed: int, rng: random.Random) -> None:
     purges = issued(seed)
-    straight, mixed = Standing(), Standing()
+    straight, mixed = ActivePurges(), ActivePurges()
     for purge in purges:
         assert straight.take(purge, NOW)
     shuffled = purges + rng.sample(purges, 4)
@@ -40,7 +40,7 @@
     assert sum(mixed.take(purge, NOW) for purge in shuffled) == len(purges)
     assert answers(straight) == answers(mixed)
     assert straight.positions.vector() == mixed.positions.vector() and not mixed.positions.gaps()
-    again = Standing()
+    again = ActivePurges()
     again.restore(mixed.snapshot(), NOW)
     assert answers(again) == answers(straight) and again.positions.vector() == straight.positions.vector()
     assert not any(again.take(purge, NOW) for purge in purges)
@@ -49,7 +49,7 @@
 @given(st.integers(0, 1000), st.sets(st.integers(0, 11), max_size=6))
 def test_gaps_are_named_exactly_survive_a_snapshot_and_close(seed: int, lacking: set[int]) -> None:
     purges = issued(seed)
-    standing = Standing()
+    standing = ActivePurges()
     for place, purge in enumerate(purges):
         if place not in lacking:
             standing.take(purge, NOW)
@@ -57,7 +57,7 @@
     for purge in purges:
         full[purge.issuer, purge.epoch] = purge.seq
     standing.positions.said(full)
-    again = Standing()
+    again = ActivePurges()
     again.restore(standing.snapshot(), NOW)
     again.positions.said(full)
     for one in (standing, again):
@@ -71,7 +71,7 @@
 
 def test_an_issuer_back_from_an_older_disk_gives_no_number_twice_and_what_it_lost_stands_on() -> None:
     first = Stamps("a", (), 0.0, NOW)
-    follower = Standing()
+    follower = ActivePurges()
     for _ in range(5):
         follower.take(first.next("objects:7f*", NOW), NOW)
     back = Stamps("a", [("a", first.epoch)], NOW, NOW - 60_000.0)  # its clock stepped back too
@@ -82,14 +82,14 @@
         ("a", back.epoch): 1,
     }
     assert follower.index.newest("page", 4, 0x7F << 56, 0, NOW) == NOW + SKEW_MS
-    other = Standing()
+    other = ActivePurges()
     other.take(late, NOW)
     other.positions.said(follower.positions.vector())
     assert other.positions.gaps() == [Gap("a", first.epoch, 1, 5)]
 
 
 def test_a_clock_far_ahead_binds_no_further_than_it_may_and_what_is_past_its_retention_does_not() -> None:
-    standing = Standing(retention_ms=10_000.0)
+    standing = ActivePurges(retention_ms=10_000.0)
     standing.take(Purge("a", 1, 1, NOW + 9e9, "group:3"), NOW)
     assert standing.index.newest("film", 3, 1, 0, NOW) == NOW + AHEAD_MS + SKEW_MS
     standing.take(Purge("a", 1, 2, NOW - 20_000.0, "group:4"), NOW)
@@ -99,13 +99,13 @@
 
 
 def test_a_snapshot_leaves_out_what_a_wider_newer_purge_covers() -> None:
-    standing = Standing()
+    standing = ActivePurges()
     stamps = Stamps("a", (), 0.0, NOW)
     for n in range(50):
         standing.take(stamps.next(f"object:7f{n:014x}", NOW + n), NOW)
     standing.take(stamps.next("group:9 & parts:3", NOW + 60), NOW)
     standing.take(stamps.next("objects:7f*", NOW + 100), NOW)
-    again = Standing()
+    again = ActivePurges()
     again.restore(standing.snapshot(), NOW)
     assert len(again) == 2 and answers(again) == answers(standing)
     assert again.positions.vector() == standing.positions.vector()
@@ -117,14 +117,14 @@
     Purge("a", 1, 1, NOW, "rubbish"), Purge("a", 1, 1, NOW, "objects:*"), Purge("a", 1, 1, NOW, "all", "k" * 200),
 ])  # fmt: skip
 def test_what_cannot_be_is_refused_and_changes_nothing(purge: Purge) -> None:
-    standing = Standing()
+    standing = ActivePurges()
     with pytest.raises((BadPurge, BadScope)):
         standing.take(purge, NOW)
     assert not len(standing) and not standing.positions.vector() and answers(standing) == [0.0] * 4
 
 
 def test_patterns_too_many_to_look_up_bind_wider_and_never_narrower() -> None:
-    standing = Standing()
+    standing = ActivePurges()
     stamps = Stamps("a", (), 0.0, NOW)
     for n in range(80):
         places = f"{n:08b}".replace("0", "?").replace("1", "a")
--- a/tests/purges/test_scope_index.py
+++ b/tests/purges/test_scope_index.py
@@ -10,7 +10,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from gladelane.purges.bounds import Bound, join, newest, standing
+from gladelane.purges.bounds import Bound, in_force, join, newest
 from gladelane.purges.index import MOST_MASKS, Index, TooOdd, dyadic
 from gladelane.purges.scope import MOST_BOXES, BadScope, Box, meet, parse
 from gladelane.structures.stepmap import StepMap
@@ -103,7 +103,7 @@
     assert join(x, y) == join(y, x) and join(x, join(y, z)) == join(join(x, y), z) and join(x, x) == x
     for now in (4.0, 5.0, 6.0, 7.0):
         scan = max((at for at, until in (*a, *b) if until > now), default=0.0)
-        assert newest(join(x, y), now) == scan == newest(standing(join(x, y), now), now)
+        assert newest(join(x, y), now) == scan == newest(in_force(join(x, y), now), now)
 
 
 @given(st.lists(st.tuples(st.integers(0, 40), st.integers(0, 12), st.integers(0, 9)), max_size=30))
