Names: a follower of a purge log is a Subscriber, and says what it calls on what

Renames only: purges/follow.py is purges/subscriber.py, Follower is Subscriber, LOST is STREAM_ERRORS; take, mark and said are on_purges, on_mark and on_losses; follow_again is restart. Log lines, the path /follow and the state's words stay, as does Holder.followers, which recovery/service.py reads.

--- a/gladelane/purges/holder.py
+++ b/gladelane/purges/holder.py
@@ -21,7 +21,6 @@
 from .active_purges import ActivePurges
 from .cutoff import CutOff, Link
 from .deliver import Deliver
-from .follow import Follower
 from .horizon import Loss
 from .index import scope_index
 from .options import Options
@@ -29,6 +28,7 @@
 from .orders import Orders
 from .reseed import Reseed
 from .scope import BadScope
+from .subscriber import Subscriber
 from .wire import Event, batches, encode_json
 
 log = logging.getLogger(__name__)
@@ -77,29 +77,29 @@
             self._recover(disk, now)
         self._since = 0.0  # copies from before it may be older than a purge that is lost
         self.turned: Callable[[], None] = lambda: None  # hears that something else is known now
-        self.followers = [self._follower(host, port) for host, port in options.feeds]
+        self.followers = [self._subscriber(host, port) for host, port in options.feeds]
         self._lacks = [(one, Reseed(rng)) for one in self.followers]
-        self._marks: dict[Follower, Vector] = {}
+        self._marks: dict[Subscriber, Vector] = {}
         self._look_at_horizon()
         self._tasks: list[asyncio.Task[None]] = []
         self._seeding: set[asyncio.Task[None]] = set()
         if options.order_kinds:
             self.orders.add(self.standing.beyond({}))
 
-    def _follower(self, host: str, port: int) -> Follower:
-        def marked(vector: Vector) -> None:
+    def _subscriber(self, host: str, port: int) -> Subscriber:
+        def told_mark(vector: Vector) -> None:
             self._marks[one] = vector
             self._reached(vector)
 
-        one = Follower(
+        one = Subscriber(
             host,
             port,
             self._tokens.own,
             self.standing.positions.vector,
             self.take,
-            marked,
+            told_mark,
             self.clock,
-            said=self._said,
+            on_losses=self._told_losses,
         )
         return one
 
@@ -168,7 +168,7 @@
             self._fresh.reached += [(issuer, epoch, last) for (issuer, epoch), last in vector.items()]
             self.turned()
 
-    def _said(self, event: Event) -> None:
+    def _told_losses(self, event: Event) -> None:
         changed = self.standing.horizon.tell(event.losses, self.clock())
         if changed:
             self._fresh.losses += changed
@@ -204,7 +204,7 @@
     def follow_again(self) -> None:
         """All feeds, from the beginning."""
         for one in self.followers:
-            one.follow_again()
+            one.restart()
 
     def listed(self, runs: Mapping[str, tuple[str, float]]) -> None:
         """The servers of the list: each one's kind and the start of its process."""
@@ -301,7 +301,7 @@
                 log.error("purges not stored: %s", error)
                 self._log = None
 
-    async def _seed(self, one: Follower, told: Vector) -> None:
+    async def _seed(self, one: Subscriber, told: Vector) -> None:
         """Sends a feed what it lacks, and then how far that reaches."""
         vector = vector_text(self.standing.positions.vector())
         events = [Event(purges=batch) for batch in batches(self.standing.beyond(told))]
--- a/gladelane/purges/purge_log.py
+++ b/gladelane/purges/purge_log.py
@@ -28,13 +28,13 @@
 from ..durable.log import Broken, Policy
 from .active_purges import RETENTION_MS, ActivePurges
 from .entries import LogEntry, LossUpdate, NewPurge, ReachedPosition, ReceivedPurge, fail
-from .follow import Follower
 from .horizon import SEEN, Folder, Loss, Mark, Peer, behind, judged, vouched_by
 from .markfile import MarkFile
 from .order import BadPurge, Purge, Stamps, check
 from .purge_store import OwnRecord, PurgeStore, encode_own
 from .purge_stream import PurgeStream
 from .scope import BadScope, Catalog, parse
+from .subscriber import Subscriber
 from .wire import A_BATCH, Accepted, Event, Status, encode_purge
 
 log = logging.getLogger(__name__)
@@ -82,7 +82,7 @@
         self._replication: Replication[Accepted] = Replication(copies)
         self._by_key = {p.key: p for p in self.active.beyond({}) if p.key and p.issuer == name}
         self._submitting: dict[str, asyncio.Future[Accepted]] = {}  # by key, while it is being stored
-        self._peers: list[Follower] = []
+        self._peers: list[Subscriber] = []
         self._tasks: list[asyncio.Task[None]] = []
         self._begin_epoch(first, now)
 
@@ -116,7 +116,7 @@
         ]
         self._tell_listeners()
 
-    def follow(self, host: str, port: int, tls: ssl.SSLContext | None = None) -> Follower:
+    def follow(self, host: str, port: int, tls: ssl.SSLContext | None = None) -> Subscriber:
         """A peer: what it knows comes here too."""
         place = f"{host}:{port}"
         peers = self._replication.peers
@@ -132,7 +132,7 @@
             self._close_losses()
             self._release()
 
-        peer = Follower(
+        peer = Subscriber(
             host,
             port,
             self.tokens.own,
@@ -142,7 +142,7 @@
             self.clock,
             tls,
             told_losses,
-            peer=True,
+            as_peer=True,
         )
         self._peers.append(peer)
         self._tasks.append(asyncio.create_task(peer.run()))
--- a/tests/purges/test_director.py
+++ b/tests/purges/test_director.py
@@ -185,7 +185,7 @@
             )
             told_: list[int] = []
             take = again.take
-            again.followers[0]._take = lambda purges: (told_.append(len(purges)), take(purges))[1]
+            again.followers[0]._on_purges = lambda purges: (told_.append(len(purges)), take(purges))[1]
             again.start()
             await again.ready()
             assert not told_
--- a/tests/purges/test_feed.py
+++ b/tests/purges/test_feed.py
@@ -29,10 +29,10 @@
 from gladelane.purges import purge_stream
 from gladelane.purges.active_purges import ActivePurges
 from gladelane.purges.control_part import PurgePart
-from gladelane.purges.follow import Follower
 from gladelane.purges.order import Purge, Stamps
 from gladelane.purges.purge_log import PurgeLog
 from gladelane.purges.purge_store import OWN, recover
+from gladelane.purges.subscriber import Subscriber
 from gladelane.purges.wire import encode_purge
 
 TOKEN = "a-token-of-the-operators"
@@ -83,9 +83,9 @@
 
     def __init__(self, *ports: int) -> None:
         self.active = ActivePurges()
-        self.followers = [Follower("127.0.0.1", port, lambda: TOKEN, self.active.positions.vector, self.take,
+        self.subscribers = [Subscriber("127.0.0.1", port, lambda: TOKEN, self.active.positions.vector, self.take,
                                    self.active.positions.adopt, lambda: time.time() * 1000.0) for port in ports]  # fmt: skip
-        self.tasks = [asyncio.ensure_future(one.run()) for one in self.followers]
+        self.tasks = [asyncio.ensure_future(one.run()) for one in self.subscribers]
 
     def take(self, purges: list[Purge]) -> None:
         for purge in purges:
@@ -105,7 +105,7 @@
     async def scene() -> None:
         async with feed(tmp_path) as one:
             watcher = Watcher(one.port)
-            await until(lambda: watcher.followers[0].caught_up.is_set())
+            await until(lambda: watcher.subscribers[0].caught_up.is_set())
             first = await send(one.port, "tag:signs & class:page", "k1", signs="objects:7f* | group:3")
             assert (first["seq"], first["again"]) == (1, False)
             assert set(first["scope"].split(" | ")) == {"class:page & group:3", "class:page & objects:7f*"}
@@ -196,7 +196,7 @@
         disk = SimDisk()
         async with feed(tmp_path, disk=disk) as one:
             watcher = Watcher(one.port)
-            await until(lambda: watcher.followers[0].caught_up.is_set())
+            await until(lambda: watcher.subscribers[0].caught_up.is_set())
             await send(one.port, "group:1")
             await until(lambda: len(watcher.active) == 1)
             await watcher.close()
@@ -208,7 +208,7 @@
             await send(back.port, "group:3")
             late = Watcher(back.port)
             late.active.positions.adopt(vector)
-            await until(lambda: late.followers[0].caught_up.is_set())
+            await until(lambda: late.subscribers[0].caught_up.is_set())
             assert sorted(p.scope for p in late.active.beyond({})) == ["group:2", "group:3"]
             await late.close()
 
@@ -238,7 +238,7 @@
                 assert back.active.positions.vector() == b.active.positions.vector()
                 assert not back.active.positions.gaps() and not b.active.positions.gaps()
                 watcher = Watcher(b.port, back.port)  # two feeds, each purge once
-                await until(lambda: all(one.caught_up.is_set() for one in watcher.followers))
+                await until(lambda: all(one.caught_up.is_set() for one in watcher.subscribers))
                 assert len(watcher.active) == 5
                 await watcher.close()
 
