--- a/gladelane/cli/purge.py
+++ b/gladelane/cli/purge.py
@@ -144,9 +144,9 @@
             parts.append(collector)
         if keeper is not None:
             from ..fleet.steady import steady_ms
-            from ..ownership.desk import Desk
+            from ..ownership.lease_part import LeasePart
 
-            leases = Desk(
+            leases = LeasePart(
                 name,
                 Folder(keeper),
                 purge_log.tokens.own,
--- a/gladelane/ownership/desk.py
+++ b/gladelane/ownership/lease_part.py
@@ -31,12 +31,13 @@
 
 log = logging.getLogger(__name__)
 
-LOOK_S = 0.2
-SNAPSHOT_AFTER = 20_000
-MOST_WORK = 128
+ANSWER_S = 1.0  # for another keeper to say what it has seen
+RETRY_S = 0.2  # between rounds of asking the other keepers
+SNAPSHOT_AFTER = 20_000  # records in the log
+MAX_NAME_CHARS = 128  # of a work and of a holder
 
 
-class _Seen(msgspec.Struct, array_like=True):
+class _NumberRecord(msgspec.Struct, array_like=True):
     """A record: a number, and the progress under it."""
 
     work: str
@@ -50,7 +51,7 @@
     tls: ssl.SSLContext | None
 
 
-class Desk:
+class LeasePart:
     """steady: ms that do not step."""
 
     def __init__(
@@ -70,10 +71,10 @@
         self._token, self._steady = token, steady
         self._log: Log
         self._log, found = recover(disk)
-        seen: list[_Seen] = []
+        seen: list[_NumberRecord] = []
         if found.snapshot is not None:
-            seen += msgspec.msgpack.decode(found.snapshot, type=list[_Seen])
-        seen += [msgspec.msgpack.decode(record, type=_Seen) for record in found.records]
+            seen += msgspec.msgpack.decode(found.snapshot, type=list[_NumberRecord])
+        seen += [msgspec.msgpack.decode(record, type=_NumberRecord) for record in found.records]
         self._records = len(found.records)
         numbers: dict[str, int] = {}
         self.progress: dict[str, tuple[int, str]] = {}
@@ -107,30 +108,26 @@
         """From the other keepers, once after the start: what this one's disk may have lost."""
         while len(self._heard) < len(self._peers):
             for peer in self._peers:
-                if peer in self._heard:
-                    continue
-                try:
-                    told = numbers_decoder.decode(
-                        await fetch(
-                            peer.host,
-                            peer.port,
-                            "GET",
-                            "/leases/numbers",
-                            self._token(),
-                            tls=peer.tls,
-                            within_s=1.0,
-                        )
-                    )
-                except CALL_ERRORS as error:
-                    log.debug("keeper not heard feed=%s:%d: %s", peer.host, peer.port, error)
-                    continue
-                self.keeper.learn(told.keeper, told.numbers)
-                for work, (number, progress) in told.progress.items():
-                    self._learn(work, number, progress)
-                self._heard.add(peer)
-            await asyncio.sleep(LOOK_S)
+                if peer not in self._heard and await self._learn_from(peer):
+                    self._heard.add(peer)
+            await asyncio.sleep(RETRY_S)
         log.info("keeper has heard all others works=%d", len(self.keeper.numbers))
 
+    async def _learn_from(self, peer: _Peer) -> bool:
+        """Whether the keeper answered."""
+        call = fetch(
+            peer.host, peer.port, "GET", "/leases/numbers", self._token(), tls=peer.tls, within_s=ANSWER_S
+        )
+        try:
+            answer = numbers_decoder.decode(await call)
+        except CALL_ERRORS as error:
+            log.debug("keeper not heard feed=%s:%d: %s", peer.host, peer.port, error)
+            return False
+        self.keeper.learn(answer.keeper, answer.numbers)
+        for work, (number, progress) in answer.progress.items():
+            self._learn(work, number, progress)
+        return True
+
     def routes(self) -> Sequence[Route]:
         return (
             Route("POST", "/leases", self._on_ask, MAX_LARGE_BODY_BYTES),
@@ -157,25 +154,29 @@
         now = self._steady()
         replies, fresh = [], []
         for ask in asks.asks:
-            if not 0 < len(ask.work) <= MOST_WORK or not 0 < len(ask.holder) <= MOST_WORK or ask.number < 0:
+            if (
+                not 0 < len(ask.work) <= MAX_NAME_CHARS
+                or not 0 < len(ask.holder) <= MAX_NAME_CHARS
+                or ask.number < 0
+            ):
                 raise Refused(400, "work, holder, number; expected two short names and a number from 0")
             reply, changed = self.keeper.ask(ask, now)
             replies.append(reply)
             if changed:
                 log.info("lease granted work=%s holder=%s number=%d", ask.work, ask.holder, ask.number)
                 self._since[ask.work] = ask.number, now
-                fresh.append(_Seen(ask.work, ask.number))
-            told = asks.progress.get(ask.work, "")
-            if reply.granted and told and self.progress.get(ask.work, (0, ""))[1] != told:
-                self.progress[ask.work] = ask.number, told
-                fresh.append(_Seen(ask.work, ask.number, told))
+                fresh.append(_NumberRecord(ask.work, ask.number))
+            progress = asks.progress.get(ask.work, "")
+            if reply.granted and progress and self.progress.get(ask.work, (0, ""))[1] != progress:
+                self.progress[ask.work] = ask.number, progress
+                fresh.append(_NumberRecord(ask.work, ask.number, progress))
         if fresh:
             await self._store(fresh)
         granted = {ask.work for ask, reply in zip(asks.asks, replies, strict=True) if reply.granted}
-        progress = {work: self.progress[work][1] for work in granted if work in self.progress}
-        return Replies(replies, progress)
+        left_behind = {work: self.progress[work][1] for work in granted if work in self.progress}
+        return Replies(replies, left_behind)
 
-    async def _store(self, fresh: list[_Seen]) -> None:
+    async def _store(self, fresh: list[_NumberRecord]) -> None:
         async with self._storing:
             for one in fresh:
                 self._log.append(msgspec.msgpack.encode(one))
@@ -183,8 +184,10 @@
                 await asyncio.to_thread(self._log.commit)
                 self._records += len(fresh)
                 if self._records >= SNAPSHOT_AFTER:
-                    whole = [_Seen(work, number) for work, number in self.keeper.numbers.items()]
-                    whole += [_Seen(work, number, text) for work, (number, text) in self.progress.items()]
+                    whole = [_NumberRecord(work, number) for work, number in self.keeper.numbers.items()]
+                    whole += [
+                        _NumberRecord(work, number, text) for work, (number, text) in self.progress.items()
+                    ]
                     await asyncio.to_thread(self._log.snapshot, msgspec.msgpack.encode(whole))
                     self._records = 0
             except (OSError, Broken) as error:
@@ -192,6 +195,11 @@
                 log.error("keeper: numbers not stored: %s", error)
                 raise Refused(507, f"not stored: {error}") from None
 
+    def _snapshot(self) -> bytes:
+        records = [_NumberRecord(work, number) for work, number in self.keeper.numbers.items()]
+        records += [_NumberRecord(work, number, text) for work, (number, text) in self.progress.items()]
+        return msgspec.msgpack.encode(records)
+
     def owners(self) -> list[Owned]:
         now = self._steady()
         found = []
@@ -208,3 +216,7 @@
                 )
             )
         return found
+
+
+def _is_name(text: str) -> bool:
+    return 0 < len(text) <= MAX_NAME_CHARS
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -170,7 +170,7 @@
 PARTS = {
     "purges.control_part": {"fleet", "ownership"},
     "fleet.collector": {"purges", "ownership"},
-    "ownership.desk": {"purges", "fleet"},
+    "ownership.lease_part": {"purges", "fleet"},
 }
 
 
