--- a/benchmarks/fuzz.py
+++ b/benchmarks/fuzz.py
@@ -17,14 +17,15 @@
 
 import msgspec
 
+from gladelane.control.positions import BadPosition, read_vector, vector_text
 from gladelane.durable.log import Damaged, recover
 from gladelane.endpoints.address import BadAddress
 from gladelane.endpoints.address import parse as parse_address
 from gladelane.lab.simdisk import SimDisk
-from gladelane.purges.order import BadPurge, read_vector, vector_text
+from gladelane.purges.active_purges import ActivePurges
+from gladelane.purges.order import BadPurge
 from gladelane.purges.scope import BadScope
 from gladelane.purges.scope import parse as parse_scope
-from gladelane.purges.standing import Standing
 from gladelane.purges.wire import event_decoder, submit_decoder
 from gladelane.settings.operator import BadOperatorFile, read_operator
 from gladelane.sse import EventStream
@@ -89,10 +90,10 @@
 
 def try_event(data: bytes) -> None:
     event = event_decoder.decode(data)
-    standing = Standing()
+    standing = ActivePurges()
     for purge in event.purges:
         standing.take(purge, 1.7e12)
-    Standing().restore(standing.snapshot(), 1.7e12)
+    ActivePurges().restore(standing.snapshot(), 1.7e12)
 
 
 def try_stream(data: bytes) -> None:
@@ -112,8 +113,8 @@
 
 TRIES: dict[str, tuple[Callable[[bytes], Any], tuple[type[Exception], ...]]] = {
     "scope": (try_scope, (BadScope,)),
-    "vector": (try_vector, (BadPurge,)),
-    "event": (try_event, (msgspec.MsgspecError, BadPurge, BadScope)),
+    "vector": (try_vector, (BadPosition,)),
+    "event": (try_event, (msgspec.MsgspecError, BadPurge, BadPosition, BadScope)),
     "submit": (submit_decoder.decode, (msgspec.MsgspecError,)),
     "address": (lambda data: parse_address(data.decode("utf-8", "replace")), (BadAddress,)),
     "operator": (read_operator, (BadOperatorFile,)),
--- a/gladelane/__main__.py
+++ b/gladelane/__main__.py
@@ -22,7 +22,7 @@
     from .ownership.options import Options as OwnerOptions
     from .ownership.owner import Owner
     from .purges.holder import Holder
-    from .purges.holder import Options as HolderOptions
+    from .purges.options import Options as HolderOptions
     from .recovery.service import Recovery
     from .settings.operator import Operator
     from .upgrade.succession import Succession
@@ -307,10 +307,10 @@
     """Follows the fleet's purges. Raises BadConfig for what the files say, and OSError."""
     from pathlib import Path
 
+    from .control.tokens import BadTokens
     from .durable.files import Folder, set_aside
     from .durable.log import Damaged
     from .purges.holder import Holder
-    from .purges.tokens import BadTokens
 
     unknown = sorted(options.strict - director.settings.classes.keys())
     if unknown:
--- a/gladelane/purges/holder.py
+++ b/gladelane/purges/holder.py
@@ -1,5 +1,5 @@
 """What a director holds of the fleet's purges: follows every feed, binds at once what it hears, and stores it
-where a lasting folder is set. Decisions stand in `standing` and `cutoff`."""
+where a lasting folder is set. Decisions stand in `active_purges` and `cutoff`."""
 
 from __future__ import annotations
 
@@ -7,26 +7,28 @@
 import logging
 import random
 from collections.abc import Callable, Mapping
-from typing import Literal
 
 import msgspec
 
+from ..control.http import CALL_ERRORS, fetch
+from ..control.positions import BadPosition, Vector, vector_text
+from ..control.tokens import Tokens
 from ..durable import without_gc
 from ..durable.files import Disk
 from ..durable.log import Broken, Log, recover
-from ..recovery.renewal import Cause, Renewal, Thing
-from ..recovery.reseed import Reseed
+from ..interface import PurgeIndex
+from ..routes.renewal import Cause, Renewal, Thing
+from .active_purges import ActivePurges
 from .cutoff import CutOff, Link
 from .deliver import Deliver
-from .follow import LOST, Follower
 from .horizon import Loss
-from .http import fetch
-from .index import Index
-from .order import BadPurge, Purge, Vector, vector_text
+from .index import scope_index
+from .options import Options
+from .order import BadPurge, Purge
 from .orders import Orders
+from .reseed import Reseed
 from .scope import BadScope
-from .standing import Standing
-from .tokens import Tokens
+from .subscriber import Subscriber
 from .wire import Event, batches, encode_json
 
 log = logging.getLogger(__name__)
@@ -37,24 +39,6 @@
 ORDERS_AT_ONCE = 8
 
 
-class Options(msgspec.Struct, frozen=True):
-    """What the operator's file says. Times in ms; feeds as (host, port)."""
-
-    feeds: tuple[tuple[str, int], ...]
-    token_file: str
-    folder: str
-    retention_ms: float
-    skew_ms: float
-    delay_ms: float
-    strict: frozenset[str]
-    cut_off_per_s: float
-    start_wait_ms: float
-    order_kinds: frozenset[str] = frozenset()
-    orders_per_s: float = 50.0
-    origin_per_s: float = 0.0  # renewals that the origin bears from all directors; 0: not known
-    lost: Literal["void", "serve"] = "void"  # what strict classes make of copies from before a loss
-
-
 class _Stored(msgspec.Struct, array_like=True):
     """A record of the director's log: purges as they were taken, and how far a feed had told all."""
 
@@ -67,18 +51,18 @@
     def __init__(
         self,
         options: Options,
-        index: Index,
+        index: PurgeIndex,
         clock: Callable[[], float],
         disk: Disk | None = None,
         directors: int = 1,
         rng: random.Random | None = None,
     ) -> None:
-        """Recovers from the disk, if there is one. directors: who share the origin. Raises Damaged, BadTokens
-        and OSError."""
+        """Recovers from the disk, if there is one. directors: who share the origin. Raises Damaged,
+        BadTokens, OSError, and TypeError for an index that takes no scopes."""
         self.options, self.clock = options, clock
         now = clock()
         rng = rng or random.Random()
-        self.standing = Standing(index, True, options.retention_ms, options.skew_ms)
+        self.standing = ActivePurges(scope_index(index), True, options.retention_ms, options.skew_ms)
         self.orders = Orders(options.orders_per_s, ORDERS_AT_ONCE, now)
         self.cut_off = CutOff(options.delay_ms, options.strict, log.warning)
         part = options.origin_per_s / max(directors, 1)
@@ -93,29 +77,29 @@
             self._recover(disk, now)
         self._since = 0.0  # copies from before it may be older than a purge that is lost
         self.turned: Callable[[], None] = lambda: None  # hears that something else is known now
-        self.followers = [self._follower(host, port) for host, port in options.feeds]
+        self.followers = [self._subscriber(host, port) for host, port in options.feeds]
         self._lacks = [(one, Reseed(rng)) for one in self.followers]
-        self._marks: dict[Follower, Vector] = {}
+        self._marks: dict[Subscriber, Vector] = {}
         self._look_at_horizon()
         self._tasks: list[asyncio.Task[None]] = []
         self._seeding: set[asyncio.Task[None]] = set()
         if options.order_kinds:
             self.orders.add(self.standing.beyond({}))
 
-    def _follower(self, host: str, port: int) -> Follower:
-        def marked(vector: Vector) -> None:
+    def _subscriber(self, host: str, port: int) -> Subscriber:
+        def told_mark(vector: Vector) -> None:
             self._marks[one] = vector
             self._reached(vector)
 
-        one = Follower(
+        one = Subscriber(
             host,
             port,
             self._tokens.own,
             self.standing.positions.vector,
             self.take,
-            marked,
+            told_mark,
             self.clock,
-            said=self._said,
+            on_losses=self._told_losses,
         )
         return one
 
@@ -168,7 +152,7 @@
         for purge in purges:
             try:
                 new = self.standing.take(purge, now)
-            except (BadPurge, BadScope) as error:
+            except (BadPurge, BadPosition, BadScope) as error:
                 log.error("bad purge issuer=%.64s seq=%s: %s", purge.issuer, purge.seq, error)
                 continue
             if new and self._log is not None:
@@ -184,7 +168,7 @@
             self._fresh.reached += [(issuer, epoch, last) for (issuer, epoch), last in vector.items()]
             self.turned()
 
-    def _said(self, event: Event) -> None:
+    def _told_losses(self, event: Event) -> None:
         changed = self.standing.horizon.tell(event.losses, self.clock())
         if changed:
             self._fresh.losses += changed
@@ -220,7 +204,7 @@
     def follow_again(self) -> None:
         """All feeds, from the beginning."""
         for one in self.followers:
-            one.follow_again()
+            one.restart()
 
     def listed(self, runs: Mapping[str, tuple[str, float]]) -> None:
         """The servers of the list: each one's kind and the start of its process."""
@@ -317,7 +301,7 @@
                 log.error("purges not stored: %s", error)
                 self._log = None
 
-    async def _seed(self, one: Follower, told: Vector) -> None:
+    async def _seed(self, one: Subscriber, told: Vector) -> None:
         """Sends a feed what it lacks, and then how far that reaches."""
         vector = vector_text(self.standing.positions.vector())
         events = [Event(purges=batch) for batch in batches(self.standing.beyond(told))]
@@ -334,7 +318,7 @@
                     body,
                     {"Content-Type": "application/json"},
                 )
-        except LOST as error:
+        except CALL_ERRORS as error:
             log.warning("feed not told feed=%s:%d: %s %s", one.host, one.port, type(error).__name__, error)
             return
         sent = sum(len(event.purges) for event in events)
--- a/gladelane/purges/orders.py
+++ b/gladelane/purges/orders.py
@@ -11,7 +11,8 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import NamedTuple
 
-from .order import Purge, Vector
+from ..control.positions import Vector
+from .order import Purge
 
 A_BATCH = 200  # purges in one order
 RETRY_FIRST_MS, RETRY_MOST_MS = 200.0, 10_000.0
@@ -64,13 +65,13 @@
     def add(self, purges: Iterable[Purge]) -> None:
         self._all += purges
 
-    def compact(self, standing: Iterable[Purge], count: int) -> None:
+    def compact(self, active: Iterable[Purge], count: int) -> None:
         """Makes the list anew from what stands, once much of it no longer does. Who had all of it still has;
         others begin again: an order repeated does no harm."""
         if len(self._all) <= 2 * count + SLACK or self._out:
             return
         done = [server for server in self._servers.values() if server.place >= len(self._all)]
-        self._all = list(standing)
+        self._all = list(active)
         for server in self._servers.values():
             server.place = 0
         for server in done:
--- a/tests/purges/test_feed.py
+++ b/tests/purges/test_feed.py
@@ -7,6 +7,7 @@
 import json
 import os
 import signal
+import ssl
 import subprocess
 import sys
 import time
@@ -19,15 +20,19 @@
 import pytest
 from harness import until
 
+from gladelane.control import event_stream, server
+from gladelane.control.http import Refused, fetch
+from gladelane.control.server import ControlServer
+from gladelane.control.tokens import BadTokens, Tokens
 from gladelane.durable.files import Folder
 from gladelane.lab.simdisk import SimDisk
-from gladelane.purges import feed as feed_module
-from gladelane.purges.feed import OWN, Feed
-from gladelane.purges.follow import Follower
-from gladelane.purges.http import Refused, fetch
+from gladelane.purges import purge_stream
+from gladelane.purges.active_purges import ActivePurges
+from gladelane.purges.control_part import PurgePart
 from gladelane.purges.order import Purge, Stamps
-from gladelane.purges.standing import Standing
-from gladelane.purges.tokens import BadTokens, Tokens
+from gladelane.purges.purge_log import PurgeLog
+from gladelane.purges.purge_store import OWN, recover
+from gladelane.purges.subscriber import Subscriber
 from gladelane.purges.wire import encode_purge
 
 TOKEN = "a-token-of-the-operators"
@@ -41,14 +46,28 @@
     return Tokens(path)
 
 
+class ServedLog(PurgeLog):
+    """A purge log that is the one part of a control server."""
+
+    port = 0
+
+    async def serve(self, tls: ssl.SSLContext | None = None) -> int:
+        self._control = ControlServer(self.tokens, [PurgePart(self)])
+        self.port = await self._control.start("127.0.0.1", 0, tls)
+        return self.port
+
+    async def end(self) -> None:
+        await self._control.close()
+
+
 @asynccontextmanager
-async def feed(tmp: Path, name: str = "a", disk: Any = None, **more: Any) -> AsyncIterator[Feed]:
-    one = Feed(name, SimDisk() if disk is None else disk, tokens(tmp), **{"first": True, **more})
-    await one.start("127.0.0.1", 0)
+async def feed(tmp: Path, name: str = "a", disk: Any = None, **more: Any) -> AsyncIterator[ServedLog]:
+    one = ServedLog(name, SimDisk() if disk is None else disk, tokens(tmp), **{"first": True, **more})
+    await one.serve()
     try:
         yield one
     finally:
-        await one.close()
+        await one.end()
 
 
 async def send(port: int, scope: str, key: str = "", token: str = TOKEN, **tags: str) -> dict[str, Any]:
@@ -63,14 +82,14 @@
     """A follower with a standing set of its own, as a director has one."""
 
     def __init__(self, *ports: int) -> None:
-        self.standing = Standing()
-        self.followers = [Follower("127.0.0.1", port, lambda: TOKEN, self.standing.positions.vector, self.take,
-                                   self.standing.positions.adopt, lambda: time.time() * 1000.0) for port in ports]  # fmt: skip
-        self.tasks = [asyncio.ensure_future(one.run()) for one in self.followers]
+        self.active = ActivePurges()
+        self.subscribers = [Subscriber("127.0.0.1", port, lambda: TOKEN, self.active.positions.vector, self.take,
+                                   self.active.positions.adopt, lambda: time.time() * 1000.0) for port in ports]  # fmt: skip
+        self.tasks = [asyncio.ensure_future(one.run()) for one in self.subscribers]
 
     def take(self, purges: list[Purge]) -> None:
         for purge in purges:
-            self.standing.take(purge, time.time() * 1000.0)
+            self.active.take(purge, time.time() * 1000.0)
 
     async def close(self) -> None:
         for task in self.tasks:
@@ -86,15 +105,15 @@
     async def scene() -> None:
         async with feed(tmp_path) as one:
             watcher = Watcher(one.port)
-            await until(lambda: watcher.followers[0].caught_up.is_set())
+            await until(lambda: watcher.subscribers[0].caught_up.is_set())
             first = await send(one.port, "tag:signs & class:page", "k1", signs="objects:7f* | group:3")
             assert (first["seq"], first["again"]) == (1, False)
             assert set(first["scope"].split(" | ")) == {"class:page & group:3", "class:page & objects:7f*"}
             began = time.monotonic()
-            await until(lambda: len(watcher.standing) == 1)
+            await until(lambda: len(watcher.active) == 1)
             assert time.monotonic() - began < 1.0
             again = await send(one.port, "class:page & objects:7f* | class:page & group:3", "k1")
-            assert again["again"] and again["seq"] == 1 and len(one.standing) == 1
+            assert again["again"] and again["seq"] == 1 and len(one.active) == 1
             both = await asyncio.gather(*(send(one.port, "group:9", "k2") for _ in range(8)))
             assert {b["seq"] for b in both} == {2} and sum(not b["again"] for b in both) == 1
             with pytest.raises(Refused, match="another scope") as refused:
@@ -144,7 +163,7 @@
             assert (await reader.read(64)).startswith(b"HTTP/1.1 400")
             writer.close()
             with pytest.MonkeyPatch.context() as patch:
-                patch.setattr(feed_module, "REQUEST_S", 0.1)
+                patch.setattr(server, "REQUEST_TIMEOUT_S", 0.1)
                 reader, writer = await asyncio.open_connection("127.0.0.1", one.port)
                 writer.write(b"POST /purges HTTP/1.1\r\nHost: x\r\n")
                 assert (await reader.read(64)).startswith(b"HTTP/1.1 408")
@@ -177,20 +196,20 @@
         disk = SimDisk()
         async with feed(tmp_path, disk=disk) as one:
             watcher = Watcher(one.port)
-            await until(lambda: watcher.followers[0].caught_up.is_set())
+            await until(lambda: watcher.subscribers[0].caught_up.is_set())
             await send(one.port, "group:1")
-            await until(lambda: len(watcher.standing) == 1)
+            await until(lambda: len(watcher.active) == 1)
             await watcher.close()
             await send(one.port, "group:2", "key")
-            epoch, vector = one._stamps.epoch, watcher.standing.positions.vector()
+            epoch, vector = one._stamps.epoch, watcher.active.positions.vector()
         async with feed(tmp_path, disk=disk) as back:
-            assert back._stamps.epoch > epoch and len(back.standing) == 2
+            assert back._stamps.epoch > epoch and len(back.active) == 2
             assert (await send(back.port, "group:2", "key"))["again"]  # keys outlive a restart
             await send(back.port, "group:3")
             late = Watcher(back.port)
-            late.standing.positions.adopt(vector)
-            await until(lambda: late.followers[0].caught_up.is_set())
-            assert sorted(p.scope for p in late.standing.beyond({})) == ["group:2", "group:3"]
+            late.active.positions.adopt(vector)
+            await until(lambda: late.subscribers[0].caught_up.is_set())
+            assert sorted(p.scope for p in late.active.beyond({})) == ["group:2", "group:3"]
             await late.close()
 
     run(scene())
@@ -208,19 +227,19 @@
                 b.follow("127.0.0.1", a.port)
                 a.follow("127.0.0.1", b.port)
                 await asyncio.gather(send(a.port, "group:2"), send(b.port, "group:3"))
-                await until(lambda: len(a.standing) == len(b.standing) == 3)
+                await until(lambda: len(a.active) == len(b.active) == 3)
             await send(b.port, "group:4")  # while a is down
             async with feed(tmp_path, "a", restored) as back:
-                assert sorted(p.scope for p in back.standing.beyond({})) == ["group:1"]
+                assert sorted(p.scope for p in back.active.beyond({})) == ["group:1"]
                 back.follow("127.0.0.1", b.port)
                 await send(back.port, "group:5")
                 b.follow("127.0.0.1", back.port)
-                await until(lambda: len(back.standing) == len(b.standing) == 5)
-                assert back.standing.positions.vector() == b.standing.positions.vector()
-                assert not back.standing.positions.gaps() and not b.standing.positions.gaps()
+                await until(lambda: len(back.active) == len(b.active) == 5)
+                assert back.active.positions.vector() == b.active.positions.vector()
+                assert not back.active.positions.gaps() and not b.active.positions.gaps()
                 watcher = Watcher(b.port, back.port)  # two feeds, each purge once
-                await until(lambda: all(one.caught_up.is_set() for one in watcher.followers))
-                assert len(watcher.standing) == 5
+                await until(lambda: all(one.caught_up.is_set() for one in watcher.subscribers))
+                assert len(watcher.active) == 5
                 await watcher.close()
 
     run(scene())
@@ -232,24 +251,24 @@
     async def scene() -> None:
         disk = SimDisk()
         stamps = Stamps("a", (), 0.0, time.time() * 1000.0)
-        log = feed_module.recover(disk)[0]
+        log = recover(disk)[0]
         for n in range(50_000):
             log.append(encode_purge(stamps.next(f"object:{n:016x}", time.time() * 1000.0)))
         log.commit()
         with pytest.MonkeyPatch.context() as patch:
-            patch.setattr(feed_module, "TAIL", 20)
-            patch.setattr(feed_module, "UNSENT_BYTES", 1000)
+            patch.setattr(purge_stream, "MAX_RECENT", 20)
+            patch.setattr(event_stream, "MAX_UNSENT_BYTES", 1000)
             async with feed(tmp_path, disk=disk) as one:
                 reader, writer = await asyncio.open_connection("127.0.0.1", one.port, limit=2**12)
                 writer.write(
                     f"GET /follow?from= HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {TOKEN}\r\n\r\n".encode()
                 )
-                await until(lambda: one.followers == 1)  # and reads nothing more for now
+                await until(lambda: one.stream.subscribers == 1)  # and reads nothing more for now
                 watcher = Watcher(one.port)
-                await until(lambda: len(watcher.standing) == 50_000, 60.0)
+                await until(lambda: len(watcher.active) == 50_000, 60.0)
                 for n in range(120):
                     await send(one.port, f"group:{n}")
-                await until(lambda: len(watcher.standing) == 50_120)
+                await until(lambda: len(watcher.active) == 50_120)
                 seen: set[tuple[str, int, int]] = set()
                 while len(seen) < 50_120:
                     line = await asyncio.wait_for(read_event(reader), 10.0)
@@ -282,7 +301,7 @@
             disk.room = 10_000
             assert (await send(one.port, "group:2"))["seq"] == stored + 1
         async with feed(tmp_path, disk=disk) as back:
-            assert len(back.standing) == stored + 1
+            assert len(back.active) == stored + 1
 
     run(scene())
 
@@ -292,9 +311,12 @@
 
     async def scene() -> None:
         code = ("import asyncio, sys\nfrom pathlib import Path\nfrom gladelane.durable.files import Folder\n"
-                "from gladelane.purges.feed import Feed\nfrom gladelane.purges.tokens import Tokens\n"
-                "async def main():\n f = Feed('a', Folder(sys.argv[1]), Tokens(sys.argv[2]), first=True)\n"
-                " print(await f.start('127.0.0.1', 0), flush=True)\n await asyncio.Event().wait()\nasyncio.run(main())")  # fmt: skip
+                "from gladelane.control.server import ControlServer\nfrom gladelane.control.tokens import Tokens\n"
+                "from gladelane.purges.control_part import PurgePart\nfrom gladelane.purges.purge_log import PurgeLog\n"
+                "async def main():\n known = Tokens(sys.argv[2])\n"
+                " purges = PurgeLog('a', Folder(sys.argv[1]), known, first=True)\n"
+                " server = ControlServer(known, [PurgePart(purges)])\n"
+                " print(await server.start('127.0.0.1', 0), flush=True)\n await asyncio.Event().wait()\nasyncio.run(main())")  # fmt: skip
         tokens(tmp_path)
         answered: dict[str, int] = {}
         for turn in range(5):
@@ -317,8 +339,8 @@
             process.wait()
             process.stdout.close()
         folder = Folder(tmp_path / "log")
-        back = Feed("a", folder, tokens(tmp_path))
-        kept = {p.key: p.seq for p in back.standing.beyond({})}
+        back = PurgeLog("a", folder, tokens(tmp_path))
+        kept = {p.key: p.seq for p in back.active.beyond({})}
         assert len(answered) > 25 and {key: kept.get(key) for key in answered} == answered
         folder.close()
 
@@ -330,15 +352,15 @@
     async def scene() -> None:
         disk = SimDisk()
         async with feed(tmp_path, disk=disk) as one:
-            one._told(
+            one.receive(
                 [
                     Purge("x", 1, 1, 1e12, "rubbish"),
                     Purge("", 1, 1, 1e12, "all"),
                     Purge("x", 1, 2, 1e12, "group:1"),
                 ]
             )
-            await until(lambda: one.standing.positions.taken("x", 1, 2))
-        records = feed_module.recover(disk)[1].records
+            await until(lambda: one.active.positions.taken("x", 1, 2))
+        records = recover(disk)[1].records
         assert [msgspec.msgpack.decode(r, type=Purge).seq for r in records if not r.startswith(OWN)] == [2]
 
     run(scene())
