Director tells an observer of keyed attempts: before the first byte, and if they never ran

One attribute and its two calls; nobody sets it yet, no change of behaviour. For two processes of one director, which do not hear of each other's keyed attempts after the hand-over.

--- a/gladelane/net/director.py
+++ b/gladelane/net/director.py
@@ -97,6 +97,15 @@
     def turned(self) -> None: ...
 
 
+class KeyObserver(Protocol):
+    """Hears of each keyed attempt that may have run, before its first byte, and of each that is proven not to
+    have. Times are Unix ms."""
+
+    def may_have_run(self, key: str, at_ms: float, store: str) -> None: ...
+
+    def never_ran(self, key: str, at_ms: float, store: str) -> None: ...
+
+
 class Director:
     def __init__(
         self,
@@ -117,6 +126,7 @@
         self._by_id: dict[str, Exchange] = {}  # the latest of the live ones under a client's id
         self.guard: Guard | None = None  # the fleet's purges, where feeds are followed
         self.audit: Audit | None = None  # where an operator's file asks for it
+        self.key_observer: KeyObserver | None = None  # the director's other process, during an upgrade
         self.more: Callable[[], list[tuple[str, int]]] = list  # figures of parts that operators switched on
         self.rev = 0
         self.figures = Figures()
@@ -366,6 +376,8 @@
         if spec.effect is Effect.KEYED and attempt.exchange.ask.key:
             attempt.ran_ms = now
             self.keys.may_have_run(attempt.exchange.ask.key, now, attempt.store)
+            if self.key_observer is not None:
+                self.key_observer.may_have_run(attempt.exchange.ask.key, now, attempt.store)
         bound = self.router.age_now(now, request, spec.fresh_ms)
         if bound:
             attempt.max_age_ms = min(attempt.max_age_ms or bound, bound)
@@ -424,6 +436,8 @@
         if status in NEVER_RAN:
             if attempt.ran_ms:
                 self.keys.never_ran(exchange.ask.key, attempt.ran_ms, attempt.store)
+                if self.key_observer is not None:
+                    self.key_observer.never_ran(exchange.ask.key, attempt.ran_ms, attempt.store)
         elif attempt.written_ms:
             exchange.ran_ms = min(exchange.ran_ms or attempt.written_ms, attempt.written_ms)
         if status is Status.OK and reply is not None:
