--- a/gladelane/lab/fleet/day.py
+++ b/gladelane/lab/fleet/day.py
@@ -96,7 +96,7 @@
         task.cancel()
     await load.settle()
     full = {
-        text: round(load.served.full_after(began + at, (began - BEFORE_S, began), began + until - 0.3), 2)
+        text: round(load.service.full_after(began + at, (began - BEFORE_S, began), began + until - 0.3), 2)
         for text, at, until in spans(steps, seconds)
     }
     old = stale(load.made, load.purges, fleet.shape.delay_ms)
--- a/gladelane/lab/fleet/load.py
+++ b/gladelane/lab/fleet/load.py
@@ -17,7 +17,7 @@
 from ..shelf import now_ms
 from ..standins import Seen
 from .fleet import TOKEN, Fleet, Life
-from .rules import Made, Purged, Sent, Served
+from .rules import Made, Purged, Sent, Service
 from .world import OBJECTS, group_of, object_id
 
 CLASSES = read_config((ROOT / "example" / "config.json").read_bytes()).settings.classes
@@ -37,7 +37,7 @@
         self.purges: list[Purged] = []
         self.attempts: list[Sent] = []
         self._asked_at: dict[str, str] = {}  # by a request's id, for as long as the run lasts: its director
-        self.served = Served()
+        self.service = Service()
         self.counts: Counter[str] = Counter()
         self.broken: list[Broken] = []
         self.monitor = Monitor(1000.0, 2000.0, ANSWER_GRACE_MS, self.broken.append)
@@ -101,6 +101,7 @@
         one = await self._director()
         if one is None:
             self.counts["nobody"] += 1
+            self.service.ask(due_ms / 1000.0, CLASSES[cls].worth)
             return
         code, killed = await self._ask(one, cls, n, part, key, due_ms)
         if code is None and killed and write:
@@ -133,6 +134,7 @@
         self._asked_at[id_] = one.name
         self.monitor.request(one.name, number, spec, sent + min(spec.deadline_ms, 1500.0))
         self.counts["asked"] += 1
+        self.service.ask(due_ms / 1000.0, spec.worth)
         answer = await client.ask(fields, patience_s=PATIENCE_S)
         now = now_ms()
         killed = self.fleet.held_by(one, sent, now)
@@ -154,7 +156,7 @@
                         Made(cls, group_of(n), int(object_id(n), 16), part, sent, dated, one.name, now)
                     )
                 if now - due_ms <= spec.aim_ms:
-                    self.served.add(due_ms / 1000.0, spec.worth)
+                    self.service.earn(due_ms / 1000.0, spec.worth)
         self._who.pop(id_, None)
         self._tries.pop(id_, None)
         return (None if answer is None else answer.code), killed
--- a/gladelane/lab/fleet/rules.py
+++ b/gladelane/lab/fleet/rules.py
@@ -8,6 +8,7 @@
 
 from bisect import bisect_left
 from collections import Counter
+from itertools import accumulate
 from typing import NamedTuple
 
 from ...purges.index import Index
@@ -89,33 +90,52 @@
     return max(Counter(int(at - start) for at in times if start <= at < end).values(), default=0)
 
 
-class Served:
-    """Worth answered in time, by when it was asked for. Seconds of one clock."""
+class Service:
+    """The worth that was asked for and the part of it that was answered in time, by when it was due. Seconds
+    of one clock.
+
+    A share, no rate: arrivals are random, and what is asked for in two spans of HELD_S differs by more than
+    the twentieth that is looked for."""
 
     SHARE, HELD_S, STEP_S = 0.95, 2.0, 0.1
 
     def __init__(self) -> None:
-        self._at: list[float] = []
-        self._worth: list[float] = []
+        self._asked: list[tuple[float, float]] = []  # when due, worth
+        self._earned: list[tuple[float, float]] = []
 
-    def add(self, at: float, worth: float) -> None:
-        self._at.append(at)
-        self._worth.append(worth)
+    def ask(self, due_s: float, worth: float) -> None:
+        self._asked.append((due_s, worth))
 
-    def rate(self, start: float, end: float, at: list[float], sums: list[float]) -> float:
-        return (sums[bisect_left(at, end)] - sums[bisect_left(at, start)]) / (end - start)
+    def earn(self, due_s: float, worth: float) -> None:
+        """What was asked for then was answered in time."""
+        self._earned.append((due_s, worth))
 
     def full_after(self, fault: float, before: tuple[float, float], until: float) -> float:
-        """Seconds from a fault to the first moment from which 95 % of the rate before is kept for 2 s;
+        """Seconds from a fault to the first moment from which 95 % of the share before is kept for 2 s;
         infinite: there is none up to `until`."""
-        rows = sorted(zip(self._at, self._worth, strict=True))
-        at, sums = [row[0] for row in rows], [0.0]
-        for _, worth in rows:
-            sums.append(sums[-1] + worth)
-        wanted = self.SHARE * self.rate(*before, at, sums)
+        asked, earned = RunningSum(self._asked), RunningSum(self._earned)
+
+        def share(start: float, end: float) -> float:
+            worth = asked.between(start, end)
+            return earned.between(start, end) / worth if worth else 0.0
+
+        wanted = self.SHARE * share(*before)
         moment = fault
         while moment + self.HELD_S <= until:
-            if self.rate(moment, moment + self.HELD_S, at, sums) >= wanted:
+            if share(moment, moment + self.HELD_S) >= wanted > 0.0:
                 return moment - fault
             moment += self.STEP_S
         return float("inf")
+
+
+class RunningSum:
+    """Sums of values over spans of their moments."""
+
+    def __init__(self, rows: list[tuple[float, float]]) -> None:
+        ordered = sorted(rows)
+        self._moments = [moment for moment, _ in ordered]
+        self._sums = [0.0, *accumulate(value for _, value in ordered)]
+
+    def between(self, start: float, end: float) -> float:
+        first, last = bisect_left(self._moments, start), bisect_left(self._moments, end)
+        return self._sums[last] - self._sums[first]
--- a/tests/fleet/test_rig.py
+++ b/tests/fleet/test_rig.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from random import Random
 
 import pytest
@@ -11,7 +12,7 @@
 from gladelane.lab.fleet.day import spans
 from gladelane.lab.fleet.faults import BadLine, read_line
 from gladelane.lab.fleet.relay import Relay, State
-from gladelane.lab.fleet.rules import Made, Purged, Ran, Served, busiest, doubles, stale
+from gladelane.lab.fleet.rules import Made, Purged, Ran, Service, busiest, doubles, stale
 from gladelane.purges.scope import parse
 
 COUNTS = {"directors": 10, "feeds": 2, "caches": 4}
@@ -116,9 +117,33 @@
     )  # its sender had no answer before 1200
     assert doubles([Ran("a", 0.0), Ran("a", 1990.0), Ran("b", 0.0), Ran("b", 2100.0)], 2000.0) == ["b"]
     assert busiest([0.1, 0.2, 1.5, 1.6, 1.7, 9.0], 0.0, 5.0) == 3
-    served = Served()
-    for tenth in range(200):
-        if not 100 <= tenth < 130:
-            served.add(tenth / 10.0, 1.0)
-    assert served.full_after(10.0, (8.0, 10.0), 20.0) == pytest.approx(2.9, abs=0.15)
-    assert served.full_after(10.0, (8.0, 10.0), 14.0) == float("inf")
+
+
+def asked_for(seed: int, answered: Callable[[float], bool]) -> Service:
+    """Arrivals as in a run, 20 s of them; those due at moments that `answered` says are answered in time."""
+    service, rng, due = Service(), Random(seed), 0.0
+    while (due := due + rng.expovariate(250.0)) < 20.0:
+        worth = rng.choice((1.0, 2.0, 3.0))
+        service.ask(due, worth)
+        if answered(due):
+            service.earn(due, worth)
+    return service
+
+
+@pytest.mark.parametrize("seed", range(100))
+def test_full_service_is_seen_in_what_was_asked_for_whatever_the_arrivals(seed: int) -> None:
+    whole = asked_for(seed, lambda due: True)
+    assert whole.full_after(10.0, (8.0, 10.0), 13.5) == 0.0
+    gap = asked_for(seed, lambda due: not 10.0 <= due < 13.0)
+    assert gap.full_after(10.0, (8.0, 10.0), 20.0) == pytest.approx(2.9, abs=0.15)
+    assert gap.full_after(10.0, (8.0, 10.0), 14.0) == float("inf")
+    lossy = asked_for(seed, lambda due: due < 10.0 or due * 1000.0 % 10.0 >= 1.0)  # a tenth of what is due
+    assert lossy.full_after(10.0, (8.0, 10.0), 20.0) == float("inf")
+
+
+def test_nothing_asked_for_is_no_full_service() -> None:
+    service = Service()
+    assert service.full_after(10.0, (8.0, 10.0), 20.0) == float("inf")
+    service.ask(9.0, 1.0)
+    service.earn(9.0, 1.0)
+    assert service.full_after(10.0, (8.0, 10.0), 20.0) == float("inf")
