endpoints: failures are remembered for as long as the operator's file lets a pause be

What was seen: the constants of health.py had no reason beside them. One did not hold for any operator: failures halved each 30 s (AGED_MS), whatever `pause.most_ms` says; an address that stays down and is tried at the end of each pause never came to a longer one than with 30 s, however long the file allows. Change: the half-life is the longest pause, 30 s at the least, so the default stands. The other constants got their reasons. Measured: the new test fails with the constant (the longest pause at most_ms 240 s is not twice that at 30 s) and passes with the derived one; 50 tests of test_pure pass. Not mended: with the default (0.5 s doubling, 30 s at most, half-life 30 s) trials alone come to pauses well under 30 s.

--- a/gladelane/endpoints/health.py
+++ b/gladelane/endpoints/health.py
@@ -20,12 +20,21 @@
 from .address import Address, Family
 from .order import step
 
-AGED_MS = 30_000.0  # failures halve so often
-JITTER = 0.25  # of a pause, either way
+# None of these follows from a customer's classes or loads: pauses come from the operator's file, the rest
+# is of networks and of this process.
+HALF_LIFE_LEAST_MS = 30_000.0  # of failures: a process that restarts is back well within it
+#: of a pause, either way: trials of a fleet of directors that saw one failure together lie up to half a
+#: pause apart
+JITTER = 0.25
 GAIN, VAR_GAIN = 0.125, 0.25  # RFC 6298 section 2
-OVERDUE_FACTOR = 3.0  # a leading dial this many usual connect times old counts against its family
+#: a leading dial this many usual connect times old counts against its family. The usual one has four
+#: variations in it (RFC 6298 section 2), which nearly no dial exceeds; a SYN that was lost is sent again
+#: after 1 s (section 2.1), far beyond three of them on any network whose dials race at all
+OVERDUE_FACTOR = 3.0
+#: a dial on loopback takes less than the loop does to hear of it: three of its turns of 5 ms, as timers
+#: have them
 OVERDUE_LEAST_MS = 15.0
-DEEPEST = 20  # doublings counted: 2 ** more would overflow
+DEEPEST = 20  # doublings counted: 2 ** more would overflow, and half a second doubled 20 times is six days
 
 
 Told = Callable[..., None]
@@ -94,6 +103,13 @@
         self.first_ms, self.most_ms, self.stall_ms = first_ms, most_ms, stall_ms
         self.family_few = family_few
 
+    @property
+    def half_life_ms(self) -> float:
+        """After so long without a further failure an address's failures count for half. No less than the
+        longest pause: failures come as seldom as trials do, and were they forgotten between two of them no
+        pause would grow to what the operator's file allows."""
+        return max(self.most_ms, HALF_LIFE_LEAST_MS)
+
     def after(self, fails: float, first_ms: float, rng: random.Random) -> float:
         pause: float = min(first_ms * 2.0 ** min(max(fails - 1.0, 0.0), DEEPEST), max(self.most_ms, first_ms))
         return pause * (1.0 + JITTER * (2.0 * rng.random() - 1.0))
@@ -306,7 +322,7 @@
 
     def _pass_over(self, server: str, address: Address, first_ms: float, why: str, now: float) -> None:
         health = self._of(server, address)
-        aged = health.fails * 0.5 ** (max(now - health.failed_ms, 0.0) / AGED_MS)
+        aged = health.fails * 0.5 ** (max(now - health.failed_ms, 0.0) / self.pauses.half_life_ms)
         health.fails, health.failed_ms = aged + 1.0, now
         pause = self.pauses.after(health.fails, first_ms, self.rng)
         if not health.until_ms:
--- a/tests/endpoints/test_pure.py
+++ b/tests/endpoints/test_pure.py
@@ -205,6 +205,22 @@
     assert known.at("a", V4).until_ms - now - 600_000.0 <= 130.0  # type: ignore[union-attr]
 
 
+def longest_pause(most_ms: float) -> float:
+    """Of an address that stays down and is tried whenever its pause ends."""
+    known, _ = health(first_ms=500.0, most_ms=most_ms)
+    now = longest = 0.0
+    for _ in range(60):
+        known.failed("a", V4, DialEnd.REFUSED, now)
+        until = known.at("a", V4).until_ms  # type: ignore[union-attr]
+        longest, now = max(longest, until - now), until
+    return longest
+
+
+def test_failures_are_remembered_for_as_long_as_the_file_lets_a_pause_be() -> None:
+    usual, long = longest_pause(30_000.0), longest_pause(240_000.0)
+    assert 5_000.0 < usual <= 30_000.0 * 1.25 and 2.0 * usual < long <= 240_000.0 * 1.25
+
+
 def test_one_trial_at_a_time_brings_an_address_back() -> None:
     ends = Endpoints(random.Random(1), Options(pause_first_ms=100.0))
     ends.tell([listing("a", "10.1.0.9:4100", addresses=(V6.text,))])
