operations: why the times of a drain and of new settings hold for any customer

drain.py: FIRST_MS is the protocol's 0.4 + 0.2 s of a restart, LATE_MS what is left of the 4 s after which nothing should be connected once none may be younger than 2 s. retune.py: BOTH_MS is the 1.2 s after which clients follow and the time of a crossing.

--- a/gladelane/operations/drain.py
+++ b/gladelane/operations/drain.py
@@ -5,9 +5,26 @@
 
 from __future__ import annotations
 
-TOLD_MS = 300.0  # from telling a client to closing its connection: it may have written just before it read
-FIRST_MS = 600.0  # for a newcomer's first request, before it is told
-LATE_MS = 1500.0  # a request on a connection told so long ago is refused: 4 s after the call none is young
+# All of these are of the protocol between clients and directors, the same for every customer; what a
+# request may take stands in the settings and has no part in them.
+
+#: from telling a client to closing its connection: it may have written just before it read, so a round trip
+#: and the time both processes take to be scheduled. Round trips between an operator's machines are tens of
+#: ms. Where it is longer all the same, nothing is lost: a request that crosses a close is sent again once
+#: (PROTOCOL)
+TOLD_MS = 300.0
+#: for a newcomer's first request, before it is told. At a restart new connections come for up to 0.4 s, and
+#: requests on them for 0.2 s more (PROTOCOL)
+FIRST_MS = 400.0 + 200.0
+#: so long after the call nothing should be connected: clients close what has idled for as long by
+#: themselves
+EMPTIED_MS = 4_000.0
+#: a request that is younger when the director is to be empty shows that it still takes work
+YOUNG_MS = 2_000.0
+#: a request on a connection told so long ago is refused. Who was connected is told at the call, or with its
+#: next answer; the rest of the span up to a young one is left to calls that are bound late, and to the
+#: loop's lag
+LATE_MS = EMPTIED_MS - YOUNG_MS - 500.0
 
 
 class Drain:
--- a/gladelane/operations/retune.py
+++ b/gladelane/operations/retune.py
@@ -6,8 +6,13 @@
 from types import MappingProxyType
 
 from ..interface import ClassSpec, Effect, Settings
+from .drain import TOLD_MS
 
-BOTH_MS = 1500.0  # clients go by a new file 1.2 s after the director was given it; until then by either
+#: clients go by a new file so long after the director was given it, until then by either (the operators'
+#: rule for live settings; no setting tells it)
+CLIENTS_FOLLOW_MS = 1_200.0
+#: for which both files hold: what a client wrote by the old one just before it followed is still on its way
+BOTH_MS = CLIENTS_FOLLOW_MS + TOLD_MS
 STRICTNESS = (Effect.SAFE, Effect.KEYED, Effect.UNSAFE)
 #: what the module reads anew for each request; all else is bound to sockets or to what was learnt
 APPLIED = ("classes", "max_attempts", "second_copies", "cancel", "retry_after", "max_retry_after_ms", "joins")
