--- a/gladelane/recovery/keeper.py
+++ b/gladelane/recovery/keeper.py
@@ -19,7 +19,7 @@
 from ..durable.files import Disk, Folder, set_aside
 from ..durable.log import MOST_RECORD, Damaged, Log, encode_record, record_at, recover
 from ..routes.keys import KeyWindows, kept_for
-from ..upgrade.learnt import look
+from ..upgrade.learnt import take_snapshot
 from .warm import FORMAT, Warm, apply, digest, unfit
 
 log = logging.getLogger(__name__)
@@ -165,7 +165,7 @@
     async def write(self) -> None:
         """Looked at in this loop, encoded and synced in a thread. Raises OSError."""
         settings = digest(self._router.settings)
-        document = Warm(FORMAT, self._name, settings, self._clock(), look(self._router))
+        document = Warm(FORMAT, self._name, settings, self._clock(), take_snapshot(self._router))
         await asyncio.to_thread(self._write, document)
 
     def _write(self, document: Warm) -> None:
--- a/gladelane/recovery/warm.py
+++ b/gladelane/recovery/warm.py
@@ -16,7 +16,7 @@
 
 from ..choice import AGEING_MS, DOWN_MS, FORGET_BELOW, Router
 from ..interface import Settings
-from ..upgrade.learnt import Learnt, give
+from ..upgrade.learnt import Learnt, restore
 
 FORMAT = 1
 HEALTH_MS = 10_000.0  # for which it says something that a server was failing or resting
@@ -87,7 +87,7 @@
     if same < SAME_SHARE * max(len(told.learnt.stores), len(router.stores), 1):
         return f"{same} of {len(router.stores)} servers are the same"
     learnt = aged(told.learnt, now_ms - told.written_ms)
-    give(
+    restore(
         router,
         msgspec.structs.replace(
             learnt, retries=min(learnt.retries, router.retries), hedges=min(learnt.hedges, router.hedges)
--- a/gladelane/upgrade/learnt.py
+++ b/gladelane/upgrade/learnt.py
@@ -51,7 +51,7 @@
     objects: list[ObjectLearnt]  # least lately asked for first
 
 
-def look(router: Router, share: float = 1.0) -> Learnt:
+def take_snapshot(router: Router, share: float = 1.0) -> Learnt:
     """As it is, with a part of the budgets; the router keeps its own."""
     stores = [
         StoreLearnt(
@@ -87,9 +87,9 @@
     )
 
 
-def take(router: Router) -> Learnt:
+def split_off(router: Router) -> Learnt:
     """Leaves the old router its part of what is split."""
-    learnt = look(router, SHARE)
+    learnt = take_snapshot(router, SHARE)
     for told in learnt.stores:
         router.stores[told.store].tokens.left -= told.tokens[0]
     router.retries -= learnt.retries
@@ -97,7 +97,7 @@
     return learnt
 
 
-def give(router: Router, learnt: Learnt) -> None:
+def restore(router: Router, learnt: Learnt) -> None:
     """To a router that knows its stores already."""
     router.retries, router.hedges = learnt.retries, learnt.hedges
     router.inlet.limit = min(learnt.inlet, router.inlet.most)
--- a/gladelane/upgrade/succession.py
+++ b/gladelane/upgrade/succession.py
@@ -15,7 +15,7 @@
 from . import file
 from .channel import MAY_HAVE_RUN, NEVER_RAN, Channel, Message
 from .handover import Handover
-from .learnt import Learnt, give, take
+from .learnt import Learnt, restore, split_off
 
 log = logging.getLogger(__name__)
 
@@ -65,7 +65,7 @@
             return
         self._director.take_over(handed.rev, handed.notices)
         if handed.learnt is not None:
-            give(self._director.router, handed.learnt)
+            restore(self._director.router, handed.learnt)
         log.info(
             "upgrade: took over rev=%d out=%d emptied=%d learnt=%d age_ms=%.0f",
             handed.rev,
@@ -132,7 +132,7 @@
     def _hand_over(self) -> socket.socket | None:
         """A new process is there: it finds all that this one knows, and is given the listening socket."""
         if self._front.listener is not None:
-            self._write(take(self._director.router))
+            self._write(split_off(self._director.router))
         return self._front.listener
 
     def _write(self, learnt: Learnt | None) -> None:
--- a/tests/recovery/test_recovery.py
+++ b/tests/recovery/test_recovery.py
@@ -26,7 +26,7 @@
 from gladelane.recovery.reseed import Reseed
 from gladelane.recovery.warm import FORMAT, Warm, aged, apply, digest, unfit
 from gladelane.routes.keys import KeyWindows
-from gladelane.upgrade.learnt import look
+from gladelane.upgrade.learnt import take_snapshot
 
 KEPT_MS = 10_000.0
 
@@ -198,7 +198,7 @@
 
 
 def document(router: Router, at: float = 2000.0, name: str = "n0") -> Warm:
-    return Warm(FORMAT, name, digest(router.settings), at, look(router))
+    return Warm(FORMAT, name, digest(router.settings), at, take_snapshot(router))
 
 
 def test_what_was_learnt_is_taken_only_of_the_same_director_settings_and_servers_and_not_too_old() -> None:
@@ -236,7 +236,7 @@
     (0.0, 7, 2.0, True), (10_000.0, 7, 2.0, True), (10_001.0, 7, 0.0, True), (60_001.0, 0, None, False),
 ])  # fmt: skip
 def test_each_part_ages_by_itself(age_ms: float, objects: int, health: float | None, limits: bool) -> None:
-    learnt = aged(look(busy()), age_ms)
+    learnt = aged(take_snapshot(busy()), age_ms)
     assert len(learnt.objects) == objects and bool(learnt.stores) is limits
     if health is not None:
         assert next(s for s in learnt.stores if s.store == "c0").fails == health
--- a/tests/upgrade/test_handover.py
+++ b/tests/upgrade/test_handover.py
@@ -15,11 +15,11 @@
 from gladelane.net.config import Flush, Notice
 from gladelane.upgrade import file
 from gladelane.upgrade.handover import HEAD, LEARNT_MS, VERSION, Handover, Unusable, decode, encode
-from gladelane.upgrade.learnt import give, take
+from gladelane.upgrade.learnt import restore, split_off
 
 NOW = 1_000_000.0
 WHOLE = Handover("n0 a:1", NOW, {"c0": 5.0}, {"c1": 6.0}, 7.0, 9, [Notice(8, flush=Flush(3.0, collection=4))],
-                 learnt=take(Driver().router))  # fmt: skip
+                 learnt=split_off(Driver().router))  # fmt: skip
 
 
 def test_what_is_written_is_read() -> None:
@@ -86,7 +86,7 @@
     retries, hedges = old.retries, old.hedges
     new = Router(old.settings, 9)
     new.handle(old.now, Members(ListKind.COMPLETE, members(2)))
-    give(new, take(old))
+    restore(new, split_off(old))
     assert new.retries + old.retries == pytest.approx(retries) and new.hedges + old.hedges == pytest.approx(
         hedges
     )
@@ -102,5 +102,5 @@
     new = Router(old.settings, 9)
     fresh = (Member("c1", "edge", "box", came_up_ms=old.now), Member("root", "hub", "root"))
     new.handle(old.now, Members(ListKind.COMPLETE, fresh))
-    give(new, take(old))
+    restore(new, split_off(old))
     assert new.stores.keys() == {"c1", "root"} and not new.stores["c1"].resting(old.now)
