upgrade: standard names in the channel and in Succession

meet, tell, peers, told, changed -> connect, broadcast, peer_count, on_message, on_peers_changed; private ones of Succession likewise. What others call (Succession.meet, held, beside) and what logs say stays.

--- a/gladelane/upgrade/channel.py
+++ b/gladelane/upgrade/channel.py
@@ -82,33 +82,34 @@
 
 
 class Channel:
-    """`told` hears orders; `changed` is called when another process has come or gone; `hand_over` is called
-    before a new one is answered and gives the listening socket, None while there is none to give."""
+    """`on_message` hears orders; `on_peers_changed` is called when another process has come or gone;
+    `hand_over` is called before a new one is answered and gives the listening socket, None while there is
+    none to give."""
 
     def __init__(
         self,
         folder: str,
         name: str,
-        told: Callable[[Message], None],
-        changed: Callable[[], None],
+        on_message: Callable[[Message], None],
+        on_peers_changed: Callable[[], None],
         hand_over: Callable[[], socket.socket | None],
     ) -> None:
         self.folder, self.name = folder, name
-        self._told, self._changed, self._hand_over = told, changed, hand_over
+        self._on_message, self._on_peers_changed, self._hand_over = on_message, on_peers_changed, hand_over
         self._listener: socket.socket | None = None
         self._peers: list[Peer] = []
 
     @property
-    def peers(self) -> int:
+    def peer_count(self) -> int:
         return sum(peer.is_handed for peer in self._peers)
 
-    def meet(self) -> socket.socket | None:
+    def connect(self) -> socket.socket | None:
         """The old process's listening socket; None where there is no such process or it does not say. Blocks
         for up to MEET_S: a new process has nothing else to do yet."""
         sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
         try:
             sock.settimeout(MEET_S)
-            with _short(self.folder) as path:
+            with _ShortPath(self.folder) as path:
                 sock.connect(path)
             sock.sendall(_encoded(Message("hello", name=self.name, keys=True)))
             data, fds, _, _ = socket.recv_fds(sock, READ_BYTES, 1)
@@ -141,7 +142,7 @@
         SO_REUSEPORT and starts from nothing."""
         listener = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
         try:
-            with _short(self.folder, f".{os.getpid()}") as fresh, _short(self.folder) as path:
+            with _ShortPath(self.folder, f".{os.getpid()}") as fresh, _ShortPath(self.folder) as path:
                 with suppress(FileNotFoundError):
                     os.unlink(fresh)
                 listener.bind(fresh)
@@ -156,7 +157,7 @@
         self._listener = listener
         asyncio.get_running_loop().add_reader(listener.fileno(), self._accept)
 
-    def tell(self, message: Message, source: Peer | None = None) -> None:
+    def broadcast(self, message: Message, source: Peer | None = None) -> None:
         """To all but the source. On return the system has it, so that a peer can read it also after this
         process was killed; only a peer that has fallen behind gets it later."""
         for peer in list(self._peers):
@@ -166,7 +167,7 @@
     def close(self) -> None:
         self._stop_listening()
         for peer in self._peers:
-            self._forget(peer)
+            self._close_peer(peer)
         self._peers.clear()
 
     def _send(self, peer: Peer, data: bytes) -> None:
@@ -229,13 +230,13 @@
         peer.received = rest
         try:
             for line in lines:
-                self._message(peer, read_message(bytes(line), self.name))
+                self._handle(peer, read_message(bytes(line), self.name))
             if len(rest) > READ_BYTES:
                 raise Unusable("a line without an end")
         except (Unusable, OSError) as error:
             self._drop(peer, str(error))
 
-    def _message(self, peer: Peer, message: Message) -> None:
+    def _handle(self, peer: Peer, message: Message) -> None:
         """Raises Unusable, OSError."""
         if message.kind == "hello":
             given = self._hand_over()
@@ -246,32 +247,32 @@
             peer.is_handed = peer.is_heir = True
             peer.takes_keys = message.keys
             log.info("upgrade: a new process has the listening socket")
-            self._changed()
+            self._on_peers_changed()
         elif peer.is_handed:
-            self._told(message)
+            self._on_message(message)
             # processes form a chain: each came beside the one before it, and knows no other
-            self.tell(message, source=peer)
+            self.broadcast(message, source=peer)
 
     def _drop(self, peer: Peer, why: str) -> None:
         if peer not in self._peers:
             return
         log.info("upgrade: the other process is left: %s", why)
         self._peers.remove(peer)
-        self._forget(peer)
+        self._close_peer(peer)
         if peer.is_heir and not any(other.is_heir for other in self._peers) and self._listener is not None:
             self._stop_listening()
             self.listen()  # it had taken the meeting place over, and failed: the next one is to find us
         if peer.is_handed:
-            self._changed()
+            self._on_peers_changed()
 
-    def _forget(self, peer: Peer) -> None:
+    def _close_peer(self, peer: Peer) -> None:
         loop = asyncio.get_running_loop()
         loop.remove_reader(peer.sock.fileno())
         loop.remove_writer(peer.sock.fileno())
         peer.sock.close()
 
 
-class _short:
+class _ShortPath:
     """A path of the socket that fits the 107 bytes of an address, however long the folder's is."""
 
     def __init__(self, folder: str, suffix: str = "") -> None:
--- a/gladelane/upgrade/succession.py
+++ b/gladelane/upgrade/succession.py
@@ -35,20 +35,20 @@
     ) -> None:
         self._folder, self._name, self._clock = folder, name, clock
         self._director, self._upstream, self._front, self._desk = director, upstream, front, desk
-        self._whole = upstream.cap, front.cap, front.held_bytes
-        self._channel = Channel(folder, name, self._told, self._changed, self._hand_over)
+        self._full_limits = upstream.cap, front.cap, front.held_bytes
+        self._channel = Channel(folder, name, self._receive, self._split_limits, self._hand_over)
         self._handed: Handover | None = None
         director.key_observer = self
 
     @property
     def beside(self) -> bool:
         """Whether another process of this director runs, with the same listening socket."""
-        return self._channel.peers > 0
+        return self._channel.peer_count > 0
 
     def meet(self) -> socket.socket | None:
         """The listening socket of the process that this one comes beside, if there is one. Orders that the
         former was given hold before anything is listed."""
-        given = self._channel.meet()
+        given = self._channel.connect()
         handed = self._handed = file.read(self._folder, self._name, self._clock())
         if handed is not None:
             self._director.register.out.update(handed.out)
@@ -79,30 +79,30 @@
         """This process serves: the next one is to find it."""
         self._channel.listen()
         if self.beside:
-            self._changed()
+            self._split_limits()
 
     def held(self, call: Call) -> None:
         """An order given here: the other process keeps it too, and it holds should this one be killed."""
-        self._channel.tell(Message("order", word=call.word.value, store=call.store))
-        self._write(None)
+        self._channel.broadcast(Message("order", word=call.word.value, store=call.store))
+        self._write_handover(None)
 
     def may_have_run(self, key: str, at_ms: float, store: str) -> None:
         """A keyed attempt is about to be written here: its client may ask again at the other process, which
         is to count from this one's window."""
-        self._tell_of_key(MAY_HAVE_RUN, key, at_ms, store)
+        self._send_key(MAY_HAVE_RUN, key, at_ms, store)
 
     def never_ran(self, key: str, at_ms: float, store: str) -> None:
         """An attempt told of before is proven not to have run."""
-        self._tell_of_key(NEVER_RAN, key, at_ms, store)
+        self._send_key(NEVER_RAN, key, at_ms, store)
 
-    def _tell_of_key(self, word: str, key: str, at_ms: float, store: str) -> None:
+    def _send_key(self, word: str, key: str, at_ms: float, store: str) -> None:
         if self.beside:
-            self._channel.tell(Message("order", word=word, store=store, key=key, at_ms=at_ms))
+            self._channel.broadcast(Message("order", word=word, store=store, key=key, at_ms=at_ms))
 
     def close(self) -> None:
         self._channel.close()
 
-    def _hear_of_key(self, message: Message) -> None:
+    def _receive_key(self, message: Message) -> None:
         """A keyed attempt of the other process."""
         keys = self._director.keys
         # also before it is taken in: a hand-over that was written anew meanwhile may have told of it already
@@ -110,20 +110,20 @@
         if message.word == MAY_HAVE_RUN:
             keys.may_have_run(message.key, message.at_ms, message.store)
 
-    def _told(self, message: Message) -> None:
+    def _receive(self, message: Message) -> None:
         """An order that operators gave to the other process, or what became of a keyed attempt there."""
         if message.is_of_key:
-            self._hear_of_key(message)
+            self._receive_key(message)
             return
         try:
             self._desk.heard(Call(Word(message.word), message.store))
         except ValueError:
             log.warning("upgrade: unknown order %r", message.word)
 
-    def _changed(self) -> None:
+    def _split_limits(self) -> None:
         """Another process has come or gone: each has its part of what is bounded for the director."""
-        parts = 1 + self._channel.peers
-        upstream, clients, held = self._whole
+        parts = 1 + self._channel.peer_count
+        upstream, clients, held = self._full_limits
         self._upstream.shrink(upstream // parts)
         self._front.cap, self._front.held_bytes = clients // parts, held / parts
         self._director.router.cold.parts = parts
@@ -132,10 +132,10 @@
     def _hand_over(self) -> socket.socket | None:
         """A new process is there: it finds all that this one knows, and is given the listening socket."""
         if self._front.listener is not None:
-            self._write(split_off(self._director.router))
+            self._write_handover(split_off(self._director.router))
         return self._front.listener
 
-    def _write(self, learnt: Learnt | None) -> None:
+    def _write_handover(self, learnt: Learnt | None) -> None:
         director, now = self._director, self._clock()
         file.write(
             self._folder,
--- a/tests/upgrade/test_keys_across_processes.py
+++ b/tests/upgrade/test_keys_across_processes.py
@@ -159,7 +159,7 @@
         # it blocks, as a new process may, while the old one answers from this loop
         add, met = new._add, list[Peer]()
         new._add = met.append  # type: ignore[method-assign]
-        listener = await loop.run_in_executor(None, new.meet)
+        listener = await loop.run_in_executor(None, new.connect)
         assert listener is not None
         listener.close()
         add(met[0])
@@ -180,9 +180,9 @@
     async with two_channels(heard) as (old, _):
         told = [keyed(n) for n in range(3000)]  # more than the system holds for a peer
         for message in told:
-            old.tell(message)
+            old.broadcast(message)
         await until(lambda: len(heard) == len(told))
-        assert heard == told and old.peers == 1
+        assert heard == told and old.peer_count == 1
 
 
 @trial
@@ -190,11 +190,11 @@
     heard: list[Message] = []
     async with two_channels(heard) as (old, new):
         number = 0
-        while old.peers and number * 100 < 2 * MOST_UNSENT_BYTES:  # a message has over 100 bytes
-            old.tell(keyed(number))
+        while old.peer_count and number * 100 < 2 * MOST_UNSENT_BYTES:  # a message has over 100 bytes
+            old.broadcast(keyed(number))
             number += 1
-        assert old.peers == 0
-        await until(lambda: new.peers == 0)
+        assert old.peer_count == 0
+        await until(lambda: new.peer_count == 0)
         assert heard and heard == [keyed(n) for n in range(len(heard))]
 
 
@@ -202,11 +202,11 @@
 async def test_what_was_sent_before_the_end_is_heard_also_by_who_writes_first() -> None:
     heard: list[Message] = []
     async with two_channels(heard) as (old, new):
-        old.tell(keyed(1))
-        old.tell(keyed(1, NEVER_RAN))
+        old.broadcast(keyed(1))
+        old.broadcast(keyed(1, NEVER_RAN))
         old.close()
-        new.tell(keyed(2))  # into a socket that has ended
-        await until(lambda: new.peers == 0)
+        new.broadcast(keyed(2))  # into a socket that has ended
+        await until(lambda: new.peer_count == 0)
         assert heard == [keyed(1), keyed(1, NEVER_RAN)]
 
 
@@ -217,7 +217,7 @@
         for peer in old._peers:
             peer.takes_keys = False  # as its hello says that has no such word
         order = Message("order", word="maint", store="c0")
-        old.tell(keyed(1))
-        old.tell(order)
+        old.broadcast(keyed(1))
+        old.broadcast(order)
         await until(lambda: heard)
         assert heard == [order]
--- a/tests/upgrade/test_two_processes.py
+++ b/tests/upgrade/test_two_processes.py
@@ -109,10 +109,10 @@
 async def test_a_foreign_process_at_the_meeting_place_is_passed_over() -> None:
     with tempfile.TemporaryDirectory() as folder:
         made = [Channel(folder, name, lambda _: None, lambda: None, lambda: None) for name in ("n0", "n1")]
-        assert made[0].meet() is None  # nobody
+        assert made[0].connect() is None  # nobody
         made[0].listen()
-        meeting = asyncio.get_running_loop().run_in_executor(None, made[1].meet)
-        assert await meeting is None and made[0].peers == made[1].peers == 0
+        meeting = asyncio.get_running_loop().run_in_executor(None, made[1].connect)
+        assert await meeting is None and made[0].peer_count == made[1].peer_count == 0
         with pytest.raises(Unusable):
             read_message(b'{"kind":"order","version":0}', "n0")
         assert read_message(b'{"kind":"order","word":"maint","store":"x"}', "n0") == Message(
