--- a/tests/endpoints/test_sockets.py
+++ b/tests/endpoints/test_sockets.py
@@ -53,12 +53,14 @@
 
 @asynccontextmanager
 async def origin(
-    families: tuple[Family, ...], **limits: Any
+    families: tuple[Family, ...], host_port_is_last: bool = False, **limits: Any
 ) -> AsyncIterator[tuple[Standin, list[str], Node, Client]]:
-    """A director with one origin at several addresses; `sheet` goes straight there."""
+    """A director with one origin at several addresses; `sheet` goes straight there. Its `hostPort` is the
+    first of them, or the last, which is dialled last."""
     standin, listed = await listening("r0", families)
+    told = listed[::-1] if host_port_is_last else listed
     try:
-        async with running(fleet({"r0": listed, "c0": [REFUSED]}, **limits)) as (node, client):
+        async with running(fleet({"r0": told, "c0": [REFUSED]}, **limits)) as (node, client):
             yield standin, listed, node, client
     finally:
         await standin.close()
@@ -339,22 +341,14 @@
     return notice(rev, {**instance, "machineType": "root", "addresses": addresses})
 
 
-@asynccontextmanager
-async def at_home(
-    families: tuple[Family, ...], **limits: Any
-) -> AsyncIterator[tuple[Standin, list[str], Node, Client]]:
-    """Like `origin`, but its `hostPort` is the last of the addresses, which is dialled last."""
-    standin, listed = await listening("r0", families)
-    try:
-        async with running(fleet({"r0": listed[::-1], "c0": [REFUSED]}, **limits)) as (node, client):
-            yield standin, listed, node, client
-    finally:
-        await standin.close()
-
-
 @trial
 async def test_an_address_withdrawn_in_the_middle_of_a_race_gives_its_turn_to_the_next() -> None:
-    async with at_home(V6_FIRST, dial_timeout_ms=20_000.0) as (standin, listed, node, client):
+    async with origin(V6_FIRST, host_port_is_last=True, dial_timeout_ms=20_000.0) as (
+        standin,
+        listed,
+        node,
+        client,
+    ):
         node.endpoints.options = Options(delay_first_ms=9_000.0, delay_most_ms=9_000.0)
         await standin.set(listed[0], Fault.BLACK_HOLE)
         submit(client, 1)
@@ -368,7 +362,7 @@
 
 @trial
 async def test_a_removed_address_retires_its_connections_and_what_is_open_finishes() -> None:
-    async with at_home(ALL) as (standin, listed, node, client):
+    async with origin(ALL, host_port_is_last=True) as (standin, listed, node, client):
         standin.answer = lambda seen: None
         submit(client, 1)
         await until(lambda: standin.seen)
@@ -382,7 +376,7 @@
 
 @trial
 async def test_an_address_that_passes_to_another_server_takes_over_neither_connections_nor_health() -> None:
-    async with at_home(ALL) as (standin, listed, node, client):
+    async with origin(ALL, host_port_is_last=True) as (standin, listed, node, client):
         submit(client, 1)
         assert (await client.next())[:3] == (17, 1, 0)
         node.endpoints.health.stalled("r0", parse(listed[0]), node.clock.now())
--- a/tests/upgrade/test_two_processes.py
+++ b/tests/upgrade/test_two_processes.py
@@ -32,12 +32,16 @@
         await made.end()
 
 
+async def with_cache(cache: Cache) -> bytes:
+    """Settings of a director whose one server that answers is this cache."""
+    return config({"c0": await cache.start(), "p0": REFUSED, "r0": REFUSED})
+
+
 def run_upgrades(tmp_path: Path, times: int, spoil: str = "") -> None:
     @trial
     async def test() -> None:
         cache = Cache(hit)
-        raw = config({"c0": await cache.start(), "p0": REFUSED, "r0": REFUSED})
-        async with fleet(tmp_path, raw) as director:
+        async with fleet(tmp_path, await with_cache(cache)) as director:
             load = Load(director.port)
             for _ in range(times):
                 await asyncio.sleep(0.2)
@@ -73,9 +77,7 @@
     @trial
     async def test() -> None:
         cache = Cache(hit)
-        async with fleet(
-            tmp_path, config({"c0": await cache.start(), "p0": REFUSED, "r0": REFUSED})
-        ) as director:
+        async with fleet(tmp_path, await with_cache(cache)) as director:
             load = Load(director.port)
             assert await (await director.start(board="nowhere")).wait() == 1
             assert "board" in director.log() or "nowhere" in director.log()
@@ -143,9 +145,7 @@
 async def test_an_upgrade_of_an_upgrade_while_the_first_still_leaves() -> None:
     held = Cache(lambda command: None if command[1]["thing"].endswith("ff") else hit(command))
     with tempfile.TemporaryDirectory() as folder:
-        async with fleet(
-            Path(folder), config({"c0": await held.start(), "p0": REFUSED, "r0": REFUSED})
-        ) as director:
+        async with fleet(Path(folder), await with_cache(held)) as director:
             first = director.all[0]
             busy = await Client.to(director.port)
             asked = 0
@@ -180,9 +180,7 @@
 def test_who_is_ended_before_the_new_ones_yes_leaves_newcomers_to_the_shared_queue(tmp_path: Path) -> None:
     @trial
     async def test() -> None:
-        async with fleet(
-            tmp_path, config({"c0": await Cache(hit).start(), "p0": REFUSED, "r0": REFUSED})
-        ) as director:
+        async with fleet(tmp_path, await with_cache(Cache(hit))) as director:
             old = director.all[0]
             load = Load(director.port)
             await director.start()
@@ -245,9 +243,7 @@
 def test_a_drain_goes_over_and_ends_at_the_new_process(tmp_path: Path) -> None:
     @trial
     async def test() -> None:
-        async with fleet(
-            tmp_path, config({"c0": await Cache(hit).start(), "p0": REFUSED, "r0": REFUSED})
-        ) as director:
+        async with fleet(tmp_path, await with_cache(Cache(hit))) as director:
             old = director.all[0]
             assert (await director.call("POST", "/healthcheck/fail"))[0] == 200
             await director.start()
@@ -267,7 +263,7 @@
 def test_files_at_sighup_are_counted_and_the_door_answers_while_descriptors_are_out(tmp_path: Path) -> None:
     @trial
     async def test() -> None:
-        raw = json.loads(config({"c0": await Cache(hit).start(), "p0": REFUSED, "r0": REFUSED}))
+        raw = json.loads(await with_cache(Cache(hit)))
         raw["limits"]["sockets"] = 128
         async with fleet(tmp_path, json.dumps(raw).encode()) as director:
             path, whole = tmp_path / "config1.json", (tmp_path / "config1.json").read_text()
