--- a/gladelane/recovery/service.py
+++ b/gladelane/recovery/service.py
@@ -11,9 +11,9 @@
 from ..net.director import Director
 from ..operations.figures import SUCCESS
 from ..purges.holder import Holder
-from .keeper import Keeper
 from .options import Options
 from .phases import Phase, Phases, Seen
+from .state_store import StateStore
 
 log = logging.getLogger(__name__)
 
@@ -35,7 +35,7 @@
         self._options, self._name, self._director, self._purges = options, name, director, purges
         self._clock, self._listens = clock, listens
         self.phases = Phases(clock())
-        self.keeper: Keeper | None = None
+        self.state_store: StateStore | None = None
         self._tasks: list[asyncio.Task[None]] = []
         if options.dir:
             try:
@@ -45,7 +45,7 @@
 
     def _open(self) -> None:
         options = self._options
-        self.keeper = Keeper(
+        self.state_store = StateStore(
             Path(options.dir),
             self._name,
             self._director.router,
@@ -53,25 +53,25 @@
             options.every_ms,
             options.most_age_ms,
         )
-        self._director.keys.told = self.keeper.keys.write
+        self._director.keys.told = self.state_store.keys.write
 
     def take_over(self) -> None:
         """Once the list was heard, before clients are let in."""
-        if self.keeper is not None:
-            self.keeper.take_over(self._director.keys)
+        if self.state_store is not None:
+            self.state_store.take_over(self._director.keys)
 
     def start(self) -> None:
         self._tasks = [asyncio.create_task(self._look()), asyncio.create_task(self._keep())]
 
     async def _keep(self) -> None:
-        while self.keeper is None and self._options.dir:
+        while self.state_store is None and self._options.dir:
             await asyncio.sleep(OPEN_AGAIN_S)
             try:
                 self._open()
             except OSError as error:
                 log.debug("warm start: %s", error)
-        if self.keeper is not None:
-            await self.keeper.run()
+        if self.state_store is not None:
+            await self.state_store.run()
 
     async def _look(self) -> None:
         while True:
@@ -108,7 +108,7 @@
             ("phase_reason", int(phases.reason)),
             ("phase_since_ms", since),
             ("full_service_ms", int(phases.back_ms)),
-            ("warm_start", int(self.keeper is not None and self.keeper.took)),
+            ("warm_start", int(self.state_store is not None and self.state_store.took)),
         ]
         return own + (self._purges.lines() if self._purges is not None else [])
 
@@ -116,9 +116,9 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        if self.keeper is not None:
+        if self.state_store is not None:
             try:
-                await self.keeper.write()  # a restart on purpose loses nothing of it
+                await self.state_store.write()  # a restart on purpose loses nothing of it
             except (OSError, ValueError) as error:
                 log.warning("warm start: not stored: %s", error)
-            self.keeper.close()
+            self.state_store.close()
--- a/gladelane/recovery/keeper.py
+++ b/gladelane/recovery/state_store.py
@@ -33,7 +33,7 @@
     store: str
 
 
-class KeyBook:
+class KeyLog:
     """Which keys may have run, where and when. `kept_ms`: as in KeyWindows."""
 
     def __init__(self, disk: Disk, now_ms: float, kept_ms: float) -> None:
@@ -88,7 +88,7 @@
             self._failed = True
 
 
-class Keeper:
+class StateStore:
     """One director's. `name`: as in the hand-over."""
 
     def __init__(
@@ -117,13 +117,13 @@
         self._keys_disk = Folder(path / "keys")
         kept_ms = kept_for(router.settings.classes.values())
         try:
-            self.keys = KeyBook(self._keys_disk, clock(), kept_ms)
+            self.keys = KeyLog(self._keys_disk, clock(), kept_ms)
         except (OSError, msgspec.MsgspecError) as error:
             self._keys_disk.close()
             aside = set_aside(path / "keys")
             log.warning("warm start: keys passed over, folder set aside as %s: %s", aside, error)
             self._keys_disk = Folder(path / "keys")
-            self.keys = KeyBook(self._keys_disk, clock(), kept_ms)
+            self.keys = KeyLog(self._keys_disk, clock(), kept_ms)
 
     def _open(self, path: Path) -> None:
         self._disk = Folder(path / "learnt")
--- a/tests/recovery/test_recovery.py
+++ b/tests/recovery/test_recovery.py
@@ -20,10 +20,10 @@
 from gladelane.lab.simdisk import SimDisk
 from gladelane.purges.order import Purge
 from gladelane.purges.wire import batches
-from gladelane.recovery.keeper import KEY_FILES, Keeper, KeyBook
 from gladelane.recovery.phases import Phase, Phases, Reason, Seen
 from gladelane.recovery.renewal import QUIET_MS, Cause, Renewal
 from gladelane.recovery.reseed import Reseed
+from gladelane.recovery.state_store import KEY_FILES, KeyLog, StateStore
 from gladelane.recovery.warm import FORMAT, Warm, aged, apply, digest, unfit
 from gladelane.routes.keys import KeyWindows
 from gladelane.upgrade.learnt import take_snapshot
@@ -249,32 +249,32 @@
 ) -> None:
     now = [2000.0]
 
-    def keeper(router: Router, name: str = "n0") -> Keeper:
-        return Keeper(tmp_path / "warm", name, router, lambda: now[0], 1000.0, 60_000.0)
+    def state_store(router: Router, name: str = "n0") -> StateStore:
+        return StateStore(tmp_path / "warm", name, router, lambda: now[0], 1000.0, 60_000.0)
 
     def fresh() -> Router:
         router = Router(settings(), 3)
         router.handle(now[0], Members(ListKind.COMPLETE, members()))
         return router
 
-    first = keeper(busy())
+    first = state_store(busy())
     asyncio.run(first.write())
     asyncio.run(first.write())
     first.keys.write("k", 2000.0, "root")
     first.close()
     now[0] = 4000.0
     router, keys = fresh(), KeyWindows(KEPT_MS, 100)
-    second = keeper(router)
+    second = state_store(router)
     second.take_over(keys)
     second.close()
     assert second.took and len(router.objects) == 7 and keys.first("k", 4000.0) == (2000.0, "root")
-    third = keeper(other := fresh(), "n1")
+    third = state_store(other := fresh(), "n1")
     third.take_over(KeyWindows(KEPT_MS, 100))
     third.close()
     assert not third.took and not other.objects and "passed over: of 'n0'" in caplog.text
     snapshot = next((tmp_path / "warm" / "learnt").glob("*.snap"))
     snapshot.write_bytes(snapshot.read_bytes()[:-9])
-    torn = keeper(other)
+    torn = state_store(other)
     torn.take_over(KeyWindows(KEPT_MS, 100))
     asyncio.run(torn.write())
     torn.close()
@@ -285,27 +285,27 @@
 
 def test_keys_are_stored_before_they_are_tried_and_two_files_take_turns(tmp_path: Path) -> None:
     disk = SimDisk()
-    book = KeyBook(disk, 1000.0, KEPT_MS)
+    key_log = KeyLog(disk, 1000.0, KEPT_MS)
     for n in range(60):
-        book.write(f"k{n}", 1000.0 + n * 1000.0, "root")
+        key_log.write(f"k{n}", 1000.0 + n * 1000.0, "root")
     assert set(disk.names()) == set(KEY_FILES) and sum(disk.size(name) for name in KEY_FILES) < 60 * 40
     disk.append(KEY_FILES[0], b"\x5a\xa5torn")
-    again = KeyBook(disk, 60_000.0, KEPT_MS)
+    again = KeyLog(disk, 60_000.0, KEPT_MS)
     assert sorted(again.found, key=lambda key: int(key[1:])) == [f"k{n}" for n in range(49, 60)]
-    assert KeyBook(disk, 60_000.0 + 2 * KEPT_MS, KEPT_MS).found == {}
+    assert KeyLog(disk, 60_000.0 + 2 * KEPT_MS, KEPT_MS).found == {}
     disk.room = 0
-    full = KeyBook(disk, 60_000.0, KEPT_MS)
+    full = KeyLog(disk, 60_000.0, KEPT_MS)
     full.write("k", 60_001.0, "root")  # a full disk costs what a restart knows, and no request
     disk.room = 40
     full.write("half", 60_002.0, "root")
     disk.room = 10_000
     full.write("later", 60_003.0, "root")
     assert (
-        "later" in KeyBook(disk.copy(), 60_004.0, KEPT_MS).found
-        and "half" not in KeyBook(disk.copy(), 60_004.0, KEPT_MS).found
+        "later" in KeyLog(disk.copy(), 60_004.0, KEPT_MS).found
+        and "half" not in KeyLog(disk.copy(), 60_004.0, KEPT_MS).found
     )
-    book_on_disk = KeyBook(Folder(tmp_path / "keys"), 1000.0, KEPT_MS)
-    book_on_disk.write("k", 1001.0, "root")
+    log_on_disk = KeyLog(Folder(tmp_path / "keys"), 1000.0, KEPT_MS)
+    log_on_disk.write("k", 1001.0, "root")
 
 
 # --- feeds that lack something
