--- a/benchmarks/addresses.py
+++ b/benchmarks/addresses.py
@@ -448,11 +448,11 @@
     # socket files come and go with each fault: on a disk that others write to that may hold this process up
     tempfile.tempdir = memory()
     servers = min(500, (hard - 500) // 6)  # a listener, its fillers and a good listener each, and the dials
-    figures: dict[str, Any] = {"quick": quick}
-    figures |= uvloop.run(requests(2_000 if quick else 20_000))
-    figures |= uvloop.run(dials(quick))
-    figures |= uvloop.run(family(servers))
-    figures |= picks()
+    metrics: dict[str, Any] = {"quick": quick}
+    metrics |= uvloop.run(requests(2_000 if quick else 20_000))
+    metrics |= uvloop.run(dials(quick))
+    metrics |= uvloop.run(family(servers))
+    metrics |= picks()
     broken = [
         name
         for name in (
@@ -464,11 +464,11 @@
             "sockets_left",
             "dial_sockets_left",
         )
-        if figures[name]
+        if metrics[name]
     ]
-    if figures["family_paid"] > FAMILY_MOST:
+    if metrics["family_paid"] > FAMILY_MOST:
         broken.append("family_paid")
-    return conclude(figures, broken)
+    return conclude(metrics, broken)
 
 
 if __name__ == "__main__":
--- a/benchmarks/comeback.py
+++ b/benchmarks/comeback.py
@@ -120,13 +120,13 @@
         return str(error)
 
 
-def told_s(seconds: float) -> float | None:
+def finite_or_none(seconds: float) -> float | None:
     """JSON has no infinity: null is a run that did not get back within it."""
     return None if math.isinf(seconds) else seconds
 
 
 def one_line(argv: list[str]) -> int:
-    """A single run by its line, for a look: its table and its figures."""
+    """A single run by its line, for a look: its table and its metrics."""
     parser = argparse.ArgumentParser(prog="benchmarks.comeback")
     parser.add_argument("--line", required=True, help="see lab/fleet/faults.py")
     for name, value in (("seed", 11), ("directors", 12), ("feeds", 2), ("copies", 2), ("purges", 0)):
@@ -135,11 +135,11 @@
     parser.add_argument("--table", type=Path)
     asked = parser.parse_args(argv)
     shape = Shape(asked.directors, asked.feeds, asked.copies)
-    figures = uvloop.run(
+    metrics = uvloop.run(
         play(asked.line, shape, asked.seed, asked.seconds, purges=asked.purges, table=asked.table)
     )
-    wrong = [name for name in ("stale_strict", "doubles", "lost", "rules_broken") if figures[name]]
-    return conclude(figures, wrong)
+    wrong = [name for name in ("stale_strict", "doubles", "lost", "rules_broken") if metrics[name]]
+    return conclude(metrics, wrong)
 
 
 def main() -> int:
@@ -153,8 +153,8 @@
         runs[day.name] = uvloop.run(
             play(day.line, day.shape, 11, day.seconds, purges=day.purges, table=path, per_s=250.0)
         )
-        figures = {name: value for name, value in runs[day.name].items() if name not in ("line", "phases")}
-        print(f"{day.name}: {figures}", flush=True)
+        metrics = {name: value for name, value in runs[day.name].items() if name not in ("line", "phases")}
+        print(f"{day.name}: {metrics}", flush=True)
     shape = days(quick)[1].shape
     before = uvloop.run(play(LOST, Shape(6, lost="serve"), 11, 5.5))
     plants = {
@@ -176,7 +176,7 @@
     warm = runs[KILLED]["full_by_fault"][f"0.5 {WARM}"]
     cold = [runs[KILLED]["full_by_fault"][f"4 {COLD}"]]
     cold += [full[name] for name in ("all directors, cold",) if name in full]
-    told: dict[str, Any] = {
+    summary: dict[str, Any] = {
         "quick": quick,
         "directors": shape.directors,
         "runs": len(runs) + 1,
@@ -193,9 +193,9 @@
         "lost_by_kill": total("lost_by_kill"),
         "lost_beyond_kill": total("lost"),
         "rules_broken": total("rules_broken"),
-        "full_service_s": {name: told_s(s) for name, s in full.items()},
-        "full_service_warm_s": told_s(warm),
-        "full_service_cold_s": told_s(max(cold)),
+        "full_service_s": {name: finite_or_none(s) for name, s in full.items()},
+        "full_service_warm_s": finite_or_none(warm),
+        "full_service_cold_s": finite_or_none(max(cold)),
         "origin_peak_over_usual": runs[KILLED]["origin_peak_over_usual"],
         "origin_peak": max(run["origin_peak"] for run in runs.values()),
         "origin_limit": 900,
@@ -207,18 +207,18 @@
         "planted_caught": caught,
     }
     wrong = {
-        "stale": told["stale_after_loss"] > 0,
+        "stale": summary["stale_after_loss"] > 0,
         "the check proves nothing": before["stale_strict"] == 0,
-        "doubles": told["doubles"] > 0,
-        "lost beyond the kill": told["lost_beyond_kill"] > 0,
-        "rules": told["rules_broken"] > 0,
-        "pushed over": bool(told["pushed_over"]),
-        "sent to a drained cache": told["after_drain"] > 0,
+        "doubles": summary["doubles"] > 0,
+        "lost beyond the kill": summary["lost_beyond_kill"] > 0,
+        "rules": summary["rules_broken"] > 0,
+        "pushed over": bool(summary["pushed_over"]),
+        "sent to a drained cache": summary["after_drain"] > 0,
         "search": len(caught) < len(plants) or any(isinstance(found, str) for found in states),
-        "nobody filled a feed again": told["reseeded"] == 0,
+        "nobody filled a feed again": summary["reseeded"] == 0,
         "full service late": not warm <= 3.0 or any(math.isinf(s) for s in full.values()),
     }
-    return conclude(told, (name for name, is_wrong in wrong.items() if is_wrong))
+    return conclude(summary, (name for name, is_wrong in wrong.items() if is_wrong))
 
 
 if __name__ == "__main__":
--- a/gladelane/lab/fleet/day.py
+++ b/gladelane/lab/fleet/day.py
@@ -46,17 +46,17 @@
             await world.start()
             await fleet.start()
             load = Load(fleet, Random(seed + 2))
-            figures = await _run(fleet, load, steps, seconds, per_s, purges)
+            metrics = await _run(fleet, load, steps, seconds, per_s, purges)
             if look is not None:
-                figures |= await look(fleet, load)
+                metrics |= await look(fleet, load)
         finally:
             await fleet.close()
             await world.close()
-    figures = {"line": line, "seed": seed, **figures}
+    metrics = {"line": line, "seed": seed, **metrics}
     if table is not None:
         rows = [{"s": at, "what": what, "detail": detail} for at, what, detail in fleet.events]
-        table.write_text("".join(json.dumps(row) + "\n" for row in (*rows, {"figures": figures})))
-    return figures
+        table.write_text("".join(json.dumps(row) + "\n" for row in (*rows, {"figures": metrics})))
+    return metrics
 
 
 def memory() -> str | None:
