Tests of the control server: routes and bounds over a socket, group commit, replication

tests/control: two stand-in parts on one server (routes, 404, 401, 413, 400 of a ValueError, a refusal before and events after the head of a stream, parts started and closed in order), group commit's batches, bound and failures, and a table of when an entry is answered.

--- /dev/null
+++ b/tests/control/test_control.py
@@ -0,0 +1,163 @@
+"""The control server and what its parts share: routes, bounds, group commit, replication."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from gladelane.control.event_stream import EventSink
+from gladelane.control.group_commit import GroupCommit
+from gladelane.control.http import Refused, Request, fetch, stream_response
+from gladelane.control.part import MAX_BODY_BYTES, MAX_LARGE_BODY_BYTES, Route, StreamRoute
+from gladelane.control.positions import Vector
+from gladelane.control.replication import NotReplicated, PeerReport, PendingReplication, Replication
+from gladelane.control.server import ControlServer
+from gladelane.control.tokens import Tokens
+from gladelane.sse import EventStream
+
+TOKEN = "a-token-of-the-operators"
+
+
+class EchoPart:
+    """Says what it was asked, under a path of its own."""
+
+    def __init__(self, path: str, calls: list[str]) -> None:
+        self.path, self.calls = path, calls
+
+    def routes(self) -> Sequence[Route]:
+        return (
+            Route("GET", self.path, self.echo),
+            Route("POST", f"{self.path}/large", self.echo, MAX_LARGE_BODY_BYTES),
+            Route("GET", f"{self.path}/broken", self.broken),
+        )
+
+    def streams(self) -> Sequence[StreamRoute]:
+        return (StreamRoute(f"{self.path}/stream", self.count),)
+
+    def start(self) -> None:
+        self.calls.append(f"start {self.path}")
+
+    async def close(self) -> None:
+        self.calls.append(f"close {self.path}")
+
+    async def echo(self, request: Request, caller: str) -> bytes:
+        return f"{caller} {request.path} {request.query} {len(request.body)}".encode()
+
+    async def broken(self, request: Request, caller: str) -> bytes:
+        raise ValueError("not a number")
+
+    async def count(self, request: Request, sink: EventSink) -> None:
+        if request.query == "refuse":
+            raise Refused(409, "not now")
+        sink.begin()
+        for number in range(3):
+            await sink.send(str(number).encode())
+
+
+async def ask(port: int, method: str, target: str, body: bytes = b"", token: str = TOKEN) -> str:
+    """The body, or the status and the text of an error."""
+    try:
+        return (await fetch("127.0.0.1", port, method, target, token, body)).decode()
+    except Refused as error:
+        return f"{error.status} {error}"
+
+
+def test_a_server_hands_each_request_to_the_part_with_its_route(tmp_path: Path) -> None:
+    (tmp_path / "tokens").write_text(f"ops {TOKEN}\n")
+
+    async def scene() -> None:
+        calls: list[str] = []
+        server = ControlServer(Tokens(tmp_path / "tokens"), [EchoPart("/a", calls), EchoPart("/b", calls)])
+        port = await server.start("127.0.0.1", 0)
+        large = b"x" * (MAX_BODY_BYTES + 1)
+        answers = {
+            ("GET", "/a?x=1"): "ops /a x=1 0",
+            ("GET", "/b"): "ops /b  0",
+            ("POST", "/a"): "404 POST /a: no such thing here",
+            ("GET", "/c"): "404 GET /c: no such thing here",
+            ("POST", "/a/stream"): "404 POST /a/stream: no such thing here",
+            ("GET", "/a/broken"): "400 not a number",
+            ("GET", "/b/stream?refuse"): "409 not now",
+        }
+        for (method, target), expected in answers.items():
+            assert await ask(port, method, target) == expected
+        assert await ask(port, "POST", "/a/large", large) == f"ops /a/large  {len(large)}"
+        assert await ask(port, "GET", "/a", large) == f"413 a body of more than {MAX_BODY_BYTES} bytes"
+        assert (await ask(port, "GET", "/a", token="another-token-altogether")).startswith("401 expected")
+        events = EventStream()
+        parts = stream_response("127.0.0.1", port, "GET", "/b/stream", TOKEN)
+        assert [text async for part in parts for text in events.feed(part)] == ["0", "1", "2"]
+        await server.close()
+        assert calls == ["start /a", "start /b", "close /a", "close /b"]
+        with pytest.raises(OSError):
+            await ask(port, "GET", "/a")
+
+    asyncio.run(scene())
+
+
+def test_group_commit_stores_what_waits_together_and_goes_on_after_a_failure() -> None:
+    async def scene() -> None:
+        stored: list[list[int]] = []
+        failed: list[tuple[list[int], str]] = []
+        go_on = asyncio.Event()
+
+        async def commit(batch: list[int]) -> None:
+            await go_on.wait()
+            if 3 in batch:
+                raise OSError("the disk is full")
+            stored.append(batch)
+
+        committer: GroupCommit[int] = GroupCommit(commit, lambda b, e: failed.append((b, str(e))), 5, 3)
+        task = asyncio.ensure_future(committer.run())
+        committer.put(0)
+        while not committer.is_empty():
+            await asyncio.sleep(0)
+        for number in range(1, 6):  # while the first is being stored
+            committer.put(number)
+        with pytest.raises(asyncio.QueueFull):
+            committer.put(6)
+        go_on.set()
+        while len(stored) + len(failed) < 3:
+            await asyncio.sleep(0)
+        assert stored == [[0], [4, 5]] and failed == [([1, 2, 3], "the disk is full")]
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    asyncio.run(scene())
+
+
+@pytest.mark.parametrize(
+    ("copies", "positions", "now_s", "outcome"),
+    [
+        (1, [], 0.0, "stored"),
+        (2, [], 0.0, "waits"),
+        (2, [None], 1.9, "waits"),
+        (2, [{("a", 1): 4}], 1.9, "waits"),
+        (2, [{("a", 2): 9}], 1.9, "waits"),
+        (2, [{("a", 1): 5}], 0.0, "stored"),
+        (3, [{("a", 1): 5}, None], 1.9, "waits"),
+        (3, [{("a", 1): 5}, {("a", 1): 6}], 9.0, "stored"),
+        (3, [{("a", 1): 5}, {("a", 1): 4}], 2.0, "late"),
+    ],
+)
+def test_an_entry_is_answered_once_enough_servers_have_it(
+    copies: int, positions: list[Vector | None], now_s: float, outcome: str
+) -> None:
+    async def scene() -> None:
+        replication: Replication[str] = Replication(copies)
+        replication.peers = {str(n): PeerReport(position) for n, position in enumerate(positions)}
+        done: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
+        replication.wait_for(PendingReplication(("a", 1), 5, done, "stored", 2.0))
+        replication.release(now_s)
+        if outcome == "late":
+            with pytest.raises(NotReplicated, match=f"not at {copies} feeds yet") as late:
+                done.result()
+            assert late.value.status == 503
+        else:
+            assert (done.result() if done.done() else "waits") == outcome
+
+    asyncio.run(scene())
