The audit's collector is parted in three, with typed answers in place of dicts

Handing on is fleet/report_replication.py, the answers are structs of fleet/replies.py with the same keys in the same order; bounds have names with their units. No change of behaviour.

--- a/gladelane/fleet/collector.py
+++ b/gladelane/fleet/collector.py
@@ -1,5 +1,5 @@
 """The audit as a part of a control server: takes directors' reports, stores what is new before it answers,
-hands it on to the other feeds, judges, and answers questions. Decisions stand in `ledger` and `straggle`.
+judges, and answers questions. Decisions stand in `ledger` and `straggle`; `report_replication` hands on.
 
     POST /reports, /handed, /fleet/expect
     GET  /fleet/marks                                 how far each start is stored here
@@ -12,28 +12,36 @@
 
 import asyncio
 import logging
-import random
 import ssl
 from collections.abc import Callable, Sequence
 from contextlib import suppress
-from typing import Any, NamedTuple
+from typing import NamedTuple
 from urllib.parse import parse_qs
 
 import msgspec
 
 from ..control.group_commit import GroupCommit
-from ..control.http import CALL_ERRORS, Refused, Request, fetch
+from ..control.http import Refused, Request
 from ..control.part import MAX_LARGE_BODY_BYTES, Route, StreamRoute
 from ..control.positions import Vector
 from ..durable import without_gc
 from ..durable.files import Disk
 from ..durable.log import Broken, Log, recover
-from ..structures.backoff import Backoff
-from .ledger import BadReport, Ledger, Row, Run
+from .ledger import BadReport, Ledger, Row
+from .replies import (
+    AuditReply,
+    ExpectReply,
+    ExplainReply,
+    ReplyHead,
+    StragglersReply,
+    VerifyReply,
+    VersionsReply,
+    Views,
+)
+from .report_replication import ReportPeer, ReportReplication
 from .straggle import EXPECTED, Judge, Ladder
 from .tenure import Stage
 from .wire import (
-    A_HANDING,
     Answer,
     Expect,
     Handed,
@@ -43,20 +51,18 @@
     encode_json,
     expect_decoder,
     handed_decoder,
-    marks_decoder,
     report_decoder,
 )
 
 log = logging.getLogger(__name__)
 
-MOST_WAITING = 4_000  # reports not stored yet
-A_BATCH = 500
-SNAPSHOT_AFTER = 100_000
-HAND_S = 0.2  # how often news goes to the other feeds
-HEARD_MS = 5_000.0  # without a word of any other feed for so long this one is alone
+MAX_WAITING = 4_000  # reports not stored yet
+MAX_BATCH = 500  # of them stored at once
+SNAPSHOT_AFTER = 100_000  # records in the log
+LOOK_S = 0.2  # how often it is seen whether other servers are heard
 FORGET_S = 60.0
 TWINS_MS = 10_000.0  # for which two processes of one name may be an upgrade
-MOST_ROWS = 20_000
+MAX_ROWS = 20_000  # of one answer
 
 
 class _Waiting(NamedTuple):
@@ -71,18 +77,6 @@
     expects: list[Expect] = []
 
 
-class _Peer:
-    """Another feed: how far it has each start, and the starts that it has to be told of."""
-
-    def __init__(self, host: str, port: int, tls: ssl.SSLContext | None) -> None:
-        self.host, self.port, self.tls = host, port, tls
-        self.name, self.epoch = "", 0
-        self.upto: dict[Run, int] = {}
-        self.dirty: dict[Run, None] = {}
-        self.heard_ms = 0.0
-        self.whole = False  # its marks were asked for since its start
-
-
 class Collector:
     def __init__(
         self,
@@ -96,34 +90,35 @@
     ) -> None:
         """Recovers from the disk. Raises Damaged, InUse and OSError."""
         self.name, self.clock, self.tenure_ms = name, clock, tenure_ms
-        self._token = token
         self.epoch = int(clock())
         self.ledger = Ledger(retention_ms)
         self.judge = Judge(ladder or Ladder(silent_ms=tenure_ms), clock())
         self._log, words, self._records = recovered(disk, self.ledger)
         for word in words:
             self.judge.told.expect(word)
-        self._committer = GroupCommit(self._commit, self._commit_failed, MOST_WAITING, A_BATCH)
-        self._peers: list[_Peer] = []
+        self._committer = GroupCommit(self._commit, self._commit_failed, MAX_WAITING, MAX_BATCH)
+        self._replication = ReportReplication(
+            name, self.epoch, self.ledger, self._expects, token, clock, self._place
+        )
         self._tasks: list[asyncio.Task[None]] = []
         self._failed = False
         self.taken = 0
 
     def hand_to(self, host: str, port: int, tls: ssl.SSLContext | None = None) -> None:
         """Another feed. Before `start`."""
-        self._peers.append(_Peer(host, port, tls))
+        self._replication.peers.append(ReportPeer(host, port, tls))
         self._place()
 
     def _place(self) -> None:
         """Each feed has its part of what may be held back; the first by name has the rest of a division."""
-        names = sorted([self.name, *(peer.name for peer in self._peers)])
-        known = all(peer.name for peer in self._peers)
+        others = [peer.name for peer in self._replication.peers]
+        names, known = sorted([self.name, *others]), all(others)
         self.judge.feeds = len(names)
         self.judge.rank = names.index(self.name) if known else len(names) - 1
 
     def start(self) -> None:
         self._tasks = [asyncio.create_task(self._committer.run()), asyncio.create_task(self._look_all())]
-        self._tasks += [asyncio.create_task(self._hand_all(peer)) for peer in self._peers]
+        self._tasks += [asyncio.create_task(run) for run in self._replication.runs()]
         log.info(
             "audit ready name=%s directors=%d spans=%d",
             self.name,
@@ -187,7 +182,7 @@
         return encode_json(self._explain(_parameters(request).get("director", "")))
 
     async def _on_verify(self, request: Request, caller: str) -> bytes:
-        return encode_json(self._said(wrong=self.ledger.verify()))
+        return encode_json(VerifyReply(*self._head(), self.ledger.verify()))
 
     async def _report(self, report: Report) -> Answer:
         now = self.clock()
@@ -198,7 +193,7 @@
         await self._take([report], [], "")
         run = report.director, report.start
         stored = self.ledger.upto(run, report.first)
-        others = max((peer.upto.get(run, 0) for peer in self._peers), default=stored)
+        others = self._replication.most_stored(run, stored)
         answer = Answer(self.name, self.epoch, self.clock(), stored, min(stored, others), self.tenure_ms)
         if report.current and report.open is None:
             self.judge.left(report.director)
@@ -232,12 +227,12 @@
         runs = {(report.director, report.start) for report in handed.reports}
         return Marks(self.name, self.epoch, [Mark(*run, self.ledger.upto(run)) for run in runs])
 
-    async def _expect(self, word: Expect, caller: str) -> dict[str, Any]:
+    async def _expect(self, word: Expect, caller: str) -> ExpectReply:
         if word.part not in EXPECTED or any(len(text) > 64 for text in word.digests):
             raise Refused(400, f"part {word.part[:40]!r}; expected one of {', '.join(EXPECTED)}, and digests")
         word.since_ms, word.by = word.since_ms or self.clock(), caller
         await self._take([], [word], "")
-        return self._said(expects=list(self.judge.told.expects.values()))
+        return ExpectReply(*self._head(), self._expects())
 
     async def _take(self, reports: list[Report], expects: list[Expect], source: str) -> None:
         """Returns once what is new is stored. Raises Refused."""
@@ -253,18 +248,11 @@
             await asyncio.shield(done)
         for report in reports:
             if report not in new:  # only how far its open span has come
-                self._in(report, source)
+                self._apply(report, source)
 
-    def _in(self, report: Report, source: str) -> None:
+    def _apply(self, report: Report, source: str) -> None:
         self.ledger.take(report)
-        run = report.director, report.start
-        for peer in self._peers:
-            if peer.name != source or not source:
-                peer.dirty[run] = None
-            elif report.spans:
-                last = report.spans[-1].number
-                if report.spans[0].number <= peer.upto.get(run, 0) + 1:
-                    peer.upto[run] = max(peer.upto.get(run, 0), last)
+        self._replication.taken(report, source)
 
     def _commit_failed(self, batch: list[_Waiting], error: Exception) -> None:
         if not isinstance(error, OSError | Broken):
@@ -286,119 +274,45 @@
             for word in waiting.expects:
                 self.judge.told.expect(word)
             for report in waiting.reports:
-                self._in(report, waiting.source)
+                self._apply(report, waiting.source)
             self.taken += len(waiting.reports)
             if not waiting.done.done():
                 waiting.done.set_result(None)
         self._records += len(batch)
         if self._records >= SNAPSHOT_AFTER:
-            words = list(self.judge.told.expects.values())
+            words = self._expects()
             payload = msgspec.msgpack.encode((self.ledger.snapshot(), words))
             await asyncio.to_thread(self._log.snapshot, payload)
             self._records = 0
 
-    # --- other feeds
-
-    async def _hand_all(self, peer: _Peer) -> None:
-        backoff = Backoff(random.Random(), HAND_S, 1.0)
-        while True:
-            try:
-                heard = await self._hand(peer)
-            except CALL_ERRORS as error:
-                if peer.whole:
-                    log.warning(
-                        "audit: feed did not take feed=%s:%d: %s %s",
-                        peer.host,
-                        peer.port,
-                        type(error).__name__,
-                        error,
-                    )
-                peer.whole = heard = False
-            except Exception:
-                log.exception("audit: handing on failed")
-                heard = False
-            await asyncio.sleep(HAND_S if heard else backoff.after(False))
-
-    async def _hand(self, peer: _Peer) -> bool:
-        """One message with what the other feed lacks; after each of its starts it is asked how far it is."""
-        if not peer.whole:
-            told = await fetch(peer.host, peer.port, "GET", "/fleet/marks", self._token(), tls=peer.tls)
-            self._marked(peer, marks_decoder.decode(told))
-            peer.dirty = dict.fromkeys(self.ledger.marks())
-            peer.whole = True
-        runs = list(peer.dirty)
-        reports: list[Report] = []
-        left = A_HANDING
-        for run in runs:
-            if left <= 0:
-                break
-            report = next(self.ledger.beyond_run(run, peer.upto.get(run, 0), left), None)
-            if report is None or len(report.spans) < left:
-                del peer.dirty[run]
-            if report is not None:
-                reports.append(report)
-                left -= len(report.spans) + 1
-        words = list(self.judge.told.expects.values())
-        body = encode_json(Handed(self.name, self.epoch, reports, words))
-        try:
-            told = await fetch(
-                peer.host,
-                peer.port,
-                "POST",
-                "/handed",
-                self._token(),
-                body,
-                {"Content-Type": "application/json"},
-                tls=peer.tls,
-            )
-        except BaseException:
-            peer.dirty.update(dict.fromkeys(runs))
-            raise
-        marks = marks_decoder.decode(told)
-        if marks.epoch != peer.epoch:  # it has started since, and may have lost what it had
-            peer.whole = False
-        self._marked(peer, marks)
-        return True
-
-    def _marked(self, peer: _Peer, told: Marks) -> None:
-        if told.whole:
-            peer.upto = {}
-        for mark in told.marks:
-            peer.upto[mark.director, mark.start] = mark.upto
-        peer.epoch, peer.heard_ms = told.epoch, self.clock()
-        if peer.name != told.feed:
-            peer.name = told.feed
-            self._place()
-
     async def _look_all(self) -> None:
         looks = 0
         while True:
-            await asyncio.sleep(HAND_S)
-            now = self.clock()
-            self.judge.alone = bool(self._peers) and all(
-                now - peer.heard_ms > HEARD_MS for peer in self._peers
-            )
+            await asyncio.sleep(LOOK_S)
+            now, peers = self.clock(), self._replication.peers
+            self.judge.alone = bool(peers) and len(self._replication.unheard()) == len(peers)
             looks += 1
-            if looks % int(FORGET_S / HAND_S) == 0:
+            if looks % int(FORGET_S / LOOK_S) == 0:
                 self.ledger.forget(now)
                 self.judge.forget(now)
 
     # --- questions
 
-    def _said(self, **answer: Any) -> dict[str, Any]:
-        """With what this feed may lack."""
-        now = self.clock()
+    def _expects(self) -> list[Expect]:
+        return list(self.judge.told.expects.values())
+
+    def _head(self) -> ReplyHead:
+        """Who answers, and what this server may lack."""
         lacks = [
             f"feed {peer.name or peer.host} at {peer.host}:{peer.port} is not heard"
-            for peer in self._peers
-            if now - peer.heard_ms > HEARD_MS
+            for peer in self._replication.unheard()
         ]
         lacks += [f"director {name}: two processes have this name" for name in self.ledger.twins(TWINS_MS)]
         if self._failed:
             lacks.append("this feed's disk takes nothing: reports are refused")
-        return {"feed": self.name, "epoch": self.epoch, "now_ms": now, "lacks": lacks, **answer}
+        return ReplyHead(self.name, self.epoch, self.clock(), lacks)
 
-    def _audit(self, given: dict[str, str]) -> dict[str, Any]:
+    def _audit(self, given: dict[str, str]) -> AuditReply:
         if "at" in given:
             rows = self.ledger.at(float(given["at"]))
         else:
@@ -406,39 +320,31 @@
             if director not in self.ledger.directors():
                 raise Refused(404, f"director {director[:64]!r}: nobody has heard of it here")
             rows = self.ledger.of(director, float(given.get("from", 0.0)), float(given.get("to", 2**53)))
-        cut = len(rows) > MOST_ROWS
-        rows = rows[:MOST_ROWS]
-        return self._said(rows=rows, cut=cut, views=self._views(rows))
-
-    def _views(self, rows: list[Row]) -> dict[str, Any]:
-        return {row.view: self._plain(row.view) for row in rows if row.view in self.ledger.views}
+        cut = len(rows) > MAX_ROWS
+        rows = rows[:MAX_ROWS]
+        return AuditReply(*self._head(), rows, cut, self._views(rows))
 
-    def _plain(self, name: str) -> dict[str, Any]:
-        view = self.ledger.views[name]
-        return {field: getattr(view, field) for field in view.__struct_fields__}
+    def _views(self, rows: list[Row]) -> Views:
+        views = self.ledger.views
+        return {row.view: msgspec.structs.asdict(views[row.view]) for row in rows if row.view in views}
 
-    def _versions(self) -> dict[str, Any]:
+    def _versions(self) -> VersionsReply:
         rows = self.ledger.latest()
         views = {
-            row.view: {field: getattr(view, field) for field in view.__struct_fields__}
-            for row in rows
-            for view in [self.ledger.view_of(row.director, row.start)]
+            row.view: msgspec.structs.asdict(self.ledger.view_of(row.director, row.start)) for row in rows
         }
-        return self._said(rows=rows, views=views, expects=list(self.judge.told.expects.values()))
+        return VersionsReply(*self._head(), rows, views, self._expects())
 
-    def _stragglers(self) -> dict[str, Any]:
-        return self._said(
-            stragglers=self.judge.stragglers(self.clock()),
-            source=self.judge.source,
-            held_back=self.judge.held_back(),
-        )
+    def _stragglers(self) -> StragglersReply:
+        judge = self.judge
+        return StragglersReply(*self._head(), judge.stragglers(self.clock()), judge.source, judge.held_back())
 
-    def _explain(self, director: str) -> dict[str, Any]:
+    def _explain(self, director: str) -> ExplainReply:
         try:
-            told = self.judge.explain(director, self.clock())
+            explained = self.judge.explain(director, self.clock())
         except KeyError:
             raise Refused(404, f"director {director[:64]!r}: nobody has heard of it here") from None
-        return self._said(explained=told, ladder=self.judge.ladder, source=self.judge.source)
+        return ExplainReply(*self._head(), explained, self.judge.ladder, self.judge.source)
 
 
 def _parameters(request: Request) -> dict[str, str]:
