Names: commands call a server's answer an answer, and a director's counts metrics

Renames only, in cli/purge.py, audit.py and fleet.py: told is answer or metrics, _said is _wants_table. What is printed stays.

--- a/gladelane/cli/audit.py
+++ b/gladelane/cli/audit.py
@@ -36,13 +36,13 @@
     return at.isoformat(timespec="milliseconds").removesuffix("+00:00")
 
 
-def _said(told: dict[str, Any], json_: bool) -> bool:
+def _wants_table(answer: dict[str, Any], json_: bool) -> bool:
     """Whether a table is wanted; what the answer may lack goes to standard error."""
     if json_:
-        print(json.dumps(told))
+        print(json.dumps(answer))
         return False
-    for line in told["lacks"]:
-        print(f"{told['feed']}: may lack: {line}", file=sys.stderr)
+    for line in answer["lacks"]:
+        print(f"{answer['feed']}: may lack: {line}", file=sys.stderr)
     return True
 
 
@@ -62,8 +62,8 @@
 
 def versions(feed: FeedAt, tokens: TokenFile, json_: Json = False, tls_ca: CaFile = None) -> None:
     """Which versions each director acts on now, and how many act on each."""
-    told = ask_feed(feed, tokens, tls_ca, "GET", "/fleet/versions")
-    if not _said(told, json_):
+    answer = ask_feed(feed, tokens, tls_ca, "GET", "/fleet/versions")
+    if not _wants_table(answer, json_):
         return
     table = Table(
         "director",
@@ -82,8 +82,8 @@
         box=None,
         pad_edge=False,
     )
-    for row in told["rows"]:
-        view = told["views"].get(row["view"], {})
+    for row in answer["rows"]:
+        view = answer["views"].get(row["view"], {})
         table.add_row(
             row["director"],
             row["zone"],
@@ -98,12 +98,12 @@
     out.print(table)
     for key in ("rev", "settings", "operator", "program"):
         held: dict[str, int] = {}
-        for row in told["rows"]:
-            value = str(told["views"].get(row["view"], {}).get(key, ""))
+        for row in answer["rows"]:
+            value = str(answer["views"].get(row["view"], {}).get(key, ""))
             held[value] = held.get(value, 0) + 1
         counted = sorted(held.items(), key=lambda pair: -pair[1])
         out.print(f"{key}: " + ", ".join(f"{value} at {count}" for value, count in counted))
-    for word in told["expects"]:
+    for word in answer["expects"]:
         wanted = ", ".join(word.get("digests", ())) or "any"
         since, by = _clock(word["since_ms"]), word.get("by", "")
         out.print(f"expected {word['part']}: {wanted} since {since} by {by}")
@@ -129,8 +129,8 @@
         if at
         else (f"/fleet/audit?director={quote(director)}&from={_moment(from_)}&to={_moment(to)}")
     )
-    told = ask_feed(feed, tokens, tls_ca, "GET", target)
-    if not _said(told, json_):
+    answer = ask_feed(feed, tokens, tls_ca, "GET", target)
+    if not _wants_table(answer, json_):
         return
     table = Table(
         "director",
@@ -147,8 +147,8 @@
         box=None,
         pad_edge=False,
     )
-    for row in told["rows"]:
-        view = told["views"].get(row["view"], {})
+    for row in answer["rows"]:
+        view = answer["views"].get(row["view"], {})
         table.add_row(
             row["director"],
             str(row["start"]),
@@ -163,27 +163,27 @@
             _offset(row),
         )
     out.print(table)
-    for name, view in told["views"].items():
+    for name, view in answer["views"].items():
         out.print(f"{name}: " + " ".join(f"{key}={view[key]}" for key in KEYS))
-    if told["cut"]:
+    if answer["cut"]:
         out.print("more rows than one answer holds: ask for less time")
 
 
 def stragglers(feed: FeedAt, tokens: TokenFile, json_: Json = False, tls_ca: CaFile = None) -> None:
     """Who is behind or silent, as this feed judges. Exits with 1 if anybody is."""
-    told = ask_feed(feed, tokens, tls_ca, "GET", "/fleet/stragglers")
-    if _said(told, json_):
+    answer = ask_feed(feed, tokens, tls_ca, "GET", "/fleet/stragglers")
+    if _wants_table(answer, json_):
         table = Table(
             "director", "zone", "stage", "lacks", "heard s ago", "next", "why", box=None, pad_edge=False
         )
-        for one in told["stragglers"]:
+        for one in answer["stragglers"]:
             lacks = " ".join(f"{part}:{ms / 1000.0:.1f}s" for part, ms in one["behind_ms"].items())
             heard = f"{one['heard_ms'] / 1000.0:.1f}"
             table.add_row(one["director"], one["zone"], one["stage"], lacks, heard, one["next"], one["why"])
         out.print(table)
-        for part, count in told["source"].items():
+        for part, count in answer["source"].items():
             out.print(f"most lack {part} ({count}): the fault is the source's, nobody is held back for it")
-    if told["stragglers"]:
+    if answer["stragglers"]:
         raise typer.Exit(1)
 
 
@@ -195,14 +195,16 @@
     tls_ca: CaFile = None,
 ) -> None:
     """Where a director stands on the ladder, why, and what comes next."""
-    told = ask_feed(feed, tokens, tls_ca, "GET", f"/fleet/explain?director={quote(director)}")
-    if not _said(told, json_):
+    answer = ask_feed(feed, tokens, tls_ca, "GET", f"/fleet/explain?director={quote(director)}")
+    if not _wants_table(answer, json_):
         return
-    one, ladder = told["explained"], told["ladder"]
+    one, ladder = answer["explained"], answer["ladder"]
     why = f", {one['why']}" if one["why"] else ""
     out.print(f"{one['director']} (zone {one['zone']}): {one['stage']}{why}")
     for part, ms in one["behind_ms"].items():
-        most = f", as most do ({told['source'][part]}): the source's fault" if part in told["source"] else ""
+        most = (
+            f", as most do ({answer['source'][part]}): the source's fault" if part in answer["source"] else ""
+        )
         out.print(f"  lacks {part} for {ms / 1000.0:.1f} s{most}")
     then = f"; next: {one['next']}" if one["next"] else ""
     out.print(f"  heard {one['heard_ms'] / 1000.0:.1f} s ago{then}")
@@ -226,32 +228,32 @@
 ) -> None:
     """An operator's word on which versions are to be used: who has another counts as behind."""
     word = {"part": part, "digests": digest or [], "since_ms": _moment(since)}
-    told = ask_feed(feed, tokens, tls_ca, "POST", "/fleet/expect", json.dumps(word).encode())
-    for one in told["expects"]:
+    answer = ask_feed(feed, tokens, tls_ca, "POST", "/fleet/expect", json.dumps(word).encode())
+    for one in answer["expects"]:
         wanted = ", ".join(one.get("digests", ())) or "any"
         out.print(f"{one['part']}: {wanted} since {_clock(one['since_ms'])}")
 
 
 def verify(feed: FeedAt, tokens: TokenFile, json_: Json = False, tls_ca: CaFile = None) -> None:
     """Whether all reports fit together. Exits with 1 if some were altered, dropped, doubled or misdated."""
-    told = ask_feed(feed, tokens, tls_ca, "GET", "/fleet/verify")
-    if _said(told, json_):
-        for one in told["wrong"]:
+    answer = ask_feed(feed, tokens, tls_ca, "GET", "/fleet/verify")
+    if _wants_table(answer, json_):
+        for one in answer["wrong"]:
             out.print(f"{one['director']}:{one['start']} span {one['number']}: {one['what']}")
-    if any(one["what"] != "missing" for one in told["wrong"]):
+    if any(one["what"] != "missing" for one in answer["wrong"]):
         raise typer.Exit(1)
 
 
 def owners(feed: FeedAt, tokens: TokenFile, json_: Json = False, tls_ca: CaFile = None) -> None:
     """Who has which piece of the fleet's work, as this keeper knows it."""
-    told = ask_feed(feed, tokens, tls_ca, "GET", "/leases")
+    answer = ask_feed(feed, tokens, tls_ca, "GET", "/leases")
     if json_:
-        print(json.dumps(told))
+        print(json.dumps(answer))
         return
-    if not told["ready"]:
-        print(f"{told['keeper']}: grants nothing yet: it has just started", file=sys.stderr)
+    if not answer["ready"]:
+        print(f"{answer['keeper']}: grants nothing yet: it has just started", file=sys.stderr)
     table = Table("work", "owner", "number", "for s", "ends in s", box=None, pad_edge=False)
-    for one in told["owners"]:
+    for one in answer["owners"]:
         since, left = f"{one['since_ms'] / 1000.0:.1f}", f"{one['left_ms'] / 1000.0:.1f}"
         table.add_row(one["work"], one["holder"] or "nobody", str(one["number"]), since, left)
     out.print(table)
--- a/gladelane/cli/fleet.py
+++ b/gladelane/cli/fleet.py
@@ -52,27 +52,27 @@
     return dict(zip(doors, found, strict=True))
 
 
-def chosen(told: dict[str, int]) -> dict[str, int]:
-    return {name: told[name] for name in FIGURES if name in told}
+def chosen(metrics: dict[str, int]) -> dict[str, int]:
+    return {name: metrics[name] for name in FIGURES if name in metrics}
 
 
-def row(door: str, told: dict[str, int] | str) -> list[str]:
-    if isinstance(told, str):
-        return [door, "no answer", told]
-    if "phase" not in told:
+def row(door: str, metrics: dict[str, int] | str) -> list[str]:
+    if isinstance(metrics, str):
+        return [door, "no answer", metrics]
+    if "phase" not in metrics:
         return [door, "no phases", "neither purges nor recovery in its operator's file"]
-    phase, reason = Phase(told["phase"]), Reason(told["phase_reason"])
-    full = told["full_service_ms"] / 1000.0
-    since = told.get("purges_known_since_ms", 0)
+    phase, reason = Phase(metrics["phase"]), Reason(metrics["phase_reason"])
+    full = metrics["full_service_ms"] / 1000.0
+    since = metrics.get("purges_known_since_ms", 0)
     return [
         door,
         phase.name.lower(),
         "" if reason is Reason.NONE else reason.name.lower(),
-        f"{full:.1f}" if full else f"not for {told['phase_since_ms'] / 1000.0:.0f}",
-        "yes" if told["warm_start"] else "no",
+        f"{full:.1f}" if full else f"not for {metrics['phase_since_ms'] / 1000.0:.0f}",
+        "yes" if metrics["warm_start"] else "no",
         str(since) if since else "all",
-        str(told.get("feeds_followed", "")),
-        str(told.get("renewals_refused", "")),
+        str(metrics.get("feeds_followed", "")),
+        str(metrics.get("renewals_refused", "")),
     ]
 
 
@@ -87,7 +87,14 @@
     service."""
     found = asyncio.run(ask_all(door))
     if json_:
-        print(json.dumps({at: told if isinstance(told, str) else chosen(told) for at, told in found.items()}))
+        print(
+            json.dumps(
+                {
+                    at: metrics if isinstance(metrics, str) else chosen(metrics)
+                    for at, metrics in found.items()
+                }
+            )
+        )
     else:
         table = Table(
             "door",
@@ -101,9 +108,9 @@
             box=None,
             pad_edge=False,
         )
-        for at, told in found.items():
-            table.add_row(*row(at, told))
+        for at, metrics in found.items():
+            table.add_row(*row(at, metrics))
         out.print(table)
-    full = (isinstance(told, dict) and told.get("phase") == Phase.FULL for told in found.values())
+    full = (isinstance(metrics, dict) and metrics.get("phase") == Phase.FULL for metrics in found.values())
     if not all(full):
         raise typer.Exit(1)
--- a/gladelane/cli/purge.py
+++ b/gladelane/cli/purge.py
@@ -192,8 +192,8 @@
     try:
         token = Tokens(tokens).own()
         headers = {"Idempotency-Key": key} if key else {}
-        told = asyncio.run(fetch(host, port, method, target, token, body, headers, _trust(ca)))
-        return json.loads(told)
+        answer = asyncio.run(fetch(host, port, method, target, token, body, headers, _trust(ca)))
+        return json.loads(answer)
     except Refused as error:
         fail(f"{feed}: {error.status}: {error}")
     except (BadTokens, OSError, TimeoutError) as error:
@@ -212,9 +212,9 @@
     """Purges; says so once it is stored."""
     tags = {name: value for name, _, value in (text.partition("=") for text in tag or ())}
     body = json.dumps({"scope": scope, "tags": tags}).encode()
-    told = ask_feed(feed, tokens, tls_ca, "POST", "/purges", body, key)
-    again = ", asked for before" if told["again"] else ""
-    out.print(f"{told['issuer']}:{told['epoch']}={told['seq']} {told['scope']}{again}")
+    answer = ask_feed(feed, tokens, tls_ca, "POST", "/purges", body, key)
+    again = ", asked for before" if answer["again"] else ""
+    out.print(f"{answer['issuer']}:{answer['epoch']}={answer['seq']} {answer['scope']}{again}")
 
 
 def _rows(purges: list[list[Any]]) -> None:
