--- a/gladelane/fleet/__init__.py
+++ b/gladelane/fleet/__init__.py
@@ -2,7 +2,7 @@
 director may act without hearing again.
 
 `view`, `trail`, `ledger`, `straggle` and `tenure` decide and are pure; `wire` and `replies` are what travels,
-`book` keeps a director's trail, `service` is the director's part, `collector` the control server's, which
-hands reports on by `report_replication`. Imported only where an operator's file or a server's option asks for
-it.
+`trail_store` keeps a director's trail, `service` is the director's part, `collector` the control server's,
+which hands reports on by `report_replication`. Imported only where an operator's file or a server's option
+asks for it.
 """
--- a/gladelane/fleet/service.py
+++ b/gladelane/fleet/service.py
@@ -20,11 +20,11 @@
 from ..purges.holder import Holder
 from ..recovery.warm import vars_of
 from ..structures.backoff import Backoff
-from .book import Book, Page
 from .options import Options
 from .steady import steady_ms
 from .tenure import Stage, Tenure
 from .trail import Span, Totals, Trail
+from .trail_store import Page, TrailStore
 from .view import DIGEST_BYTES, View, list_digest, name_of
 from .wire import A_REPORT, Answer, Report, answer_decoder, encode_json
 
@@ -117,9 +117,9 @@
         self._drain, self._empty, self._again = drain, empty, again
         self._strict, self._enforce = holder.options.strict, options.enforce
         self._rng = random.Random()
-        self._book: Book | None = None
-        self._book_again_ms = 0.0
-        left = self._open_book()
+        self._store: TrailStore | None = None
+        self._store_again_ms = 0.0
+        left = self._open_store()
         now = clock()
         latest = max((page.start for page in left), default=0)
         start = max(latest + 1, int(now) * START_SHIFT + self._rng.randrange(START_SHIFT))
@@ -134,7 +134,7 @@
         worths = {cls: spec.worth for cls, spec in director.settings.classes.items()}
         self.trail = Trail(name, start, self._name, worths, now, options.trail_bytes)
         self._prior = [Prior(page, spans) for page in left if page.director == name and (spans := ends(page))]
-        self._written = 0  # the last span in the book
+        self._written = 0  # the last span in the store
         self._feeds = list(holder.options.feeds)
         self._leaves = False  # its last span is closed
         self._more = False  # there is something to tell at once
@@ -149,18 +149,18 @@
         self.refused = self.held_up = 0
         self._tasks: list[asyncio.Task[None]] = []
 
-    def _open_book(self) -> list[Page]:
+    def _open_store(self) -> list[Page]:
         """What processes before this one left there. One that still runs, as in an upgrade, has the folder:
         it is opened once that one has left."""
         if not self._options.dir:
             return []
         try:
-            self._book = Book(Path(self._options.dir))
+            self._store = TrailStore(Path(self._options.dir))
         except InUse:
             log.info("audit: the process before this one has the trail's folder")
-            self._book_again_ms = steady_ms() + OPEN_AGAIN_MS
+            self._store_again_ms = steady_ms() + OPEN_AGAIN_MS
             return []
-        return self._book.left
+        return self._store.left
 
     @staticmethod
     def steady() -> float:
@@ -335,13 +335,13 @@
         self._views = {name: view for name, view in self._views.items() if name in used}
 
     async def _write(self) -> None:
-        if self._book is None and self._options.dir and steady_ms() > self._book_again_ms:
+        if self._store is None and self._options.dir and steady_ms() > self._store_again_ms:
             self._prior += [
                 Prior(p, spans)
-                for p in self._open_book()
+                for p in self._open_store()
                 if p.director == self.trail.director and p.start < self.trail.start and (spans := ends(p))
             ]
-        if self._book is None:
+        if self._store is None:
             return
         trail = self.trail
         kept = trail.kept()
@@ -350,10 +350,10 @@
         views = {span.view: self._views[span.view] for span in (*fresh, open_)}
         page = Page(trail.director, trail.start, fresh, views, open_, trail.lost, trail.copied)
         whole = None
-        if self._book.full:
+        if self._store.full:
             mine = Page(trail.director, trail.start, kept, dict(self._views), open_, trail.lost, trail.copied)
             whole = [*(prior.page for prior in self._prior), mine]
-        if await asyncio.to_thread(self._book.write, page, whole):
+        if await asyncio.to_thread(self._store.write, page, whole):
             self._written = max(self._written, fresh[-1].number if fresh else 0)
 
     # --- what becomes of it
@@ -413,9 +413,9 @@
         self.trail.turn(self._name, self._totals(), self._clock(), "stopped")
         await self._write()
         await self._report(LAST_S)
-        if self._book is not None:
+        if self._store is not None:
             await self._write()
-            await asyncio.to_thread(self._book.close)
+            await asyncio.to_thread(self._store.close)
 
 
 def ends(page: Page) -> list[Span]:
--- a/gladelane/fleet/book.py
+++ b/gladelane/fleet/trail_store.py
@@ -49,7 +49,7 @@
     return [page for _, page in sorted(found.items())]
 
 
-class Book:
+class TrailStore:
     def __init__(self, path: Path) -> None:
         """Opens the folder; one whose content cannot be read is set aside. Raises OSError."""
         self.left: list[Page] = []  # by processes before this one
--- a/gladelane/purges/active_purges.py
+++ b/gladelane/purges/active_purges.py
@@ -18,7 +18,7 @@
 
 from ..control.positions import Positions, Stream, Vector
 from .horizon import Horizon, Loss
-from .index import Index, TooOdd
+from .index import Index, UnsupportedPattern
 from .order import Purge, check
 from .scope import BadScope, parse
 
@@ -56,7 +56,7 @@
         self.start = ("", 0)
         self.retention_ms, self.skew_ms = retention_ms, skew_ms
         self.last_at_ms = 0.0
-        self.widened = 0  # purges whose patterns were too odd to look up, and bind by their prefix
+        self.widened = 0  # purges whose patterns cannot be looked up, and bind by their prefix
         self._keep = keep
         self._purges: dict[tuple[str, int, int], Purge] = {}
 
@@ -84,7 +84,7 @@
             return
         try:
             self.index.add(scope, at, until)
-        except TooOdd:
+        except UnsupportedPattern:
             # its issuer took it, so it stands: wider than asked costs fetches, narrower would be an exam
             # error
             self.widened += 1
--- a/gladelane/purges/horizon.py
+++ b/gladelane/purges/horizon.py
@@ -21,7 +21,7 @@
 from ..control.positions import ISSUER, Stream, Vector
 from .order import BadPurge
 
-MOST_LOSSES = 4_096
+MAX_LOSSES = 4_096
 SEEN = "seen by a director"  # `by` of a loss that other feeds did not show: they lack what they should have
 AHEAD_MS = 60_000.0  # a clock further ahead than this is not believed
 
@@ -63,8 +63,8 @@
             key = loss.issuer, loss.epoch
             known = self._losses.get(key)
             if known is None:
-                if len(self._losses) >= MOST_LOSSES:
-                    raise BadPurge(f"more than {MOST_LOSSES} losses")
+                if len(self._losses) >= MAX_LOSSES:
+                    raise BadPurge(f"more than {MAX_LOSSES} losses")
                 self._losses[key] = loss
                 changed.append(loss)
             elif loss.since_ms < known.since_ms:  # `at_ms` is the first's: a clipped clock must not make two
--- a/gladelane/purges/index.py
+++ b/gladelane/purges/index.py
@@ -18,8 +18,8 @@
 from .bounds import NOTHING, Bound, in_force, join, newest
 from .scope import OBJECT_MOST, PART_MOST, Box, Scope
 
-MOST_MASKS = 64  # different masks of globs: each costs every look-up of its facet
-MOST_ODD = 64  # boxes of a glob within a range, which are looked through one by one
+MAX_MASKS = 64  # different masks of globs: each costs every look-up of its facet
+MAX_RANGE_GLOBS = 64  # boxes of a glob within a range, which are looked through one by one
 PART_LEVELS = PART_MOST.bit_length()
 _FOREVER = float("inf")
 Key = TypeVar("Key")
@@ -28,7 +28,7 @@
 Name = tuple[str, int, int]  # class, group, number of the range of parts
 
 
-class TooOdd(ValueError):
+class UnsupportedPattern(ValueError):
     """A scope that would slow every look-up down. The purge that has it is refused, or widened by who takes
     it."""
 
@@ -36,19 +36,19 @@
 class Facet:
     """All boxes of one class, group and dyadic range of parts."""
 
-    __slots__ = ("objects", "ranges", "globs", "odd", "ended")
+    __slots__ = ("objects", "ranges", "globs", "range_globs", "ended")
 
     def __init__(self) -> None:
         self.objects: dict[int, Bound] = {}
         self.ranges: StepMap[Bound] | None = None
         self.globs: dict[int, dict[int, Bound]] = {}  # by mask, then value
-        self.odd: dict[tuple[int, int, int, int], Bound] = {}
+        self.range_globs: dict[tuple[int, int, int, int], Bound] = {}
         self.ended = 0  # ranges that ended since they were gone through
 
     def add(self, box: Box, bound: Bound) -> None:
         if box.mask and (box.low, box.high) != (0, OBJECT_MOST):
             key = box.low, box.high, box.mask, box.value
-            self.odd[key] = join(self.odd.get(key, NOTHING), bound)
+            self.range_globs[key] = join(self.range_globs.get(key, NOTHING), bound)
         elif box.mask:
             values = self.globs.setdefault(box.mask, {})
             values[box.value] = join(values.get(box.value, NOTHING), bound)
@@ -63,7 +63,7 @@
         """Drops what no longer binds where one box was filed. Ranges are gone through once enough have ended:
         until then their steps are passed over by `newest`."""
         if box.mask and (box.low, box.high) != (0, OBJECT_MOST):
-            _left(self.odd, (box.low, box.high, box.mask, box.value), now)
+            _left(self.range_globs, (box.low, box.high, box.mask, box.value), now)
         elif box.mask:
             values = self.globs.get(box.mask, {})
             _left(values, box.value, now)
@@ -80,7 +80,7 @@
                     self.ranges = None
 
     def empty(self) -> bool:
-        return not (self.objects or self.globs or self.odd or self.ranges is not None)
+        return not (self.objects or self.globs or self.range_globs or self.ranges is not None)
 
 
 def _left(bounds: dict[Key, Bound], key: Key, now: float) -> None:
@@ -109,14 +109,14 @@
     def __init__(self) -> None:
         self._shapes: dict[Shape, dict[Name, Facet]] = {}
         self._masks: dict[int, int] = {}  # each with how many facets have it
-        self._odd = 0
+        self._range_globs = 0
         self._due: list[tuple[float, Shape, Name, Box]] = []  # a heap: what ends next, and where it is filed
 
     def __len__(self) -> int:
         """Entries held: what is joined into one counts once."""
         return sum(
             len(f.objects)
-            + len(f.odd)
+            + len(f.range_globs)
             + sum(map(len, f.globs.values()))
             + (sum(1 for _, bound in f.ranges.steps() if bound) if f.ranges is not None else 0)
             for f in self._facets()
@@ -126,20 +126,25 @@
         return (facet for facets in self._shapes.values() for facet in facets.values())
 
     def check(self, scope: Scope) -> None:
-        """Raises TooOdd where adding it would slow look-ups down for good."""
+        """Raises UnsupportedPattern where adding it would slow look-ups down for good."""
         if len(scope.boxes) == 1 and not scope.boxes[0].mask:
             return
         masks = {box.mask for box in scope.boxes if box.mask}
         if not masks:
             return
-        odd = sum(1 for box in scope.boxes if box.mask and (box.low, box.high) != (0, OBJECT_MOST))
-        if len(masks | self._masks.keys()) > MOST_MASKS:
-            raise TooOdd(f"more than {MOST_MASKS} forms of patterns stand; expected a prefix or a range")
-        if self._odd + odd > MOST_ODD:
-            raise TooOdd(f"more than {MOST_ODD} patterns within ranges stand; expected one or the other")
+        range_globs = sum(1 for box in scope.boxes if box.mask and (box.low, box.high) != (0, OBJECT_MOST))
+        if len(masks | self._masks.keys()) > MAX_MASKS:
+            raise UnsupportedPattern(
+                f"more than {MAX_MASKS} forms of patterns stand; expected a prefix or a range"
+            )
+        if self._range_globs + range_globs > MAX_RANGE_GLOBS:
+            raise UnsupportedPattern(
+                f"more than {MAX_RANGE_GLOBS} patterns within ranges stand; expected one or the other"
+            )
 
     def add(self, scope: Scope, at: float, until: float = _FOREVER) -> None:
-        """Copies from before `at` are out of date, until then. Raises TooOdd and changes nothing."""
+        """Copies from before `at` are out of date, until then. Raises UnsupportedPattern and changes
+        nothing."""
         self.check(scope)
         bound: Bound = ((at, until),)
         for box in scope.boxes:
@@ -173,7 +178,7 @@
 
     def _count_masks(self, facet: Facet, by: int) -> None:
         """Takes a facet's patterns out of the count, or puts them in."""
-        self._odd += by * len(facet.odd)
+        self._range_globs += by * len(facet.range_globs)
         for mask in facet.globs:
             count = self._masks.get(mask, 0) + by
             if count:
@@ -203,8 +208,8 @@
                     bound = values.get(object_ & mask)
                     if bound is not None and bound[0][0] > at:
                         at = max(at, newest(bound, now))
-            if facet.odd:
-                for (low, high, mask, value), bound in facet.odd.items():
+            if facet.range_globs:
+                for (low, high, mask, value), bound in facet.range_globs.items():
                     if low <= object_ <= high and object_ & mask == value:
                         at = max(at, newest(bound, now))
         return at
--- a/gladelane/purges/markfile.py
+++ b/gladelane/purges/markfile.py
@@ -10,7 +10,7 @@
 from ..durable.files import replace_file
 from .horizon import Mark
 
-MOST_BYTES = 4096
+MAX_BYTES = 4096
 
 
 class BadMark(ValueError):
@@ -25,7 +25,7 @@
         """None where there is none yet. Raises BadMark and OSError."""
         try:
             with open(self.path, "rb") as file:
-                return msgspec.json.decode(file.read(MOST_BYTES), type=Mark)
+                return msgspec.json.decode(file.read(MAX_BYTES), type=Mark)
         except FileNotFoundError:
             return None
         except msgspec.MsgspecError as error:
--- a/gladelane/purges/order.py
+++ b/gladelane/purges/order.py
@@ -14,7 +14,7 @@
 import msgspec
 
 from ..control.positions import ISSUER, Stream
-from .scope import MOST_TEXT
+from .scope import MAX_TEXT
 
 
 class Purge(msgspec.Struct, frozen=True, array_like=True, gc=False):
@@ -41,7 +41,7 @@
         raise BadPurge(f"epoch {purge.epoch}, sequence {purge.seq}; expected numbers from 1")
     if not 0.0 < purge.at_ms < 2**53:
         raise BadPurge(f"moment {purge.at_ms}; expected Unix milliseconds")
-    if len(purge.scope) > MOST_TEXT or len(purge.key) > 128:
+    if len(purge.scope) > MAX_TEXT or len(purge.key) > 128:
         raise BadPurge("the scope or the key is too long")
 
 
--- a/gladelane/purges/orders.py
+++ b/gladelane/purges/orders.py
@@ -14,8 +14,8 @@
 from ..control.positions import Vector
 from .order import Purge
 
-A_BATCH = 200  # purges in one order
-RETRY_FIRST_MS, RETRY_MOST_MS = 200.0, 10_000.0
+MAX_BATCH = 200  # purges in one order
+FIRST_RETRY_MS, MAX_RETRY_MS = 200.0, 10_000.0
 SLACK = 1_000  # purges past what stands before the list is made anew
 
 
@@ -98,7 +98,7 @@
             server = self._servers[name]
             if server.out or server.due_ms > now_ms or server.place >= len(self._all) or not self.owned(name):
                 continue
-            upto = min(server.place + A_BATCH, len(self._all))
+            upto = min(server.place + MAX_BATCH, len(self._all))
             owed = tuple(
                 purge
                 for purge in self._all[server.place : upto]
@@ -138,7 +138,7 @@
         """It may have been carried out or not: it is sent again, later and later."""
         server = self._over(order)
         if server is not None:
-            server.due_ms = now_ms + min(RETRY_FIRST_MS * 2.0 ** min(server.fails, 10), RETRY_MOST_MS)
+            server.due_ms = now_ms + min(FIRST_RETRY_MS * 2.0 ** min(server.fails, 10), MAX_RETRY_MS)
             server.fails += 1
 
     def _over(self, order: Order) -> _Server | None:
--- a/gladelane/purges/purge_log.py
+++ b/gladelane/purges/purge_log.py
@@ -35,7 +35,7 @@
 from .purge_stream import PurgeStream
 from .scope import BadScope, Catalog, parse
 from .subscriber import Subscriber
-from .wire import A_BATCH, Accepted, Event, Status, encode_purge
+from .wire import MAX_BATCH, Accepted, Event, Status, encode_purge
 
 log = logging.getLogger(__name__)
 
@@ -77,7 +77,7 @@
         self.stream = PurgeStream(self.active, name, copies)
         self.listeners: list[StateListener] = []
         self._committer: GroupCommit[LogEntry] = GroupCommit(
-            self.commit, self._commit_failed, MAX_WAITING, A_BATCH
+            self.commit, self._commit_failed, MAX_WAITING, MAX_BATCH
         )
         self._replication: Replication[Accepted] = Replication(copies)
         self._by_key = {p.key: p for p in self.active.beyond({}) if p.key and p.issuer == name}
@@ -224,7 +224,7 @@
     # --- taking purges
 
     async def submit(self, scope: str, key: str = "", tags: Catalog | None = None) -> Accepted:
-        """Returns once it is stored. Raises BadScope, TooOdd, Refused."""
+        """Returns once it is stored. Raises BadScope, UnsupportedPattern, Refused."""
         if self.store.broken:
             raise Refused(503, f"this feed takes nothing more: {self.store.broken}")
         parsed = parse(scope, {**self.catalog(), **(tags or {})})
--- a/gladelane/purges/purge_stream.py
+++ b/gladelane/purges/purge_stream.py
@@ -9,7 +9,7 @@
 from ..control.positions import Vector, vector_text
 from .active_purges import ActivePurges
 from .order import Purge
-from .wire import BEAT_S, Event, batches, encode_json
+from .wire import HEARTBEAT_S, Event, batches, encode_json
 
 MAX_RECENT = 10_000  # purges kept as they came; a subscriber further behind is served from those in force
 
@@ -80,7 +80,7 @@
             changed = self._changed
             if place == self._recent.end and told_version == horizon.version:
                 with suppress(TimeoutError):
-                    async with asyncio.timeout(BEAT_S):
+                    async with asyncio.timeout(HEARTBEAT_S):
                         await changed.wait()
             recent = self._recent.since(place)
             backlog = recent if recent is not None else list(self._active.beyond(reached))
--- a/gladelane/purges/scope.py
+++ b/gladelane/purges/scope.py
@@ -21,9 +21,9 @@
 
 OBJECT_MOST = 2**64 - 1
 PART_MOST = 2**31
-MOST_BOXES = 4096  # of one scope, after tags
-MOST_TEXT = 200_000
-MOST_DEPTH = 8  # tags within tags
+MAX_BOXES = 4096  # of one scope, after tags
+MAX_TEXT = 200_000
+MAX_DEPTH = 8  # tags within tags
 DIGITS = 16
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
 _HEX = re.compile(r"[0-9a-fA-F]{1,16}")
@@ -103,8 +103,8 @@
     if (plain := _PLAIN.fullmatch(text)) is not None:  # most that is stored: recovery reads 100,000 of these
         low = (plain[1] or plain[2]).ljust(DIGITS, "0")
         return Scope((Box("", -1, int(low, 16), int((plain[1] or plain[2]).ljust(DIGITS, "f"), 16)),))
-    if len(text) > MOST_TEXT:
-        raise BadScope(text, f"{len(text)} characters", f"{MOST_TEXT} at most")
+    if len(text) > MAX_TEXT:
+        raise BadScope(text, f"{len(text)} characters", f"{MAX_TEXT} at most")
     boxes = _union(text, catalog or {}, ())
     return Scope(tuple(boxes) if len(boxes) == 1 else tuple(sorted(set(boxes))))
 
@@ -124,15 +124,15 @@
                 continue
             met = (meet(a, b) for a in made for b in narrower)
             made = list(dict.fromkeys(box for box in met if box is not None))
-            if len(made) > MOST_BOXES:
-                raise BadScope(part, f"{len(made)} parts once its tags are put in", f"{MOST_BOXES} at most")
+            if len(made) > MAX_BOXES:
+                raise BadScope(part, f"{len(made)} parts once its tags are put in", f"{MAX_BOXES} at most")
         if not made:
             raise BadScope(part.strip(), "nothing can be all of these at once")
         if ALL in made and not said:
             raise BadScope(part.strip(), "this covers everything", "the word `all` where that is meant")
         boxes += made
-        if len(boxes) > MOST_BOXES:
-            raise BadScope(text, f"{len(boxes)} parts once its tags are put in", f"{MOST_BOXES} at most")
+        if len(boxes) > MAX_BOXES:
+            raise BadScope(text, f"{len(boxes)} parts once its tags are put in", f"{MAX_BOXES} at most")
     return boxes
 
 
@@ -163,8 +163,8 @@
         case "tag":
             if value not in catalog:
                 raise BadScope(term, "no such tag", "a tag of the catalog, or one sent along")
-            if value in within or len(within) >= MOST_DEPTH:
-                raise BadScope(term, "it stands within itself", f"tags at most {MOST_DEPTH} deep")
+            if value in within or len(within) >= MAX_DEPTH:
+                raise BadScope(term, "it stands within itself", f"tags at most {MAX_DEPTH} deep")
             return _union(catalog[value], catalog, (*within, value))
     raise BadScope(term, f"unknown kind {kind!r}")
 
--- a/gladelane/purges/subscriber.py
+++ b/gladelane/purges/subscriber.py
@@ -15,7 +15,7 @@
 from ..sse import EventStream
 from ..structures.backoff import Backoff
 from .order import BadPurge, Purge
-from .wire import SILENT_S, Event, event_decoder
+from .wire import HEARTBEAT_TIMEOUT_S, Event, event_decoder
 
 log = logging.getLogger(__name__)
 
@@ -88,7 +88,7 @@
         response = stream_response(self.host, self.port, "GET", target, self._token(), tls=self._tls)
         async with aclosing(response) as stream:
             while True:
-                async with asyncio.timeout(SILENT_S):
+                async with asyncio.timeout(HEARTBEAT_TIMEOUT_S):
                     data = await anext(stream, None)
                 if data is None:
                     return
--- a/gladelane/purges/wire.py
+++ b/gladelane/purges/wire.py
@@ -17,12 +17,10 @@
 from .horizon import Loss
 from .order import Purge
 
-MOST_BODY = 65_536  # bytes of a request
-MOST_EVENT = 2_000_000  # bytes of an event that a director sends
-A_BATCH = 500  # purges in one event
+MAX_BATCH = 500  # purges in one event
 BATCH_BYTES = 1_000_000  # of scopes in one event
-BEAT_S = 1.0
-SILENT_S = 3.0
+HEARTBEAT_S = 1.0  # between two marks of a stream on which nothing is new
+HEARTBEAT_TIMEOUT_S = 3.0  # without a byte for so long a stream is given up
 
 
 class Submit(msgspec.Struct, forbid_unknown_fields=True):
@@ -86,7 +84,7 @@
     batch: list[Purge] = []
     size = 0
     for purge in purges:
-        if batch and (len(batch) >= A_BATCH or size + len(purge.scope) > BATCH_BYTES):
+        if batch and (len(batch) >= MAX_BATCH or size + len(purge.scope) > BATCH_BYTES):
             yield batch
             batch, size = [], 0
         batch.append(purge)
--- a/tests/fleet/test_audit_pure.py
+++ b/tests/fleet/test_audit_pure.py
@@ -10,11 +10,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from gladelane.fleet.book import Page, joined
 from gladelane.fleet.ledger import BadReport, Ledger
 from gladelane.fleet.straggle import Judge, Ladder, ladder_of
 from gladelane.fleet.tenure import Lacks, Stage, Tenure, Verdict
 from gladelane.fleet.trail import Span, Trail
+from gladelane.fleet.trail_store import Page, joined
 from gladelane.fleet.view import ALL, Order, Part, View, compare, compare_part, matters, name_of
 from gladelane.fleet.wire import Expect, Report
 from gladelane.lab.tenures import LADDER_PLANTS, TENURE_PLANTS, searched, searched_all
--- a/tests/purges/test_orders.py
+++ b/tests/purges/test_orders.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 
 from gladelane.purges.order import Purge
-from gladelane.purges.orders import A_BATCH, Orders
+from gladelane.purges.orders import MAX_BATCH, Orders
 
 
 def purges(first: int, count: int) -> list[Purge]:
@@ -70,7 +70,7 @@
 def test_a_server_that_fails_is_asked_later_and_later_and_holds_up_no_other() -> None:
     orders = Orders(1000.0, 8, 0.0)
     orders.servers({"bad": 1.0, "good": 1.0})
-    orders.add(purges(1, 3 * A_BATCH))
+    orders.add(purges(1, 3 * MAX_BATCH))
     now, asked, served = 0.0, [], 0
     while now < 60_000.0:
         for order in orders.next(now):
@@ -81,7 +81,7 @@
                 served += len(order.purges)
                 orders.acknowledged(order)
         now += 10.0
-    assert served == 3 * A_BATCH and orders.purged("good") and not orders.purged("bad")
+    assert served == 3 * MAX_BATCH and orders.purged("good") and not orders.purged("bad")
     pauses = [b - a for a, b in zip(asked, asked[1:], strict=False)]
     assert pauses[0] < 300.0 and max(pauses) >= 10_000.0 and len(asked) < 15
 
--- a/tests/purges/test_scope_index.py
+++ b/tests/purges/test_scope_index.py
@@ -11,8 +11,8 @@
 from hypothesis import strategies as st
 
 from gladelane.purges.bounds import Bound, in_force, join, newest
-from gladelane.purges.index import MOST_MASKS, Index, TooOdd, dyadic
-from gladelane.purges.scope import MOST_BOXES, BadScope, Box, meet, parse
+from gladelane.purges.index import MAX_MASKS, Index, UnsupportedPattern, dyadic
+from gladelane.purges.scope import MAX_BOXES, BadScope, Box, meet, parse
 from gladelane.structures.stepmap import StepMap
 
 CATALOG = {
@@ -46,7 +46,7 @@
     ("tag:none", "no such tag"), ("tag:loop", "within itself"), ("colour:red", "unknown kind"), ("group:1 & group:2", "nothing can be"),
     ("object:00000000000000aa & objects:*f", "nothing can be"), ("objects:*", "covers everything"), ("parts:0-2147483648", "covers everything"),
     ("tag:wide", "covers everything"), ("group:1 | objects:*", "covers everything"), ("group:1 &", "no term"), ("x" * 300_000, "characters"),
-    (" | ".join(f"object:{n:016x}" for n in range(MOST_BOXES + 1)), "parts once its tags are put in"),
+    (" | ".join(f"object:{n:016x}" for n in range(MAX_BOXES + 1)), "parts once its tags are put in"),
 ])  # fmt: skip
 def test_what_is_no_scope_says_why_in_one_line(text: str, says: str) -> None:
     with pytest.raises(BadScope, match=says) as caught:
@@ -168,10 +168,10 @@
 
 def test_patterns_that_would_slow_every_look_up_are_refused_and_change_nothing() -> None:
     index = Index()
-    for n in range(MOST_MASKS):
+    for n in range(MAX_MASKS):
         places = f"{n:08b}".replace("0", "?").replace("1", "a")
         index.add(parse(f"objects:{places}{'?' * 7}1"), 1.0)
-    with pytest.raises(TooOdd, match="expected a prefix or a range"):
+    with pytest.raises(UnsupportedPattern, match="expected a prefix or a range"):
         index.add(parse("objects:*2? | group:7"), 2.0)
     assert index.newest("film", 7, 5, 0, 0.0) == 0.0
     index.add(parse(f"objects:{'?' * 8}{'?' * 7}2"), 2.0)  # a form that stands already
