Name a wrong setting by its path in the platform's file, and check every one of them

Seen: a file without `settings.rules.drain_grace_ms` was told as 'settings: drain_grace_ms is missing', `balancers` as `proxies`, and a notice without `hostPort` in msgspec's words.

Cause: `Settings.read` checks names of its own and `settings_wire` translated values but never errors; by-class lists were looked up place by place, so one too short gave defaults; numbers had no upper bound.

`pass_on`, `good_for_ms` and `gone_everywhere_ms` may not be left out of the file any more: the platform's page has them always, and their defaults would break a rule unseen (a write kept, a copy too old, a purge that stops binding early). `interface` keeps events and actions; classes and settings moved to `deployment`, and `interface` names them as before, so no reader of them changed.

Changed because they said the contrary: test_simhost asserted `proxies` for a wrong `balancers` (now the whole wording with the file's key), and test_retune's files had two places in by-class lists for one or three classes (now as many as classes; what they assert is as it was).

--- /dev/null
+++ b/gladelane/deployment.py
@@ -0,0 +1,250 @@
+"""The facts of one deployment as the router and both hosts read them: its classes, kinds, limits and rules.
+
+`Settings.read` checks every value by itself and against the others. Names and words are this program's;
+`settings_wire` has those of the platform's file. Times are milliseconds. Pure.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from enum import Enum
+from types import MappingProxyType
+from typing import Any
+
+from .settings_checks import (
+    MISSING,
+    BadSetting,
+    Choice,
+    Field,
+    Flag,
+    Number,
+    Text,
+    read_fields,
+    read_list,
+    read_object,
+)
+
+# Upper bounds catch a wrong unit or a slip of the keyboard, not a large deployment.
+MOST_MS = 31_536_000_000.0  # a year
+MOST_COUNT = 1_000_000_000.0  # of directors, attempts, open requests
+MOST_FACTOR = 1_000_000.0  # worths and multiples of a rate
+MOST_KB_PER_S = 1e12
+REPORT_FIELDS_MOST = 16  # the platform names four at the most; the rest is room for new ones
+
+
+class Effect(Enum):
+    """What a repeat of a request does: SAFE nothing, KEYED is dropped by a group for a while, UNSAFE harm."""
+
+    SAFE = "safe"
+    KEYED = "keyed"
+    UNSAFE = "unsafe"
+
+
+@dataclass(frozen=True, slots=True)
+class ClassSpec:
+    """What one class of requests is worth, how long it is waited for, and what a repeat of it may do."""
+
+    name: str
+    effect: Effect
+    group: str
+    window_ms: float
+    aim_ms: float
+    aim_stretch: float
+    deadline_ms: float
+    worth: float
+    late_worth: float
+    stream: bool
+    fresh_ms: float
+    grace_ms: float
+    parts: bool
+    cacheable: bool
+    keyless: bool = False  # keyed, but a request may lack its key: while settings change, by either file
+
+    def aim_for(self, size_kb: float, flow_kb_per_s: float) -> float:
+        """Within which an answer earns its full worth, ms. A size made up lengthens it to the deadline at
+        most; one that is not told counts as nothing."""
+        work = size_kb / flow_kb_per_s * 1000.0 if flow_kb_per_s else 0.0
+        return min(self.aim_ms + self.aim_stretch * work, self.deadline_ms)
+
+
+_FLAG, _NAME = Flag(), Text()
+_MS, _MS_ABOVE_0 = Number(0, MOST_MS), Number(0, MOST_MS, above=True)
+_SHARE = Number(0, 1)
+_FACTOR = Number(0, MOST_FACTOR)
+_RATE = Number(0, MOST_KB_PER_S)
+_COUNT, _COUNT_FROM_1 = Number(0, MOST_COUNT, whole=True), Number(1, MOST_COUNT, whole=True)
+
+_FIELDS: Mapping[str, Field] = {
+    "me": Field(_COUNT),
+    "proxies": Field(_COUNT_FROM_1),
+    "zone": Field(_NAME),
+    "origin_kind": Field(_NAME),
+    "parent_kind": Field(Text(least=0), ""),  # empty: there are none
+    "subscribe": Field(_FLAG, False),
+    "ask_within_ms": Field(_MS, 10000.0),
+    "reports": Field(Choice(("inline", "probe", "none")), "none"),
+    "notes": Field(Choice(("all", "hit", "none")), "none"),
+    "peers_fill": Field(Choice(("none", "zone", "any")), "none"),
+    "weights": Field(Choice(("none", "nominal", "rough", "live")), "none"),
+    "straight": Field(_FLAG, False),
+    "joins": Field(_FLAG, False),
+    "flow_kb_per_s": Field(_RATE, 0.0),
+    "cancel": Field(_FLAG, False),
+    "second_copies": Field(_FLAG, False),
+    "probes": Field(_FLAG, False),
+    "messages": Field(_FLAG, False),
+    "retry_after": Field(_FLAG, False),
+    "max_retry_after_ms": Field(_MS, 0.0),
+    "max_attempts": Field(_COUNT_FROM_1),
+    "max_open": Field(_COUNT_FROM_1),
+    "connect_timeout_ms": Field(_MS),
+    "drain_grace_ms": Field(_MS),
+    "answer_grace_ms": Field(_MS, 0.0),
+    "tick_ms": Field(_MS, 0.0),
+    "cold_from": Field(_SHARE),
+    "warm_after_ms": Field(_MS),
+    "fall_multiple": Field(_FACTOR),
+    "fall_ms": Field(_MS),
+    "parent_cold_from": Field(_SHARE, 1.0),
+    "parent_cold_ms": Field(_MS, 0.0),
+    "parent_fall_multiple": Field(_FACTOR, 1.0),
+    "origin_fall_multiple": Field(_FACTOR, 0.0),
+    "origin_fall_ms": Field(_MS, 0.0),
+    "purge_grace_ms": Field(_MS, 0.0),
+    "purge_done_ms": Field(_MS, 0.0),
+}
+_CLASS_FIELDS: Mapping[str, Field] = {
+    "name": Field(_NAME),
+    "effect": Field(Choice(tuple(effect.value for effect in Effect))),
+    "group": Field(Choice(("all", "zone", "cell")), "all"),
+    "window_ms": Field(_MS, 0.0),
+    "aim_ms": Field(_MS),
+    "aim_stretch": Field(_FACTOR, 0.0),
+    "deadline_ms": Field(_MS_ABOVE_0),
+    "worth": Field(_FACTOR),
+    "late_worth": Field(_SHARE, 0.0),
+    "stream": Field(_FLAG, False),
+    "fresh_ms": Field(_MS, 0.0),
+    "grace_ms": Field(_MS, 0.0),
+    "parts": Field(_FLAG, False),
+    "cacheable": Field(_FLAG, True),
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    """The facts of one deployment. Build it with `Settings.read`; keys it does not know are passed over.
+
+    Told but not read by the router: hub_of, inlet_kb_per_s, report_fields, reports, peers_fill, me,
+    ask_within_ms, probes, messages, max_open, connect_timeout_ms, drain_grace_ms (draining stores get nothing
+    at once), answer_grace_ms, origin_fall_multiple, origin_fall_ms, purge_grace_ms (a purge binds at once);
+    of a class: late_worth, stream, grace_ms."""
+
+    classes: Mapping[str, ClassSpec]
+    zones: tuple[str, ...]
+    hub_of: tuple[int, ...]
+    seats_by_zone: tuple[int, ...]
+    inlet_kb_per_s: tuple[float, ...]
+    report_fields: tuple[str, ...]
+    me: int
+    proxies: int
+    zone: str
+    origin_kind: str
+    parent_kind: str
+    subscribe: bool
+    ask_within_ms: float
+    reports: str
+    notes: str
+    peers_fill: str
+    weights: str
+    straight: bool
+    joins: bool
+    flow_kb_per_s: float
+    cancel: bool
+    second_copies: bool
+    probes: bool
+    messages: bool
+    retry_after: bool
+    max_retry_after_ms: float
+    max_attempts: int
+    max_open: int
+    connect_timeout_ms: float
+    drain_grace_ms: float
+    answer_grace_ms: float
+    tick_ms: float
+    cold_from: float
+    warm_after_ms: float
+    fall_multiple: float
+    fall_ms: float
+    parent_cold_from: float
+    parent_cold_ms: float
+    parent_fall_multiple: float
+    origin_fall_multiple: float
+    origin_fall_ms: float
+    purge_grace_ms: float
+    purge_done_ms: float
+
+    @classmethod
+    def read(cls, raw: Mapping[str, Any]) -> Settings:
+        """Raises BadSetting, whose key is the path in `raw`."""
+        values = read_fields(raw, _FIELDS)
+        zones = _read_zones(raw, values["zone"])
+        count = len(zones)
+        if values["me"] >= values["proxies"]:
+            expected = f"a number below that of the directors, {values['proxies']}"
+            raise BadSetting("me", values["me"], expected)
+        if values["parent_kind"] == values["origin_kind"]:
+            raise BadSetting("parent_kind", values["parent_kind"], "another kind than the origin's")
+        return cls(
+            classes=MappingProxyType(_read_classes(raw)),
+            zones=zones,
+            hub_of=read_list(raw.get("hub_of"), Number(0, count - 1, whole=True), "hub_of", count, "zone"),
+            seats_by_zone=read_list(raw.get("seats_by_zone"), _COUNT, "seats_by_zone", count, "zone"),
+            inlet_kb_per_s=read_list(raw.get("inlet_kb_per_s"), _RATE, "inlet_kb_per_s", count, "zone"),
+            report_fields=_read_report_fields(raw),
+            **values,
+        )
+
+    def class_named(self, name: str) -> ClassSpec:
+        if name not in self.classes:
+            raise ValueError(f"unknown class {name!r}")
+        return self.classes[name]
+
+    def known_zone(self, name: str) -> str:
+        if name not in self.zones:
+            raise ValueError(f"unknown zone {name!r}")
+        return name
+
+
+def _read_zones(raw: Mapping[str, Any], own: str) -> tuple[str, ...]:
+    if not raw.get("zones"):
+        raise BadSetting("zones", raw.get("zones", MISSING), "a list of at least one zone")
+    zones = read_list(raw["zones"], _NAME, "zones")
+    for place, zone in enumerate(zones):
+        if zone in zones[:place]:
+            raise BadSetting(f"zones[{place}]", zone, "a name that no other zone has")
+    if own not in zones:
+        raise BadSetting("zone", own, "the name of a listed zone")
+    return zones
+
+
+def _read_classes(raw: Mapping[str, Any]) -> dict[str, ClassSpec]:
+    rows = raw.get("classes", MISSING)
+    if not isinstance(rows, (list, tuple)) or not rows:
+        raise BadSetting("classes", rows, "a list of at least one class")
+    classes: dict[str, ClassSpec] = {}
+    for place, row in enumerate(rows):
+        values = read_fields(read_object(row, f"classes[{place}]"), _CLASS_FIELDS, f"classes[{place}]")
+        name = values["name"]
+        if name in classes:
+            raise BadSetting(f"classes[{place}].name", name, "a name that no other class has")
+        classes[name] = ClassSpec(**{**values, "effect": Effect(values["effect"])})
+    return classes
+
+
+def _read_report_fields(raw: Mapping[str, Any]) -> tuple[str, ...]:
+    names = read_list(raw.get("report_fields"), _NAME, "report_fields")
+    if len(names) > REPORT_FIELDS_MOST:
+        raise BadSetting("report_fields", names, f"{REPORT_FIELDS_MOST} names at the most")
+    return names
--- a/gladelane/settings_wire.py
+++ b/gladelane/settings_wire.py
@@ -1,12 +1,32 @@
-"""The settings as the wire and GW_CONFIG name them, read into the module's own. Shared by both hosts."""
+"""The settings as the wire and GW_CONFIG name them, read into the module's own. Shared by both hosts.
+
+Whatever is wrong is told by its path in the file: what `Settings.read` finds under a name of its own is
+renamed here.
+"""
 
 from __future__ import annotations
 
+import re
 from collections.abc import Mapping
 from typing import Any
 
 from . import interface as api
+from .settings_checks import (
+    MISSING,
+    BadSetting,
+    Choice,
+    Field,
+    Flag,
+    Kind,
+    Number,
+    Text,
+    read_fields,
+    read_list,
+    read_object,
+    read_value,
+)
 
+#: plain key -> the file's word -> the module's
 _WORDS: dict[str, dict[str, Any]] = {
     "effect": {"retryable": "safe", "dedup": "keyed", "fragile": "unsafe"},
     "reports": {"inline": "inline", "on_probe": "probe", "off": "none"},
@@ -58,6 +78,8 @@
     "purge_grace_ms": "family_info.notice_time_ms",
     "purge_done_ms": "family_info.gone_everywhere_ms",
 }
+#: likewise of what the file has as a place in `kinds`, and the module by its name
+_KIND_PATHS = {"origin_kind": "family_info.store_kind", "parent_kind": "family_info.upper_kind"}
 _CLASS_KEYS = {
     "name": "name",
     "effect": "effect",
@@ -70,45 +92,103 @@
     "late_worth": "late_worth",
     "stream": "stream",
 }
+#: plain key of a class -> the list in `family_info` that has one value for each class
 _CLASS_ROWS = {
     "fresh_ms": "good_for_ms",
     "grace_ms": "stale_for_ms",
     "parts": "segmented",
     "cacheable": "pass_on",
 }
+#: objects of the file that the paths above lead through
+_SECTIONS = ("family_info", "limits", "rules", "report")
+#: Without these a rule would be broken unseen: a write kept as if it were a copy, a copy too old, a purge
+#: that stops binding while old copies are still about. So they have no default here, unlike in the module.
+_NEEDED_LISTS = ("pass_on", "good_for_ms")
+_NEEDED = {"gone_everywhere_ms": Field(Number())}
+_CLASS_KEY = re.compile(r"classes\[([0-9]+)\]\.(\w+)")
+
+
+def settings_from_wire(raw: Mapping[str, Any]) -> api.Settings:
+    """Raises BadSetting, whose key is the path in `raw`."""
+    told = read_object(raw, "")
+    for section in _SECTIONS:
+        if told.get(section) is not None or section != "report":  # where there are none it may be left out
+            read_object(told.get(section), section)
+    plain = {key: _plain(key, _at(told, path), path) for key, path in _PATHS.items()}
+    plain.update(_kinds(told))
+    rows = told.get("classes")
+    plain["classes"] = _classes(told, rows) if isinstance(rows, list) and rows else rows
+    try:
+        settings = api.Settings.read(plain)
+    except BadSetting as error:
+        key = _file_key(error.key)
+        found = _at(told, key) if key in (*_PATHS.values(), *_KIND_PATHS.values()) else error.found
+        raise BadSetting(key, MISSING if found is None else found, error.expected) from None
+    read_fields(told["family_info"], _NEEDED, "family_info")
+    return settings
 
 
 def _at(raw: Any, path: str) -> Any:
+    """None where nothing stands there."""
     for step in path.split("."):
         raw = raw.get(step) if isinstance(raw, Mapping) else None
     return raw
 
 
-def _word(key: str, value: Any) -> Any:
-    table = _WORDS.get(key, {})
-    return table.get(value, value) if isinstance(value, str) else value
+def _plain(key: str, value: Any, path: str) -> Any:
+    """A value in the module's words. Raises BadSetting for a word that the file's format does not have."""
+    words = _WORDS.get(key)
+    if words is None or value is None:
+        return value
+    return words[read_value(value, Choice(tuple(words)), path)]
 
 
-def settings_from_wire(raw: Mapping[str, Any]) -> api.Settings:
-    plain = {key: _word(key, _at(raw, path)) for key, path in _PATHS.items()}
-    kinds = _at(raw, "kinds") or []
-    for key, path in (("origin_kind", "family_info.store_kind"), ("parent_kind", "family_info.upper_kind")):
-        place = _at(raw, path)
-        plain[key] = kinds[place] if isinstance(place, int) and 0 <= place < len(kinds) else None
-    rows = _at(raw, "classes")
-    if isinstance(rows, list):
-        plain["classes"] = [_class_from_wire(raw, place, row) for place, row in enumerate(rows)]
-    return api.Settings.read(plain)
-
-
-def _class_from_wire(raw: Mapping[str, Any], place: int, row: Any) -> Any:
-    if not isinstance(row, Mapping):
-        return row
-    spec = {key: _word(key, row.get(name)) for key, name in _CLASS_KEYS.items()}
-    for key, name in _CLASS_ROWS.items():
-        values = _at(raw, f"family_info.{name}")
-        if isinstance(values, list) and place < len(values):
-            spec[key] = values[place]
-    if isinstance(spec.get("cacheable"), bool):
-        spec["cacheable"] = not spec["cacheable"]
-    return spec
+def _kinds(raw: Mapping[str, Any]) -> dict[str, str]:
+    """The names of the origin's kind and of the parents', '' where there are none."""
+    kinds = read_list(raw.get("kinds"), Text(), "kinds")
+    if not kinds:
+        raise BadSetting("kinds", raw.get("kinds", MISSING), "a list of at least one kind")
+    place: dict[str, Kind] = {
+        "store_kind": Number(0, len(kinds) - 1, whole=True),
+        "upper_kind": Number(-1, len(kinds) - 1, whole=True),
+    }
+    fields = {"store_kind": Field(place["store_kind"]), "upper_kind": Field(place["upper_kind"], -1)}
+    places = read_fields(raw["family_info"], fields, "family_info")
+    upper = places["upper_kind"]
+    return {"origin_kind": kinds[places["store_kind"]], "parent_kind": kinds[upper] if upper >= 0 else ""}
+
+
+def _classes(raw: Mapping[str, Any], rows: list[Any]) -> list[dict[str, Any]]:
+    lists = {key: _class_list(raw, key, name, len(rows)) for key, name in _CLASS_ROWS.items()}
+    classes = []
+    for place, row in enumerate(rows):
+        told = read_object(row, f"classes[{place}]")
+        spec = {
+            key: _plain(key, told.get(name), f"classes[{place}].{name}") for key, name in _CLASS_KEYS.items()
+        }
+        spec.update({key: values[place] for key, values in lists.items() if values})
+        classes.append(spec)
+    return classes
+
+
+def _class_list(raw: Mapping[str, Any], key: str, name: str, count: int) -> tuple[Any, ...]:
+    path = f"family_info.{name}"
+    values = _at(raw, path)
+    if not values and name in _NEEDED_LISTS:
+        raise BadSetting(
+            path, MISSING if values is None else values, f"a list of {count}, one for each class"
+        )
+    kind: Kind = Number() if key.endswith("_ms") else Flag()
+    read = read_list(values, kind, path, count, "class")
+    return tuple(not value for value in read) if key == "cacheable" else read
+
+
+def _file_key(key: str) -> str:
+    """The path in the file of what the module knows as `key`."""
+    if of_class := _CLASS_KEY.fullmatch(key):
+        place, name = of_class.groups()
+        if name in _CLASS_ROWS:
+            return f"family_info.{_CLASS_ROWS[name]}[{place}]"
+        return f"classes[{place}].{_CLASS_KEYS[name]}"
+    name, bracket, rest = key.partition("[")
+    return {**_PATHS, **_KIND_PATHS}.get(name, name) + bracket + rest
--- a/tests/operations/test_retune.py
+++ b/tests/operations/test_retune.py
@@ -92,6 +92,7 @@
             **settings(max_attempts=2),
             "zone": "hub",
             "classes": [*settings()["classes"], {**settings()["classes"][0], "name": "new"}],
+            "family_info": rows_for(["film", "sheet", "new"]),
         }
     )
     now, later = applied(used, told)
@@ -105,10 +106,20 @@
     assert set(back.classes) == {"film", "sheet", "new"} and back.max_attempts == min(2, used.max_attempts)
 
 
+def rows_for(names: list[str]) -> dict[str, Any]:
+    """What the settings say by class, for these: each list has one value for each."""
+    lists = {
+        "pass_on": [name == "sheet" for name in names],
+        "good_for_ms": [0.0] * len(names),
+        "segmented": [False] * len(names),
+    }
+    return {**settings()["family_info"], **lists}
+
+
 def retuned(places: dict[str, str], classes: list[dict[str, Any]], **limits: Any) -> Any:
     raw = json.loads(config(places, **limits))
     raw["settings"]["classes"] = classes
-    raw["settings"]["family_info"]["pass_on"] = [row["name"] == "sheet" for row in classes]
+    raw["settings"]["family_info"] = rows_for([row["name"] for row in classes])
     return read_config(json.dumps(raw).encode())
 
 
--- a/tests/test_simhost.py
+++ b/tests/test_simhost.py
@@ -64,7 +64,7 @@
 
 def test_bad_settings_name_the_key() -> None:
     done = run(start(balancers="many"))
-    assert done.returncode != 0 and "proxies" in done.stderr
+    assert done.returncode != 0 and "balancers is 'many'; expected a whole number" in done.stderr
 
 
 def test_a_stopped_instance_holds_nothing() -> None:
