--- a/gladelane/deployment.py
+++ b/gladelane/deployment.py
@@ -139,7 +139,7 @@
     Told but not read by the router: hub_of, inlet_kb_per_s, report_fields, reports, peers_fill, me,
     ask_within_ms, probes, messages, max_open, connect_timeout_ms, drain_grace_ms (draining stores get nothing
     at once), answer_grace_ms, origin_fall_multiple, origin_fall_ms, purge_grace_ms (a purge binds at once);
-    of a class: late_worth, stream, grace_ms."""
+    of a class: late_worth, stream, grace_ms, parts."""
 
     classes: Mapping[str, ClassSpec]
     zones: tuple[str, ...]
--- a/gladelane/interface.py
+++ b/gladelane/interface.py
@@ -16,12 +16,16 @@
 
 
 class State(Enum):
+    """Of a store, by the list: it takes work, finishes what it has, or has left."""
+
     READY = "ready"
     DRAINING = "draining"
     GONE = "gone"
 
 
 class Status(Enum):
+    """How an attempt ended."""
+
     OK = "ok"
     ERROR = "error"
     FULL = "full"
@@ -54,6 +58,8 @@
 
 
 class ListKind(Enum):
+    """What a list of stores holds: what changed, all of it, all as remembered, or nothing where it failed."""
+
     CHANGES = "changes"
     COMPLETE = "complete"
     REMEMBERED = "remembered"
@@ -115,6 +121,8 @@
 
 @dataclass(frozen=True, slots=True)
 class ClientGone:
+    """Nobody waits for this request any more."""
+
     id: int
 
 
@@ -137,11 +145,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Timer:
+    """One that SetTimer asked for is due."""
+
     token: str
 
 
 @dataclass(frozen=True, slots=True)
 class Member:
+    """One entry of the list; `came_up_ms` 0: it has run for long."""
+
     store: str
     zone: str
     kind: str
@@ -153,6 +165,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Members:
+    """The list, or what changed in it."""
+
     kind: ListKind
     stores: tuple[Member, ...] = ()
 
@@ -190,6 +204,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Cancel:
+    """Give one attempt up; its outcome still comes."""
+
     id: int
     attempt: int
 
@@ -203,23 +219,31 @@
 
 @dataclass(frozen=True, slots=True)
 class Refuse:
+    """The final answer that a further try is harmless; `come_back_ms` 0: no advice when."""
+
     id: int
     come_back_ms: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
 class Fail:
+    """The final answer that says nothing on whether the request ran."""
+
     id: int
 
 
 @dataclass(frozen=True, slots=True)
 class SetTimer:
+    """Asks for a Timer at that time or soon after; it cannot be taken back."""
+
     token: str
     due_ms: float
 
 
 @dataclass(frozen=True, slots=True)
 class Subscribe:
+    """Asks for changes of the list from now on."""
+
     on: bool = True
 
 
