Test that a reload of a file with a wrong setting names it and leaves the old one in force

Three cases with the real process: a missing rule, a wrong kind, a NaN; each is named by its path in the log line of the failed reload, the director still says that it is ready, and ends clean on SIGTERM. It covers no new code.

--- a/tests/test_settings_files.py
+++ b/tests/test_settings_files.py
@@ -2,19 +2,25 @@
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
 import copy
 import json
 import os
+import signal
 import subprocess
 import sys
 from pathlib import Path
 from typing import Any
 
 import pytest
+from harness import Client
 from hypothesis import given
 from hypothesis import strategies as st
+from test_net_rules import ready, start_process
 
 from gladelane.net.config import BadConfig, read_config
+from gladelane.net.frames import encode_fields
 from gladelane.settings_checks import MISSING, BadSetting
 
 ROOT = Path(__file__).parent.parent
@@ -247,3 +253,35 @@
     assert done.returncode != 0 and done.stdout == ""
     assert len(done.stderr.splitlines()) == 1
     assert str(file) in done.stderr and f"{path} is " in done.stderr and "expected " in done.stderr
+
+
+@pytest.mark.parametrize("path,value", [
+    ("settings.rules.fall_ms", MISSING), ("settings.limits.max_attempts", "three"), ("settings.classes[0].deadline_ms", float("nan")),
+])  # fmt: skip
+def test_a_bad_file_at_a_reload_is_named_and_the_one_in_use_stays(
+    tmp_path: Path, path: str, value: Any
+) -> None:
+    async def scene() -> None:
+        good = json.dumps({**WHOLE, "listen": "127.0.0.1:0", "board": "127.0.0.1:1"}).encode()
+        process = start_process(good, tmp_path)
+        try:
+            port = await ready(process)
+            (tmp_path / "config.json").write_bytes(changed(path, value))
+            process.send_signal(signal.SIGHUP)
+            assert process.stderr is not None
+            line = ""
+            while "reload failed" not in line:
+                line = await asyncio.to_thread(process.stderr.readline)
+            assert "the old configuration stays" in line and f"{path} is " in line and "config.json" in line
+            client = await Client.to(port)
+            client.send(32, 5, encode_fields({}))
+            assert (await client.next())[:3] == (33, 5, 0)
+            client.writer.close()
+            process.send_signal(signal.SIGTERM)
+            assert await asyncio.to_thread(process.wait, 30) == 0
+        finally:
+            with contextlib.suppress(ProcessLookupError):
+                process.kill()
+            process.communicate()
+
+    asyncio.run(scene())
