--- a/gladelane/interface.py
+++ b/gladelane/interface.py
@@ -1,6 +1,7 @@
 """What the router is told and what it may ask for: settings, events and actions. No decision stands here.
 
 Times are milliseconds of the caller's clock. Stores, requests and objects are opaque identifiers.
+The settings are `deployment`'s; they are named here too, so that this one module is the whole interface.
 """
 
 from __future__ import annotations
@@ -8,25 +9,24 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from enum import Enum
-from types import MappingProxyType
-from typing import Any, Protocol
+from typing import Protocol
 
-
-class Effect(Enum):
-    """What a repeat of a request does: SAFE nothing, KEYED is dropped by a group for a while, UNSAFE harm."""
-
-    SAFE = "safe"
-    KEYED = "keyed"
-    UNSAFE = "unsafe"
+from .deployment import ClassSpec as ClassSpec
+from .deployment import Effect as Effect
+from .deployment import Settings as Settings
 
 
 class State(Enum):
+    """Of a store, by the list: it takes work, finishes what it has, or has left."""
+
     READY = "ready"
     DRAINING = "draining"
     GONE = "gone"
 
 
 class Status(Enum):
+    """How an attempt ended."""
+
     OK = "ok"
     ERROR = "error"
     FULL = "full"
@@ -59,244 +59,14 @@
 
 
 class ListKind(Enum):
+    """What a list of stores holds: what changed, all of it, all as remembered, or nothing where it failed."""
+
     CHANGES = "changes"
     COMPLETE = "complete"
     REMEMBERED = "remembered"
     FAILED = "failed"
 
 
-@dataclass(frozen=True, slots=True)
-class ClassSpec:
-    name: str
-    effect: Effect
-    group: str
-    window_ms: float
-    aim_ms: float
-    aim_stretch: float
-    deadline_ms: float
-    worth: float
-    late_worth: float
-    stream: bool
-    fresh_ms: float
-    grace_ms: float
-    parts: bool
-    cacheable: bool
-    keyless: bool = False  # keyed, but a request may lack its key: while settings change, by either file
-
-    def aim_for(self, size_kb: float, flow_kb_per_s: float) -> float:
-        """Within which an answer earns its full worth, ms. A size made up lengthens it to the deadline at
-        most; one that is not told counts as nothing."""
-        work = size_kb / flow_kb_per_s * 1000.0 if flow_kb_per_s else 0.0
-        return min(self.aim_ms + self.aim_stretch * work, self.deadline_ms)
-
-
-_BOOL, _INT, _NUM, _STR = "true or false", "a whole number", "a number", "a text"
-_POS = "a number above 0"
-#: key -> (form, least value, value where the key may be left out)
-_NEEDED = object()
-_PLAIN: dict[str, tuple[str, float | None, Any]] = {
-    "me": (_INT, 0, _NEEDED),
-    "proxies": (_INT, 1, _NEEDED),
-    "zone": (_STR, None, _NEEDED),
-    "origin_kind": (_STR, None, _NEEDED),
-    "parent_kind": (_STR, None, ""),
-    "subscribe": (_BOOL, None, False),
-    "ask_within_ms": (_NUM, 0, 10000.0),
-    "reports": (_STR, None, "none"),
-    "notes": (_STR, None, "none"),
-    "peers_fill": (_STR, None, "none"),
-    "weights": (_STR, None, "none"),
-    "straight": (_BOOL, None, False),
-    "joins": (_BOOL, None, False),
-    "flow_kb_per_s": (_NUM, 0, 0.0),
-    "cancel": (_BOOL, None, False),
-    "second_copies": (_BOOL, None, False),
-    "probes": (_BOOL, None, False),
-    "messages": (_BOOL, None, False),
-    "retry_after": (_BOOL, None, False),
-    "max_retry_after_ms": (_NUM, 0, 0.0),
-    "max_attempts": (_INT, 1, _NEEDED),  # the least of whole numbers above 0
-    "max_open": (_INT, 1, _NEEDED),
-    "connect_timeout_ms": (_NUM, 0, _NEEDED),
-    "drain_grace_ms": (_NUM, 0, _NEEDED),
-    "answer_grace_ms": (_NUM, 0, 0.0),
-    "tick_ms": (_NUM, 0, 0.0),
-    "cold_from": (_NUM, 0, _NEEDED),
-    "warm_after_ms": (_NUM, 0, _NEEDED),
-    "fall_multiple": (_NUM, 0, _NEEDED),
-    "fall_ms": (_NUM, 0, _NEEDED),
-    "parent_cold_from": (_NUM, 0, 1.0),
-    "parent_cold_ms": (_NUM, 0, 0.0),
-    "parent_fall_multiple": (_NUM, 0, 1.0),
-    "origin_fall_multiple": (_NUM, 0, 0.0),
-    "origin_fall_ms": (_NUM, 0, 0.0),
-    "purge_grace_ms": (_NUM, 0, 0.0),
-    "purge_done_ms": (_NUM, 0, 0.0),
-}
-_CHOICES = {
-    "reports": ("inline", "probe", "none"),
-    "notes": ("all", "hit", "none"),
-    "peers_fill": ("none", "zone", "any"),
-    "weights": ("none", "nominal", "rough", "live"),
-}
-_CLASS: dict[str, tuple[str, float | None, Any]] = {
-    "name": (_STR, None, _NEEDED),
-    "effect": (_STR, None, _NEEDED),
-    "group": (_STR, None, "all"),
-    "window_ms": (_NUM, 0, 0.0),
-    "aim_ms": (_NUM, 0, _NEEDED),
-    "aim_stretch": (_NUM, 0, 0.0),
-    "deadline_ms": (_POS, 0, _NEEDED),
-    "worth": (_NUM, 0, _NEEDED),
-    "late_worth": (_NUM, 0, 0.0),
-    "stream": (_BOOL, None, False),
-    "fresh_ms": (_NUM, 0, 0.0),
-    "grace_ms": (_NUM, 0, 0.0),
-    "parts": (_BOOL, None, False),
-    "cacheable": (_BOOL, None, True),
-}
-_CLASS_CHOICES = {"effect": ("safe", "keyed", "unsafe"), "group": ("all", "zone", "cell")}
-
-
-def _value(raw: Mapping[str, Any], key: str, where: str, spec: tuple[str, float | None, Any]) -> Any:
-    form, least, default = spec
-    if raw.get(key) is None:
-        if default is _NEEDED:
-            raise ValueError(f"settings: {where}{key} is missing; expected {form}")
-        return default
-    value = raw[key]
-    number = isinstance(value, (int, float)) and not isinstance(value, bool)
-    whole = number and float(value).is_integer()
-    good = {_BOOL: isinstance(value, bool), _INT: whole, _NUM: number, _STR: isinstance(value, str),
-            _POS: number and value > 0}[form]  # fmt: skip
-    if not good or (least is not None and not least <= value < float("inf")):
-        bound = "" if least is None or form == _POS else f" of {least} or more"
-        raise ValueError(f"settings: {where}{key} is {value!r}; expected {form}{bound}")
-    return int(value) if form == _INT else float(value) if form in (_NUM, _POS) else value
-
-
-def _fields(
-    raw: Any,
-    where: str,
-    specs: dict[str, tuple[str, float | None, Any]],
-    choices: Mapping[str, tuple[str, ...]],
-) -> dict[str, Any]:
-    if not isinstance(raw, Mapping):
-        raise ValueError(f"settings: {where or 'the whole'} is {raw!r}; expected an object")
-    values = {key: _value(raw, key, where, spec) for key, spec in specs.items()}
-    for key, allowed in choices.items():
-        if values[key] not in allowed:
-            wanted = ", ".join(allowed)
-            raise ValueError(f"settings: {where}{key} is {values[key]!r}; expected one of {wanted}")
-    return values
-
-
-def _row(raw: Mapping[str, Any], key: str, form: Any, length: int | None) -> tuple[Any, ...]:
-    row = raw.get(key)
-    if row is None:
-        return ()
-    if not isinstance(row, (list, tuple)) or not all(
-        isinstance(v, form) and (form is str or (not isinstance(v, bool) and v >= 0)) for v in row
-    ):
-        raise ValueError(f"settings: {key} is {row!r}; expected a list of texts or of numbers of 0 or more")
-    if length is not None and len(row) not in (0, length):
-        raise ValueError(f"settings: {key} holds {len(row)} values; expected {length}, one a zone")
-    return tuple(row)
-
-
-@dataclass(frozen=True, slots=True)
-class Settings:
-    """The facts of one deployment. Build it with `Settings.read`; keys it does not know are passed over.
-
-    Told but not read by the router: hub_of, inlet_kb_per_s, report_fields, reports, peers_fill, me, proxies,
-    ask_within_ms, probes, messages, max_open, connect_timeout_ms, drain_grace_ms (draining stores get nothing
-    at once), answer_grace_ms, origin_fall_multiple, origin_fall_ms, purge_grace_ms (a purge binds at once);
-    of a class: late_worth, stream, grace_ms."""
-
-    classes: Mapping[str, ClassSpec]
-    zones: tuple[str, ...]
-    hub_of: tuple[int, ...]
-    seats_by_zone: tuple[int, ...]
-    inlet_kb_per_s: tuple[float, ...]
-    report_fields: tuple[str, ...]
-    me: int
-    proxies: int
-    zone: str
-    origin_kind: str
-    parent_kind: str
-    subscribe: bool
-    ask_within_ms: float
-    reports: str
-    notes: str
-    peers_fill: str
-    weights: str
-    straight: bool
-    joins: bool
-    flow_kb_per_s: float
-    cancel: bool
-    second_copies: bool
-    probes: bool
-    messages: bool
-    retry_after: bool
-    max_retry_after_ms: float
-    max_attempts: int
-    max_open: int
-    connect_timeout_ms: float
-    drain_grace_ms: float
-    answer_grace_ms: float
-    tick_ms: float
-    cold_from: float
-    warm_after_ms: float
-    fall_multiple: float
-    fall_ms: float
-    parent_cold_from: float
-    parent_cold_ms: float
-    parent_fall_multiple: float
-    origin_fall_multiple: float
-    origin_fall_ms: float
-    purge_grace_ms: float
-    purge_done_ms: float
-
-    @classmethod
-    def read(cls, raw: Mapping[str, Any]) -> Settings:
-        values = _fields(raw, "", _PLAIN, _CHOICES)
-        zones = _row(raw, "zones", str, None)
-        if values["zone"] not in zones:
-            raise ValueError(f"settings: zone is {values['zone']!r}; expected one of zones")
-        rows = raw.get("classes")
-        if not isinstance(rows, (list, tuple)) or not rows:
-            raise ValueError(f"settings: classes is {rows!r}; expected a list of at least one class")
-        classes = {}
-        for place, row in enumerate(rows):
-            spec = _fields(row, f"classes[{place}].", _CLASS, _CLASS_CHOICES)
-            spec["effect"] = Effect(spec["effect"])
-            if spec["name"] in classes:
-                raise ValueError(f"settings: classes[{place}].name is {spec['name']!r}; expected a new name")
-            classes[spec["name"]] = ClassSpec(**spec)
-        hubs = _row(raw, "hub_of", int, len(zones))
-        if any(hub >= len(zones) for hub in hubs):
-            raise ValueError(f"settings: hub_of is {hubs!r}; expected places in zones")
-        return cls(
-            classes=MappingProxyType(classes),
-            zones=zones,
-            hub_of=hubs,
-            seats_by_zone=_row(raw, "seats_by_zone", int, len(zones)),
-            inlet_kb_per_s=_row(raw, "inlet_kb_per_s", (int, float), len(zones)),
-            report_fields=_row(raw, "report_fields", str, None),
-            **values,
-        )
-
-    def class_named(self, name: str) -> ClassSpec:
-        if name not in self.classes:
-            raise ValueError(f"unknown class {name!r}")
-        return self.classes[name]
-
-    def known_zone(self, name: str) -> str:
-        if name not in self.zones:
-            raise ValueError(f"unknown zone {name!r}")
-        return name
-
-
 # --- events ---------------------------------------------------------------------------------------------
 
 
@@ -352,6 +122,8 @@
 
 @dataclass(frozen=True, slots=True)
 class ClientGone:
+    """Nobody waits for this request any more."""
+
     id: int
 
 
@@ -374,11 +146,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Timer:
+    """One that SetTimer asked for is due."""
+
     token: str
 
 
 @dataclass(frozen=True, slots=True)
 class Member:
+    """One entry of the list; `came_up_ms` 0: it has run for long."""
+
     store: str
     zone: str
     kind: str
@@ -390,6 +166,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Members:
+    """The list, or what changed in it."""
+
     kind: ListKind
     stores: tuple[Member, ...] = ()
 
@@ -427,6 +205,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Cancel:
+    """Give one attempt up; its outcome still comes."""
+
     id: int
     attempt: int
 
@@ -440,23 +220,31 @@
 
 @dataclass(frozen=True, slots=True)
 class Refuse:
+    """The final answer that a further try is harmless; `come_back_ms` 0: no advice when."""
+
     id: int
     come_back_ms: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
 class Fail:
+    """The final answer that says nothing on whether the request ran."""
+
     id: int
 
 
 @dataclass(frozen=True, slots=True)
 class SetTimer:
+    """Asks for a Timer at that time or soon after; it cannot be taken back."""
+
     token: str
     due_ms: float
 
 
 @dataclass(frozen=True, slots=True)
 class Subscribe:
+    """Asks for changes of the list from now on."""
+
     on: bool = True
 
 
