--- a/gladelane/lab/checks.py
+++ b/gladelane/lab/checks.py
@@ -7,10 +7,10 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
-from ..interface import NEVER_RAN, ClassSpec, Effect, Status
+from ..interface import NEVER_RAN, ClassSpec, Effect, Member, Settings, Status
 
 
 @dataclass(frozen=True, slots=True)
@@ -21,16 +21,62 @@
     what: str
 
 
+@dataclass(frozen=True, slots=True)
+class Place:
+    """Where a store stands: what a keyed class's group goes by."""
+
+    zone: str
+    cell: int
+
+
+@dataclass(frozen=True, slots=True)
+class _Attempt:
+    sent_ms: float
+    store: str
+
+
+@dataclass(slots=True)
+class _Tries:
+    """Attempts that may have the same effect: those of one request, or of all under one client's key."""
+
+    out: dict[tuple[int, int], _Attempt] = field(default_factory=dict)  # by request and number
+    ran: _Attempt | None = None  # the first sent of those that have ended and may have run
+
+    def first(self) -> _Attempt | None:
+        """The first that may have run, or may yet."""
+        known = [*self.out.values()] if self.ran is None else [self.ran, *self.out.values()]
+        return min(known, key=_sent_ms) if known else None
+
+
+def _sent_ms(attempt: _Attempt) -> float:
+    return attempt.sent_ms
+
+
 @dataclass(slots=True)
 class _Open:
     spec: ClassSpec
     due_ms: float  # by when it is owed its answer, slack included
-    out: dict[int, float] = field(default_factory=dict)  # attempts under way, by when they were sent
-    ran_ms: float = 0.0  # when the first attempt that may have run was sent
+    tries: _Tries
+    sends: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class _Sent:
+    attempt: _Attempt
+    tries: _Tries
+    spec: ClassSpec
+
+
+@dataclass(frozen=True, slots=True)
+class _Purge:
+    told_ms: float
+    purge_ms: float
 
 
 class Monitor:
-    """`told` hears each breach. A request is named by its director and its number there."""
+    """`told` hears each breach. A request is named by its director and its number there. `slack_ms` is added
+    to every limit, as on sockets; `most_attempts` is that of one request; `places` is needed for keyed
+    classes whose repeats only a zone or a cell drops."""
 
     def __init__(
         self,
@@ -39,19 +85,28 @@
         answer_grace_ms: float,
         told: Callable[[Broken], None],
         second_copies: bool = True,
+        *,
+        slack_ms: float = 0.0,
+        most_attempts: int | None = None,
+        places: Mapping[str, Place] | None = None,
     ) -> None:
-        self._drain, self._purge, self._answer = drain_grace_ms, purge_grace_ms, answer_grace_ms
+        self._drain, self._purge = drain_grace_ms + slack_ms, purge_grace_ms + slack_ms
+        self._answer, self._slack = answer_grace_ms + slack_ms, slack_ms
         self._told, self._second_copies = told, second_copies
+        self._most, self._places = most_attempts, places or {}
         self._open: dict[tuple[str, int], _Open] = {}
         self._left: dict[str, dict[str, float]] = defaultdict(dict)  # who drains or is gone, since when told
-        self._purged: dict[str, dict[int, float]] = defaultdict(dict)  # objects, when the director was told
-        self._void: dict[str, dict[int, float]] = defaultdict(dict)  # and the date that is too old since
-        self._sent_ms: dict[tuple[str, int, int], float] = {}
+        self._purged: dict[tuple[str, int], list[_Purge]] = defaultdict(list)  # by director and object
+        self._purged_groups: dict[tuple[str, int], list[_Purge]] = defaultdict(list)
+        self._sent: dict[tuple[str, int, int], _Sent] = {}
+        self._keys: dict[tuple[str, str], _Tries] = defaultdict(_Tries)
         self.requests = self.answers = self.sends = 0
 
-    def request(self, director: str, number: int, spec: ClassSpec, due_ms: float) -> None:
+    def request(self, director: str, number: int, spec: ClassSpec, due_ms: float, key: str = "") -> None:
+        """`key`: the client's, the same for all its tries of one request."""
         self.requests += 1
-        self._open[director, number] = _Open(spec, due_ms + self._answer)
+        tries = self._keys[director, key] if key else _Tries()
+        self._open[director, number] = _Open(spec, due_ms + self._answer, tries)
 
     def listed(self, director: str, store: str, usable: bool, at_ms: float) -> None:
         if usable:
@@ -60,8 +115,10 @@
             self._left[director].setdefault(store, at_ms)
 
     def purged(self, director: str, object_: int, purge_ms: float, at_ms: float) -> None:
-        self._purged[director][object_] = at_ms
-        self._void[director][object_] = purge_ms
+        self._purged[director, object_].append(_Purge(at_ms, purge_ms))
+
+    def purged_group(self, director: str, group: int, purge_ms: float, at_ms: float) -> None:
+        self._purged_groups[director, group].append(_Purge(at_ms, purge_ms))
 
     def sent(self, director: str, number: int, attempt: int, store: str, source: str, at_ms: float) -> None:
         self.sends += 1
@@ -74,16 +131,35 @@
         if owed is None:
             self._breach("answer", at_ms, director, f"{number} is sent again after its final answer")
             return
-        self._sent_ms[director, number, attempt] = at_ms
-        if owed.out and not self._second_copies:
+        owed.sends += 1
+        if self._most is not None and owed.sends > self._most:
+            self._breach("attempts", at_ms, director, f"{number} is sent {owed.sends} times")
+        self._check_repeat(director, number, owed, store, at_ms)
+        made = _Attempt(at_ms, store)
+        owed.tries.out[number, attempt] = made
+        self._sent[director, number, attempt] = _Sent(made, owed.tries, owed.spec)
+
+    def _check_repeat(self, director: str, number: int, owed: _Open, store: str, at_ms: float) -> None:
+        if not self._second_copies and any(other == number for other, _ in owed.tries.out):
             self._breach("repeat", at_ms, director, f"{number} has two attempts out")
-        first = min([*owed.out.values(), *([owed.ran_ms] if owed.ran_ms else [])], default=0.0)
-        if first and owed.spec.effect is Effect.UNSAFE:
-            self._breach("repeat", at_ms, director, f"{number} of {owed.spec.name} may have run")
-        elif first and owed.spec.effect is Effect.KEYED and at_ms - first > owed.spec.window_ms:
-            after = f"{number}, {at_ms - first:.0f} ms after one that may have run"
-            self._breach("repeat", at_ms, director, after)
-        owed.out[attempt] = at_ms
+        first, spec = owed.tries.first(), owed.spec
+        if first is None or spec.effect is Effect.SAFE:
+            return
+        since = at_ms - first.sent_ms
+        if spec.effect is Effect.UNSAFE:
+            self._breach("repeat", at_ms, director, f"{number} of {spec.name} may have run")
+        elif since > spec.window_ms + self._slack:
+            self._breach("repeat", at_ms, director, f"{number}, {since:.0f} ms after one that may have run")
+        elif not self._same_group(spec, first.store, store):
+            self._breach(
+                "repeat", at_ms, director, f"{number} to {store}, outside the group of {first.store}"
+            )
+
+    def _same_group(self, spec: ClassSpec, first: str, store: str) -> bool:
+        one, other = self._places.get(first), self._places.get(store)
+        if spec.group == "all" or one is None or other is None:
+            return True
+        return one.zone == other.zone if spec.group == "zone" else one.cell == other.cell
 
     def ended(
         self,
@@ -94,18 +170,29 @@
         at_ms: float,
         object_: int = 0,
         dated_ms: float | None = None,
+        group: int = -1,
     ) -> None:
         """`dated_ms`: of the copy that answered."""
-        sent = self._sent_ms.pop((director, number, attempt), None)
-        told = self._purged[director].get(object_)
-        if status is Status.OK and dated_ms is not None and told is not None and sent is not None:
-            if sent > told + self._purge and dated_ms < self._void[director][object_]:
-                self._breach("purge", at_ms, director, f"{number} is answered from a copy older than a purge")
-        owed = self._open.get((director, number))
-        if owed is not None:
-            began = owed.out.pop(attempt, 0.0)
-            if status not in NEVER_RAN and began and not owed.ran_ms:
-                owed.ran_ms = began
+        sent = self._sent.pop((director, number, attempt), None)
+        if sent is None:
+            return
+        sent.tries.out.pop((number, attempt), None)
+        ran = sent.tries.ran
+        if status not in NEVER_RAN and (ran is None or sent.attempt.sent_ms < ran.sent_ms):
+            sent.tries.ran = sent.attempt
+        if status is Status.OK and dated_ms is not None:
+            self._check_copy(director, number, sent, at_ms, object_, group, dated_ms)
+
+    def _check_copy(
+        self, director: str, number: int, sent: _Sent, at_ms: float, object_: int, group: int, dated_ms: float
+    ) -> None:
+        purges = [*self._purged[director, object_], *self._purged_groups[director, group]]
+        sent_ms, spec = sent.attempt.sent_ms, sent.spec
+        if any(sent_ms > p.told_ms + self._purge and dated_ms < p.purge_ms for p in purges):
+            self._breach("purge", at_ms, director, f"{number} is answered from a copy older than a purge")
+        age = sent_ms - dated_ms
+        if spec.fresh_ms and age > spec.fresh_ms + spec.grace_ms + self._slack:
+            self._breach("answer", at_ms, director, f"{number} is answered from a copy {age:.0f} ms old")
 
     def final(self, director: str, number: int, at_ms: float, refused: bool = False) -> None:
         owed = self._open.pop((director, number), None)
@@ -115,8 +202,9 @@
         self.answers += 1
         if at_ms > owed.due_ms:
             self._breach("answer", at_ms, director, f"{number} is answered {at_ms - owed.due_ms:.0f} ms late")
-        unsafe = owed.spec.effect is Effect.UNSAFE
-        if refused and unsafe and (owed.ran_ms or owed.out):
+        effect = owed.spec.effect
+        harmless = effect is Effect.SAFE or (effect is Effect.KEYED and owed.spec.group == "all")
+        if refused and not harmless and owed.tries.first() is not None:
             self._breach("repeat", at_ms, director, f"{number} is refused and may have run")
 
     def withdrawn(self, director: str, number: int) -> None:
@@ -131,3 +219,41 @@
 
     def _breach(self, rule: str, at_ms: float, director: str, what: str) -> None:
         self._told(Broken(rule, at_ms, director, what))
+
+
+class Reach:
+    """Which stores a director may send to or name as a source: those its list has named, its own zone's
+    caches, and what the settings allow beyond. `told` hears each breach."""
+
+    def __init__(self, settings: Settings, told: Callable[[Broken], None]) -> None:
+        self._settings, self._told = settings, told
+        self._named: dict[str, set[str]] = defaultdict(set)
+
+    def listed(self, director: str, store: str) -> None:
+        self._named[director].add(store)
+
+    def sent(self, director: str, zone: str, store: Member, source: Member | None, at_ms: float) -> None:
+        for used in (store, source):
+            if used is not None and used.store not in self._named[director]:
+                self._breach(director, at_ms, f"{used.store} is in none of its lists")
+        if not self._is_target(store, zone):
+            self._breach(director, at_ms, f"{store.store} may not be asked from {zone}")
+        if source is not None and not self._is_source(store, source, zone):
+            self._breach(director, at_ms, f"{source.store} may not be a source for {store.store}")
+
+    def _is_cache(self, store: Member) -> bool:
+        return store.kind not in (self._settings.parent_kind, self._settings.origin_kind)
+
+    def _is_target(self, store: Member, zone: str) -> bool:
+        return store.zone == zone if self._is_cache(store) else self._settings.straight
+
+    def _is_source(self, store: Member, source: Member, zone: str) -> bool:
+        if not self._is_cache(store):
+            return source.kind == self._settings.origin_kind and store.kind == self._settings.parent_kind
+        if not self._is_cache(source):
+            return True
+        peers = self._settings.peers_fill
+        return peers == "any" or (peers == "zone" and source.zone == zone)
+
+    def _breach(self, director: str, at_ms: float, what: str) -> None:
+        self._told(Broken("reach", at_ms, director, what))
--- a/gladelane/lab/model/stores.py
+++ b/gladelane/lab/model/stores.py
@@ -17,7 +17,8 @@
 from .timeline import Timeline
 
 Thing = tuple[int, int]
-#: when the origin gave the copy out, or None: it refused; and whether it had to be asked
+#: when the origin gave the copy out, or None: there is none; and whether the origin had to be asked. None
+#: without asking it: the source gives only what it holds, and lacks this
 Filled = Callable[[float | None, bool], None]
 GIVE_UP = 2500.0  # a fill of which nothing has come
 WARM_STEPS = 10  # in which a cold store's link widens
@@ -147,7 +148,7 @@
                 waiting(dated, asked)
 
         source(came)
-        self.line.after(GIVE_UP, partial(came, None, False))
+        self.line.after(GIVE_UP, partial(came, None, True))
 
 
 class Parent(Keeper):
@@ -157,8 +158,9 @@
         super().__init__(line, build)
         self.origin = origin
 
-    def get(self, thing: Thing, size: float, oldest: float, done: Filled) -> None:
-        """For a cache's fill; a parent that is down says nothing, as a machine that vanished."""
+    def get(self, thing: Thing, size: float, oldest: float, done: Filled, holds_only: bool = False) -> None:
+        """For a cache's fill; a parent that is down says nothing, as a machine that vanished. `holds_only`:
+        it asks the origin for nothing."""
         if not self.up:
             return
         dated = self.held(thing, oldest)
@@ -167,6 +169,9 @@
             self.copies.use(thing, 0)
             self.pipe.start(size, partial(done, dated, False))
             return
+        if holds_only:
+            self.line.after(0.0, partial(done, None, False))
+            return
 
         def asked(came: Filled) -> None:
             self.origin.fetch(size, lambda dated: came(dated, True))
@@ -210,19 +215,26 @@
         else:
             self.open[work] = None
 
-            def through(came: Filled) -> None:
-                source(partial(self._inlet, work.size, came))
-
             def filled(dated: float | None, asked: bool) -> None:
                 if work.over:
                     self.open.pop(work, None)
                 elif dated is None:
                     self.open.pop(work, None)
-                    work.finish(Status.ERROR, Note.ORIGIN_FAILED)
+                    if asked:
+                        work.finish(Status.ERROR, Note.ORIGIN_FAILED)
+                    else:
+                        work.finish(Status.MISS, Note.SOURCE_LACKS)
                 else:
                     self._send(work, Note.FROM_ORIGIN if asked else Note.PARENT_HELD, dated)
 
-            self.fill(work.thing, work.size, rank, join, through, filled)
+            self.fill(work.thing, work.size, rank, join, self._through(work.size, source), filled)
+
+    def renew(self, thing: Thing, size: float, rank: int, source: Callable[[Filled], None]) -> None:
+        """Behind an answer from an ageing copy: nobody waits for it."""
+        self.fill(thing, size, rank, True, self._through(size, source), lambda dated, asked: None)
+
+    def _through(self, size: float, source: Callable[[Filled], None]) -> Callable[[Filled], None]:
+        return lambda came: source(partial(self._inlet, size, came))
 
     def abort(self, work: Work) -> None:
         """Work stops when its request is given up; a fill runs on."""
--- /dev/null
+++ b/gladelane/lab/planted.py
@@ -0,0 +1,156 @@
+"""Directors with one fault each, planted to show that the monitors of a generated deployment find it."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from functools import partial
+
+from ..choice import Pending, Router
+from ..endpoints.plan import Endpoints
+from ..interface import Effect, Member, Settings, State
+from ..net.config import Instance, Notice
+from ..net.director import Director
+from ..net.exchange import Ask, Attempt, Exchange, Final
+from ..net.wheel import Wheel
+from ..routes.cold import ColdBudgets, Tokens
+from .deployed import MakeDirector
+
+MISREAD_DRAIN_GRACE_MS = 1000.0
+MORE_ATTEMPTS = 5  # than the settings allow
+ANSWERED_TWICE = 50  # every so many requests
+
+
+class LongDrainGrace(Director):
+    """Reads every drain grace as 1,000 ms, and makes use of it."""
+
+    def _tell(self, told: list[tuple[Instance, Member]], complete: bool) -> None:
+        draining = [one for one in told if one[1].state is not State.READY]
+        others = [one for one in told if one[1].state is State.READY]
+        if draining:
+            later = partial(super()._tell, draining, False)
+            self.wheel.at(self.clock() + MISREAD_DRAIN_GRACE_MS, later)
+        if others or complete:
+            super()._tell(others, complete)
+
+
+class _UnsafeRepeatingRouter(Router):
+    def may_repeat(self, owed: Pending) -> bool:
+        return owed.spec.effect is Effect.UNSAFE or super().may_repeat(owed)
+
+
+class _WindowIgnoringRouter(Router):
+    def may_repeat(self, owed: Pending) -> bool:
+        return owed.spec.effect is Effect.KEYED or super().may_repeat(owed)
+
+
+class WindowIgnored(Director):
+    """Repeats keyed requests after their window."""
+
+    def _past_window(self, attempt: Attempt, now: float) -> bool:
+        return False
+
+
+class _FreeFills(ColdBudgets):
+    """What goes to a hub are fills, nearly all of it: a budget that counts none of them is never spent."""
+
+    def allows(self, member: Member, tokens: Tokens, now: float, work: float) -> bool:
+        return member.kind == self.parent_kind or super().allows(member, tokens, now, work)
+
+    def spend(self, member: Member, tokens: Tokens, now: float, work: float) -> None:
+        if member.kind != self.parent_kind:
+            super().spend(member, tokens, now, work)
+
+
+class PurgePassedOver(Director):
+    """Hears of no purge."""
+
+    def notice(self, notice: Notice) -> None:
+        if notice.flush is None:
+            super().notice(notice)
+
+
+class SecondAnswer(Director):
+    """Answers some requests twice."""
+
+    def admit(self, ask: Ask, deliver: Callable[[Final], None]) -> Exchange:
+        def twice(final: Final) -> None:
+            deliver(final)
+            if int(ask.id, 16) % ANSWERED_TWICE == 0:
+                deliver(final)
+
+        return super().admit(ask, twice)
+
+
+def _changed(change: Callable[[Director], None], make_director: MakeDirector = Director) -> MakeDirector:
+    """A director whose parts are changed once it is made."""
+
+    def make(
+        settings: Settings,
+        seed: int,
+        clock: Callable[[], float],
+        wheel: Wheel,
+        endpoints: Endpoints,
+        keys_most: int,
+    ) -> Director:
+        director = make_director(settings, seed, clock, wheel, endpoints, keys_most)
+        change(director)
+        return director
+
+    return make
+
+
+def _misread(misread: Callable[[Settings], Settings]) -> MakeDirector:
+    """A director that reads its settings otherwise than they are."""
+
+    def make(
+        settings: Settings,
+        seed: int,
+        clock: Callable[[], float],
+        wheel: Wheel,
+        endpoints: Endpoints,
+        keys_most: int,
+    ) -> Director:
+        return Director(misread(settings), seed, clock, wheel, endpoints, keys_most)
+
+    return make
+
+
+def _repeat_unsafe(director: Director) -> None:
+    director.router = _UnsafeRepeatingRouter(director.settings, 1)
+
+
+def _ignore_windows(director: Director) -> None:
+    director.router = _WindowIgnoringRouter(director.settings, 1)
+
+
+def _count_no_fills(director: Director) -> None:
+    router = director.router
+    router.cold = _FreeFills(director.settings, router.seats, random.Random(1))
+
+
+@dataclass(frozen=True, slots=True)
+class Plant:
+    """`rule` is the one that a run of this director breaks."""
+
+    make_director: MakeDirector
+    rule: str
+
+
+PLANTS: dict[str, Plant] = {
+    "drain grace read as 1,000 ms": Plant(LongDrainGrace, "drain"),
+    "an unsafe class repeated": Plant(_changed(_repeat_unsafe), "repeat"),
+    "a cold hub counted without fills": Plant(_changed(_count_no_fills), "cold"),
+    "a window ignored": Plant(_changed(_ignore_windows, WindowIgnored), "repeat"),
+    "a purge passed over": Plant(PurgePassedOver, "purge"),
+    "a second final answer": Plant(SecondAnswer, "answer"),
+    "more attempts than allowed": Plant(
+        _misread(lambda s: replace(s, max_attempts=s.max_attempts + MORE_ATTEMPTS)), "attempts"
+    ),
+    "two attempts out where one may be": Plant(_misread(lambda s: replace(s, second_copies=True)), "repeat"),
+    "straight to the origin where that is not allowed": Plant(
+        _misread(lambda s: replace(s, straight=True)), "reach"
+    ),
+    "a cancel where none is allowed": Plant(_misread(lambda s: replace(s, cancel=True)), "cancel"),
+}
