--- a/gladelane/lab/deployed.py
+++ b/gladelane/lab/deployed.py
@@ -468,7 +468,7 @@
         if not self._reached(store, sent) or sent.given_up:
             return
         thing = _object(sent), sent.attempt.exchange.request.part
-        work = Work(thing, self._size(thing), partial(self._answer, sent))
+        work = Work(thing, self._size(thing), partial(self._answer, sent), least_date=self._least_date(sent))
         self._node(sent).works[sent] = work
         if self.rng.random() < store.error_part:
             self.line.after(ERROR_MS, partial(work.finish, Status.ERROR))
@@ -500,6 +500,10 @@
             age = min(age, spec.fresh_ms + spec.grace_ms)
         return self.line.now - age if age else 0.0
 
+    def _least_date(self, sent: Sent) -> float:
+        spec = sent.attempt.exchange.spec
+        return self.line.now - spec.fresh_ms - spec.grace_ms if spec.fresh_ms and spec.cacheable else 0.0
+
     def _ask_source(self, sent: Sent, work: Work, came: Filled) -> None:
         way = self.way(sent.zone, sent.source)
 
@@ -672,7 +676,7 @@
     def covered(thing: Thing) -> bool:
         return thing[0] == fault.object or (fault.group >= 0 and group_of(thing[0]) == fault.group)
 
-    model.copies.purge(covered, before_ms)
+    model.purge(covered, before_ms)
 
 
 def _zipf(count: int) -> list[float]:
--- a/gladelane/lab/deployments.py
+++ b/gladelane/lab/deployments.py
@@ -169,7 +169,7 @@
         rng.shuffle(kinds)
         machine, hub_kind, store_kind = kinds
         has_parents = rng.random() < 0.85
-        flow = self._between(1500.0, 12_000.0)
+        flow = self._between(1200.0, 15_000.0)
         classes = self._classes()
         loads = self._loads(classes, flow)
         works = [load.mean_kb / flow * 1000.0 for load in loads]
@@ -245,7 +245,7 @@
         # the first is safe: a deployment of side effects alone keeps nothing anywhere
         effect = "retryable" if place == 0 else rng.choice(["retryable", "dedup", "fragile"])
         write = place > 0 and rng.random() < (0.1 if effect == "retryable" else 0.8)
-        deadline = self._between(400.0, 6000.0)
+        deadline = self._between(400.0, 7000.0)
         fresh = 0.0 if write else rng.choice([0.0, self._between(500.0, 20_000.0)])
         row = {
             "name": self._name(),
@@ -265,7 +265,7 @@
             },
         }
         if rng.random() < 0.7:
-            row["aim_stretch"] = rng.uniform(0.5, 2.0)
+            row["aim_stretch"] = rng.uniform(0.5, 2.5)
         return row
 
     def _loads(self, classes: Sequence[Mapping[str, Any]], flow: float) -> tuple[ClassLoad, ...]:
@@ -330,12 +330,12 @@
                 "may_tell": False,
                 "probes": False,
                 "retry_after": rng.random() < 0.5,
-                "max_retry_after_ms": rng.uniform(0.0, 2000.0),
+                "max_retry_after_ms": rng.uniform(0.0, 3000.0),
                 "max_attempts": rng.randint(1, 10),
                 "max_open": 20_000,
                 "max_streams": rng.choice([1, 4, 32, 100]),
                 "dial_timeout_ms": rng.uniform(100.0, 600.0),
-                "conn_idle_ms": rng.uniform(4000.0, 15_000.0),
+                "conn_idle_ms": rng.uniform(3000.0, 20_000.0),
             },
             "rules": {
                 "drain_grace_ms": rng.choice([100.0, 250.0, 1000.0, rng.uniform(100.0, 2000.0)]),
--- a/gladelane/lab/model/stores.py
+++ b/gladelane/lab/model/stores.py
@@ -33,6 +33,7 @@
     end: Callable[[Status, Note, float], None]
     over: bool = False
     sending: int = 0  # the transfer to the client, once it runs
+    least_date: float = 0.0  # of a copy that its class allows at all, also from a fill that it joined
 
     def finish(self, status: Status, note: Note = Note.UNTOLD, dated: float = 0.0) -> None:
         if not self.over:
@@ -98,6 +99,7 @@
         self.up = True
         self.life = 0  # counts its processes
         self.filling: dict[Thing, _Fill] = {}
+        self.purged: list[tuple[Callable[[Thing], bool], float]] = []  # what each covers, and before when
         self.hits = self.fills = self.joins = 0
 
     def crash(self) -> None:
@@ -117,6 +119,14 @@
         if life == self.life:
             self.pipe.resize(self.build.capacity * part)
 
+    def purge(self, covered: Callable[[Thing], bool], before: float) -> None:
+        """Drops covered copies from before then, and keeps none that a fill brings later."""
+        self.copies.purge(covered, before)
+        self.purged.append((covered, before))
+
+    def _is_purged(self, thing: Thing, dated: float) -> bool:
+        return any(dated < before and covered(thing) for covered, before in self.purged)
+
     def held(self, thing: Thing, oldest: float) -> float | None:
         """The date of a copy given out at `oldest` or later."""
         dated = self.copies.dated(thing)
@@ -143,7 +153,8 @@
             if self.filling.get(thing) is mine:
                 del self.filling[thing]
             if dated is not None:
-                self.copies.keep(thing, rank, size, dated)
+                kept_at = 0 if self._is_purged(thing, dated) else rank
+                self.copies.keep(thing, kept_at, size, dated)
             for waiting in mine.waiting:
                 waiting(dated, asked)
 
@@ -224,6 +235,8 @@
                         work.finish(Status.ERROR, Note.ORIGIN_FAILED)
                     else:
                         work.finish(Status.MISS, Note.SOURCE_LACKS)
+                elif dated < work.least_date:  # it joined a fill that was asked for less: for its own, then
+                    self.fill(work.thing, work.size, rank, False, self._through(work.size, source), filled)
                 else:
                     self._send(work, Note.FROM_ORIGIN if asked else Note.PARENT_HELD, dated)
 
--- a/gladelane/lab/virtual.py
+++ b/gladelane/lab/virtual.py
@@ -395,7 +395,7 @@
 
 
 def _drop(keeper: Keeper, object_: int, before: float) -> None:
-    keeper.copies.purge(lambda thing: thing[0] == object_, before)
+    keeper.purge(lambda thing: thing[0] == object_, before)
 
 
 def _zipf(count: int, skew: float) -> list[float]:
