--- a/tests/lab/test_deployment_parts.py
+++ b/tests/lab/test_deployment_parts.py
@@ -11,6 +11,8 @@
 from gladelane.interface import Member, Note, Status
 from gladelane.lab.checks import Broken, Monitor, Place, Reach
 from gladelane.lab.cold_falls import ColdFalls, ColdRule
+from gladelane.lab.model.pipe import Pipe
+from gladelane.lab.model.stores import Build, Cache, Filled, Origin, Parent, Work
 from gladelane.lab.model.timeline import Timeline
 from gladelane.lab.virtual_sender import Sent, VirtualSender, VirtualWheel
 from gladelane.net.config import ConnLimits, Instance, Notice, Pool
@@ -234,3 +236,63 @@
     drained.list("terminating")
     drained.go_on(100.0)
     assert not drained.world.came and [final.code for final in drained.finals] == [Code.REFUSED]
+
+
+class Bench:
+    """One cache and one parent, links wide enough not to matter, and an origin that takes 20 ms."""
+
+    def __init__(self) -> None:
+        line = self.line = Timeline()
+        line.now = 10_000.0
+        build = Build(room=1000.0, capacity=100.0, flow=100.0, cold_from=1.0, warm_ms=1.0)
+        self.origin = Origin(line, 4, 20.0, 100, Pipe(line, 100.0, 100.0))
+        self.parent = Parent(self.origin, line, build)
+        self.cache = Cache(Pipe(line, 100.0, 100.0), 8, line, build)
+        self.ended: list[tuple[Status, Note, float]] = []
+
+    def serve(
+        self, oldest: float = 0.0, join: bool = False, holds_only: bool = False, least: float = 0.0
+    ) -> None:
+        work = Work((1, 0), 10.0, lambda *end: self.ended.append(end), least_date=least)
+
+        def ask(came: Filled) -> None:
+            self.parent.get((1, 0), 10.0, oldest, came, holds_only)
+
+        self.cache.serve(work, 1, oldest, join, ask)
+
+
+def test_a_source_that_gives_only_what_it_holds_lacks_what_it_does_not() -> None:
+    bench = Bench()
+    bench.serve(holds_only=True)
+    bench.line.run(11_000.0)
+    assert bench.ended == [(Status.MISS, Note.SOURCE_LACKS, 0.0)] and bench.origin.asked == 0
+    bench.parent.copies.keep((1, 0), 1, 10.0, 9000.0)
+    bench.serve(holds_only=True)
+    bench.line.run(12_000.0)
+    assert bench.ended[1] == (Status.OK, Note.PARENT_HELD, 9000.0) and bench.origin.asked == 0
+
+
+def test_a_copy_that_a_fill_brings_after_its_purge_is_passed_on_and_not_kept() -> None:
+    bench = Bench()
+    bench.parent.copies.keep((1, 0), 1, 10.0, 9000.0)
+    bench.serve()
+    bench.cache.purge(lambda thing: thing == (1, 0), 9500.0)
+    bench.line.run(11_000.0)
+    assert bench.ended[0][2] == 9000.0 and bench.cache.held((1, 0), 0.0) is None
+    bench.serve(oldest=9500.0)
+    bench.line.run(12_000.0)
+    assert bench.ended[1][2] > 11_000.0 and bench.cache.held((1, 0), 9500.0) == bench.ended[1][2]
+
+
+def test_who_joins_a_fill_gets_nothing_older_than_its_class_allows() -> None:
+    bench = Bench()
+    bench.parent.copies.keep((1, 0), 1, 10.0, 9000.0)
+    bench.serve()
+    bench.serve(oldest=9500.0, join=True)  # joining may give an older copy than was asked for
+    bench.serve(oldest=9500.0, join=True, least=9500.0)
+    bench.line.run(11_000.0)
+    dated = [end[2] for end in bench.ended]
+    assert dated[:2] == [9000.0, 9000.0] and dated[2] > 10_000.0
+    bench.cache.renew((1, 0), 10.0, 1, lambda came: came(10_900.0, True))
+    bench.line.run(12_000.0)
+    assert bench.cache.held((1, 0), 0.0) == 10_900.0
