--- /dev/null
+++ b/gladelane/lab/deployed_clients.py
@@ -0,0 +1,144 @@
+"""The clients of a generated deployment: what they ask, how long they wait, and when they come again."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass
+from functools import partial
+
+from ..interface import ClassSpec, Effect
+from ..net.director import Director
+from ..net.exchange import Ask, Code, Exchange, Final
+from .checks import Broken, Monitor
+from .deployed_stores import body_of
+from .deployments import OBJECTS_OF_CLASS, Deployment, group_of
+from .model.stores import Thing
+from .model.timeline import Timeline
+
+ZIPF = 0.9  # skew of objects within a class
+
+
+@dataclass(slots=True, eq=False)
+class DirectorHandle:
+    """A director as its clients see it. `admitted` counts as the director does."""
+
+    name: str
+    director: Director
+    admitted: int = 0
+
+
+@dataclass(slots=True, eq=False)
+class _Client:
+    """One client's request through all its tries."""
+
+    place: int  # of its class
+    thing: Thing
+    key: str
+    due_ms: float  # of all its tries
+    tries_left: int
+    first_ms: float = 0.0
+
+
+class ClientSide:
+    """All clients. `traced` hears of each final answer, `report` of each breach."""
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        line: Timeline,
+        rng: random.Random,
+        directors: list[DirectorHandle],
+        monitor: Monitor,
+        size: Callable[[Thing], float],
+        traced: Callable[[str, int, Code], None],
+        report: Callable[[Broken], None],
+    ) -> None:
+        self.deployment, self.line, self.rng = deployment, line, rng
+        self.directors, self.monitor, self.size = directors, monitor, size
+        self._traced, self._report = traced, report
+        self.specs: list[ClassSpec] = list(deployment.settings(0).classes.values())
+        self.counts: Counter[str] = Counter()
+        self._clients = 0
+        self._popular = [_zipf(load.objects) for load in deployment.classes]
+        self._until = line.now + deployment.span_ms
+        self.line.after(self._gap(), self._arrive)
+
+    def _gap(self) -> float:
+        return self.rng.expovariate(self.deployment.rate / 1000.0)
+
+    def _arrive(self) -> None:
+        plan = self.deployment
+        if self.line.now > self._until:
+            return
+        self.line.after(self._gap(), self._arrive)
+        shares = [load.share for load in plan.classes]
+        place = self.rng.choices(range(len(shares)), shares)[0]
+        load, spec = plan.classes[place], self.specs[place]
+        object_ = self.rng.choices(range(load.objects), cum_weights=self._popular[place])[0]
+        self._clients += 1
+        key = f"{self._clients:032x}" if spec.effect is Effect.KEYED else ""
+        thing = place * OBJECTS_OF_CLASS + object_, self.rng.randrange(load.parts)
+        due = self.line.now + spec.deadline_ms
+        client = _Client(place, thing, key, due, plan.clients.retries, self.line.now)
+        self._try(client)
+
+    def _try(self, client: _Client) -> None:
+        plan, now = self.deployment, self.line.now
+        spec = self.specs[client.place]
+        wait = min(self.rng.uniform(plan.clients.patience, 1.0) * spec.deadline_ms, client.due_ms - now)
+        if wait < 1.0:
+            return
+        handle = self.rng.choice(self.directors)
+        handle.admitted += 1
+        number = handle.admitted  # as the director counts them
+        object_, part = client.thing
+        self.counts["asked"] += 1
+        ask = Ask(
+            id=f"{self.counts['asked']:016x}",
+            cls=spec.name,
+            wait_ms=wait,
+            object=f"{object_:016x}",
+            part=part,
+            group=group_of(object_),
+            size_kb=self.size(client.thing) if plan.sizes_told else 0.0,
+            key=client.key,
+        )
+        self.monitor.request(handle.name, number, spec, now + wait, client.key)
+        exchange = handle.director.admit(ask, partial(self._deliver, handle, number, client))
+        if self.rng.random() < plan.clients.leave_chance:
+            self.line.after(wait * self.rng.random(), partial(self._leave_early, handle, number, exchange))
+
+    def _leave_early(self, handle: DirectorHandle, number: int, exchange: Exchange) -> None:
+        if not exchange.done:
+            self.monitor.withdrawn(handle.name, number)
+            handle.director.gone(exchange)
+
+    def _deliver(self, handle: DirectorHandle, number: int, client: _Client, final: Final) -> None:
+        self._traced(handle.name, number, final.code)
+        self.monitor.final(handle.name, number, self.line.now, refused=final.code is Code.REFUSED)
+        self.counts[final.code.name.lower()] += 1
+        if final.code is Code.SERVED:
+            if final.body != body_of(*client.thing):
+                what = f"{number} is answered with what no cache made for it"
+                self._report(Broken("answer", self.line.now, handle.name, what))
+        elif client.tries_left and self._comes_again(client, final):
+            client.tries_left -= 1
+            wait = self.deployment.clients.wait_ms + final.come_back_ms
+            self.line.after(wait, partial(self._try, client))
+
+    def _comes_again(self, client: _Client, final: Final) -> bool:
+        spec: ClassSpec = self.specs[client.place]
+        if final.code is Code.REFUSED or spec.effect is Effect.SAFE:
+            return True
+        within = self.line.now - client.first_ms < spec.window_ms
+        return spec.effect is Effect.KEYED and spec.group == "all" and within
+
+
+def _zipf(count: int) -> list[float]:
+    total, sums = 0.0, []
+    for place in range(1, count + 1):
+        total += place**-ZIPF
+        sums.append(total)
+    return sums
--- /dev/null
+++ b/gladelane/lab/deployed_stores.py
@@ -0,0 +1,317 @@
+"""The stores of a generated deployment and the network before them: what a director's sends come to.
+
+`StoreSide` is the world that virtual senders write into. It drives the models of `lab.model`; what falls over
+of what reaches it is decided by `ColdFalls`.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+from functools import partial
+
+from ..interface import Member, Note, Settings, State, Status
+from ..net.ends import End
+from .cold_falls import ColdFalls, ColdRule
+from .deployments import (
+    OBJECTS_OF_CLASS,
+    Deployment,
+    Fault,
+    StoreSpec,
+    class_of,
+    group_of,
+)
+from .model.pipe import Pipe
+from .model.stores import Build, Cache, Filled, Origin, Parent, Thing, Work
+from .model.timeline import Timeline
+from .virtual_sender import Sent
+
+FILL_PACE = 3.0  # a fill is so many times as fast as a transfer to a client
+SIZE_SIGMA = 0.7  # of the logarithm of sizes
+ERROR_MS = 2.0  # until a store that fails says so
+AGEING_FROM = 0.8  # of the fresh time, from which a copy is renewed behind
+KEPT_AT_START = 25  # objects of a class that a store may hold when the run begins
+OLDEST_AT_START_MS = 20_000.0  # and how old they are at most
+
+
+@dataclass(slots=True, eq=False)
+class Store:
+    """A store as it truly is; `member` is what the list says of it now, on its way to the directors."""
+
+    spec: StoreSpec
+    model: Cache | Parent | None  # None: the origin
+    member: Member
+    up: bool = True
+    started_ms: float = 0.0
+    fallen: bool = False
+    silent: bool = False
+    error_part: float = 0.0
+
+
+class StoreSide:
+    """All stores. `fallen` hears of one that fell over."""
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        line: Timeline,
+        rng: random.Random,
+        falls: ColdFalls,
+        fallen: Callable[[Store], None],
+    ) -> None:
+        self.deployment, self.line, self.rng = deployment, line, rng
+        self.falls, self._fallen = falls, fallen
+        self.settings: Settings = deployment.settings(0)
+        self.flow = self.settings.flow_kb_per_s / 1000.0  # KB a ms
+        self.broken_off: Callable[[Sent], None] = _nothing  # hears of what met a process that is gone
+        self._specs = list(self.settings.classes.values())
+        self._cold_cache, self._cold_parent = cold_rules(self.settings)
+        self._sizes: dict[Thing, float] = {}
+        self._works: dict[Sent, Work] = {}
+        self._make_stores()
+
+    # --- making them
+
+    def _make_stores(self) -> None:
+        plan, line = self.deployment, self.line
+        wide = self.flow * FILL_PACE
+        self.origin = Origin(
+            line,
+            plan.origin_spec.workers,
+            plan.origin_spec.service_ms,
+            plan.origin_spec.room,
+            Pipe(line, self.flow * plan.origin_spec.link, wide),
+        )
+        self.inlets = {z: Pipe(line, self.flow * link, wide) for z, link in plan.inlets.items()}
+        self.stores: dict[str, Store] = {}
+        for spec in (*plan.caches, *plan.joining):
+            cache = Cache(self.inlets[spec.zone], plan.most_fills, line, self._build_cache(spec))
+            self._add_store(spec, cache)
+        for spec in plan.parents:
+            self._add_store(spec, Parent(self.origin, line, self._build_parent(spec)))
+        self._add_store(plan.origin, None)
+
+    def _build_cache(self, spec: StoreSpec) -> Build:
+        link, s = self.flow * spec.link, self.settings
+        return Build(self.deployment.cache_room_kb, link, self.flow, s.cold_from, s.warm_after_ms)
+
+    def _build_parent(self, spec: StoreSpec) -> Build:
+        link, s = self.flow * spec.link, self.settings
+        room = self.deployment.parent_room_kb
+        return Build(room, link, self.flow * FILL_PACE, s.parent_cold_from, s.parent_cold_ms)
+
+    def _add_store(self, spec: StoreSpec, model: Cache | Parent | None) -> None:
+        started = self.line.now - spec.age_ms if spec.age_ms else 0.0
+        member = Member(spec.name, spec.zone, spec.kind, spec.cell, State.READY, spec.weight, started)
+        self.stores[spec.name] = Store(spec, model, member, started_ms=started)
+
+    def fill_at_start(self) -> None:
+        """What was asked for lately, at the lowest rank."""
+        for store in self.stores.values():
+            if store.model is None or store.started_ms or not store.up:
+                continue
+            for place, load in enumerate(self.deployment.classes):
+                if not self._specs[place].cacheable:
+                    continue
+                for object_ in range(min(load.objects, KEPT_AT_START)):
+                    thing = place * OBJECTS_OF_CLASS + object_, self.rng.randrange(load.parts)
+                    dated = self.line.now - self.rng.uniform(0.0, OLDEST_AT_START_MS)
+                    store.model.copies.keep(thing, 1, self.size(thing), dated)
+
+    # --- their lives
+
+    def begin_cold(self, store: Store) -> None:
+        if store.model is None:
+            return
+        store.model.start()
+        rule = self._cold_parent if isinstance(store.model, Parent) else self._cold_cache
+        self.falls.started(store.spec.name, store.started_ms, store.spec.link, rule)
+
+    def stop(self, store: Store) -> None:
+        store.up = False
+        self.falls.stopped(store.spec.name)
+        if store.model is not None:
+            store.model.crash()
+
+    def purge(self, store: Store, fault: Fault, before_ms: float) -> None:
+        """Drops what was purged, in a time of its own."""
+        model = store.model
+        if model is not None:
+            drop = self.rng.uniform(0.2, 1.0) * self.settings.purge_done_ms
+            self.line.after(drop, partial(_drop, model, fault, before_ms))
+
+    def _reached(self, store: Store, sent: Sent) -> bool:
+        """Whether a store still stands after this came to it."""
+        work = self.deployment.mean_work_ms(class_of(object_of(sent)))
+        told = self.falls.is_told(sent.director, store.spec.name)
+        if not self.falls.reached(store.spec.name, work, told, self.line.now):
+            return True
+        store.fallen = True
+        self._fallen(store)
+        return False
+
+    # --- the network, for the senders
+
+    def way(self, zone: str, store: str) -> float:
+        net = self.deployment.network
+        way = net.near_ms if self.stores[store].spec.zone == zone else net.far_ms
+        return way * (1.0 + net.jitter * self.rng.random())
+
+    def dial_ms(self, zone: str, store: str) -> float:
+        net = self.deployment.network
+        slow = net.slow_dial_ms if self.rng.random() < net.slow_dial_chance else 0.0
+        return 2.0 * self.way(zone, store) + slow
+
+    def dial_end(self, store: str) -> End | None:
+        one = self.stores[store]
+        if one.silent:
+            return End.DIAL_TIMED_OUT
+        return None if one.up else End.REFUSED
+
+    def answer_ms(self, sent: Sent) -> float | None:
+        net = self.deployment.network
+        if self.rng.random() < net.lost_answer_chance or self.stores[sent.store].silent:
+            return None
+        late = net.late_answer_ms if self.rng.random() < net.late_answer_chance else 0.0
+        return self.way(sent.zone, sent.store) + late
+
+    def aborted(self, sent: Sent) -> None:
+        work = self._works.pop(sent, None)
+        if work is not None and not work.over:
+            work.over = True
+            model = self.stores[sent.store].model
+            if isinstance(model, Cache):
+                model.abort(work)
+
+    # --- what comes to them
+
+    def arrived(self, sent: Sent) -> None:
+        store = self.stores[sent.store]
+        if store.silent:
+            return
+        if not store.up:
+            self.broken_off(sent)
+            return
+        if not self._reached(store, sent) or sent.given_up:
+            return
+        thing = object_of(sent), sent.attempt.exchange.request.part
+        work = Work(thing, self.size(thing), partial(self._answer, sent), least_date=self._least_date(sent))
+        self._works[sent] = work
+        if self.rng.random() < store.error_part:
+            self.line.after(ERROR_MS, partial(work.finish, Status.ERROR))
+        elif store.model is None:
+            self.origin.fetch(work.size, partial(_finish_straight, work))
+        elif isinstance(store.model, Parent):
+            straight = partial(_finish_straight, work)
+            store.model.get(thing, work.size, self._oldest(sent), straight, not sent.source)
+        else:
+            self._serve(store.model, sent, work)
+
+    def _serve(self, cache: Cache, sent: Sent, work: Work) -> None:
+        spec, oldest = sent.attempt.exchange.spec, self._oldest(sent)
+        fill = partial(self._ask_source, sent, work) if sent.source else None
+        rank = sent.rank if spec.cacheable else 0
+        held = cache.held(work.thing, oldest)
+        ageing = held is not None and self.line.now - held >= spec.fresh_ms * AGEING_FROM > 0.0
+        cache.serve(work, rank, oldest, "coalesce" in sent.hints and self.settings.joins, fill)
+        if ageing and "freshen" in sent.hints and fill is not None:
+            cache.renew(work.thing, work.size, rank, fill)
+
+    def _oldest(self, sent: Sent) -> float:
+        """The date of the oldest copy that will do."""
+        spec = sent.attempt.exchange.spec
+        if not spec.cacheable:
+            return float("inf")
+        age = sent.max_age_ms or spec.fresh_ms
+        if spec.fresh_ms:
+            age = min(age, spec.fresh_ms + spec.grace_ms)
+        return self.line.now - age if age else 0.0
+
+    def _least_date(self, sent: Sent) -> float:
+        spec = sent.attempt.exchange.spec
+        return self.line.now - spec.fresh_ms - spec.grace_ms if spec.fresh_ms and spec.cacheable else 0.0
+
+    def _ask_source(self, sent: Sent, work: Work, came: Filled) -> None:
+        way = self.way(sent.zone, sent.source)
+
+        def back(dated: float | None, asked: bool) -> None:
+            self.line.after(self.way(sent.zone, sent.source), partial(came, dated, asked))
+
+        self.line.after(way, partial(self._at_source, sent, work, back))
+
+    def _at_source(self, sent: Sent, work: Work, back: Filled) -> None:
+        source = self.stores[sent.source]
+        if source.silent or not source.up:
+            return  # the cache gives the fill up
+        if not self._reached(source, sent):
+            return
+        if self.rng.random() < source.error_part:
+            self.line.after(ERROR_MS, partial(back, None, True))
+        elif source.model is None:
+            self.origin.fetch(work.size, lambda dated: back(dated, True))
+        elif isinstance(source.model, Parent):
+            holds_only = "shallow" in sent.hints
+            source.model.get(work.thing, work.size, self._oldest(sent), back, holds_only)
+        else:  # another cache gives only what it holds
+            back(source.model.held(work.thing, self._oldest(sent)), False)
+
+    def _answer(self, sent: Sent, status: Status, note: Note, dated: float) -> None:
+        self._works.pop(sent, None)
+        if status is Status.RESET:
+            return  # the connection has ended, and tells more
+        request = sent.attempt.exchange.request
+        sent.body = body_of(request.object - 1, request.part)
+        sent.answer(status, self._note_told(note), dated)
+
+    def _note_told(self, note: Note) -> Note:
+        notes = self.settings.notes
+        if notes == "hit":
+            if note in (Note.PARENT_HELD, Note.FROM_ORIGIN):
+                return Note.PARENT_HELD
+            return note if note in (Note.HIT, Note.JOINED, Note.AGED) else Note.UNTOLD
+        return note if notes == "all" else Note.UNTOLD
+
+    def size(self, thing: Thing) -> float:
+        size = self._sizes.get(thing)
+        if size is None:
+            mean = self.deployment.classes[class_of(thing[0])].mean_kb
+            spread = self.rng.lognormvariate(-SIZE_SIGMA * SIZE_SIGMA / 2.0, SIZE_SIGMA)
+            size = self._sizes[thing] = max(mean * spread, 0.5)
+        return size
+
+
+def _nothing(sent: Sent) -> None:
+    pass
+
+
+def cold_rules(s: Settings) -> tuple[ColdRule, ColdRule]:
+    """Those of caches and of parents."""
+    return (
+        ColdRule(s.cold_from, s.warm_after_ms, s.fall_multiple, s.fall_ms),
+        ColdRule(s.parent_cold_from, s.parent_cold_ms, s.parent_fall_multiple, s.fall_ms),
+    )
+
+
+def object_of(sent: Sent) -> int:
+    """The module counts objects from 1."""
+    return sent.attempt.exchange.request.object - 1
+
+
+def body_of(object_: int, part: int) -> bytes:
+    """What stands for the bytes of a part."""
+    return f"{object_}:{part}".encode()
+
+
+def _finish_straight(work: Work, dated: float | None, asked: bool = True) -> None:
+    if dated is not None:
+        work.finish(Status.OK, Note.FROM_ORIGIN if asked else Note.HIT, dated)
+    else:
+        work.finish(Status.FULL if asked else Status.MISS)
+
+
+def _drop(model: Cache | Parent, fault: Fault, before_ms: float) -> None:
+    def covered(thing: Thing) -> bool:
+        return thing[0] == fault.object or (fault.group >= 0 and group_of(thing[0]) == fault.group)
+
+    model.purge(covered, before_ms)
