--- a/gladelane/lab/deployments.py
+++ b/gladelane/lab/deployments.py
@@ -178,7 +178,7 @@
         rate = rng.uniform(25.0, MOST_REQUESTS / (span / 1000.0))
         load = rng.choice([rng.uniform(0.3, 0.75), rng.uniform(0.6, 1.3)])
         link = rate * work / 1000.0 / load  # of all caches together
-        weights = rng.choice(["nominal", "nominal", "off", "rough"])
+        weights = rng.choice(["nominal", "nominal", "off", "rough", "live"])
         caches = self._caches(locations, machine, link, weights)
         joining = self._joining(caches, weights)
         parents = self._parents(hubs, hub_kind, link, weights) if has_parents else ()
@@ -314,25 +314,25 @@
             "origin_fall_multiple": rng.choice([0.0, 2.5]),
             "origin_bears_ms": 3000.0,
         }
-        reports = rng.choice(["inline", "off"])
+        reports = rng.choice(["inline", "on_probe", "off"])
         return {
             "areas": zones,
             "balancers": len(directors),
             "classes": classes,
             "family_info": family,
             "registry_mode": rng.choice(["automatic", "subscribe"]),
-            "report": {"how": reports, "fields": ["busy", "x1"] if reports == "inline" else []},
+            "report": {"how": reports, "fields": [] if reports == "off" else ["busy", "x1"]},
             "weights": weights,
             "tick_ms": rng.choice([1.0, 2.0, 5.0]),
             "limits": {
                 "cancel": rng.random() < 0.7,
                 "may_duplicate": rng.random() < 0.5,
-                "may_tell": False,
-                "probes": False,
+                "may_tell": rng.random() < 0.2,
+                "probes": rng.random() < 0.2,
                 "retry_after": rng.random() < 0.5,
                 "max_retry_after_ms": rng.uniform(0.0, 3000.0),
                 "max_attempts": rng.randint(1, 10),
-                "max_open": 20_000,
+                "max_open": rng.choice([100, 20_000]),
                 "max_streams": rng.choice([1, 4, 32, 100]),
                 "dial_timeout_ms": rng.uniform(100.0, 600.0),
                 "conn_idle_ms": rng.uniform(3000.0, 20_000.0),
@@ -344,7 +344,7 @@
                 "warm_after_ms": self._between(2000.0, 20_000.0),
                 "fall_multiple": rng.uniform(1.5, 5.0),
                 "fall_ms": self._between(500.0, 3000.0),
-                "ask_within_ms": 10_000.0,
+                "ask_within_ms": rng.uniform(5000.0, 20_000.0),
             },
         }
 
@@ -359,7 +359,9 @@
     def _told(self, link: float, weights: str) -> float:
         if weights == "nominal":
             return round(link, 2)
-        return round(link * self.rng.uniform(0.9, 1.1), 2) if weights == "rough" else 1.0
+        if weights == "rough":
+            return round(link * self.rng.uniform(0.9, 1.1), 2)
+        return round(link / self.rng.uniform(1.0, 4.0), 2) if weights == "live" else 1.0
 
     def _age(self) -> float:
         """How long a store has run: most for ever, some for so short that they are cold."""
--- a/tests/lab/test_deployments.py
+++ b/tests/lab/test_deployments.py
@@ -62,9 +62,11 @@
     ("limits.cancel", {True, False}),
     ("limits.may_duplicate", {True, False}),
     ("limits.retry_after", {True, False}),
-    ("weights", {"nominal", "off", "rough"}),
+    ("weights", {"nominal", "off", "rough", "live"}),
     ("registry_mode", {"automatic", "subscribe"}),
-    ("report.how", {"inline", "off"}),
+    ("report.how", {"inline", "on_probe", "off"}),
+    ("limits.may_tell", {True, False}),
+    ("limits.probes", {True, False}),
 ]
 
 
