--- a/gladelane/lab/deployed.py
+++ b/gladelane/lab/deployed.py
@@ -93,8 +93,7 @@
         program.setLevel(logging.ERROR)
         program.propagate = False
         try:
-            longest = max(spec.deadline_ms for spec in self.settings.classes.values())
-            self.line.run(START_MS + self.deployment.span_ms + longest + END_MS)
+            self._run_to_the_end()
         finally:
             program.removeHandler(faults)
             program.setLevel(level)
@@ -109,6 +108,14 @@
             self._digest.hexdigest(),
         )
 
+    def _run_to_the_end(self) -> None:
+        """Until nobody waits for anything, or all ought to have been answered."""
+        longest = max(spec.deadline_ms for spec in self.settings.classes.values())
+        until = START_MS + self.deployment.span_ms + longest + END_MS
+        self.line.run(START_MS + self.deployment.span_ms)
+        while self.line.now < until and (self.clients.waiting or any(n.director.owed() for n in self.nodes)):
+            self.line.run(min(self.line.now + END_MS, until))
+
     # --- making it
 
     def _make_monitors(self) -> None:
--- a/gladelane/lab/deployed_clients.py
+++ b/gladelane/lab/deployed_clients.py
@@ -60,6 +60,7 @@
         self._traced, self._report = traced, report
         self.specs: list[ClassSpec] = list(deployment.settings(0).classes.values())
         self.counts: Counter[str] = Counter()
+        self.waiting = 0  # that come again
         self._clients = 0
         self._popular = [_zipf(load.objects) for load in deployment.classes]
         self._until = line.now + deployment.span_ms
@@ -126,7 +127,12 @@
         elif client.tries_left and self._comes_again(client, final):
             client.tries_left -= 1
             wait = self.deployment.clients.wait_ms + final.come_back_ms
-            self.line.after(wait, partial(self._try, client))
+            self.waiting += 1
+            self.line.after(wait, partial(self._try_again, client))
+
+    def _try_again(self, client: _Client) -> None:
+        self.waiting -= 1
+        self._try(client)
 
     def _comes_again(self, client: _Client, final: Final) -> bool:
         spec: ClassSpec = self.specs[client.place]
