--- a/gladelane/lab/model/stores.py
+++ b/gladelane/lab/model/stores.py
@@ -17,7 +17,8 @@
 from .timeline import Timeline
 
 Thing = tuple[int, int]
-#: when the origin gave the copy out, or None: it refused; and whether it had to be asked
+#: when the origin gave the copy out, or None: there is none; and whether the origin had to be asked. None
+#: without asking it: the source gives only what it holds, and lacks this
 Filled = Callable[[float | None, bool], None]
 GIVE_UP = 2500.0  # a fill of which nothing has come
 WARM_STEPS = 10  # in which a cold store's link widens
@@ -32,6 +33,7 @@
     end: Callable[[Status, Note, float], None]
     over: bool = False
     sending: int = 0  # the transfer to the client, once it runs
+    least_date: float = 0.0  # of a copy that its class allows at all, also from a fill that it joined
 
     def finish(self, status: Status, note: Note = Note.UNTOLD, dated: float = 0.0) -> None:
         if not self.over:
@@ -97,6 +99,7 @@
         self.up = True
         self.life = 0  # counts its processes
         self.filling: dict[Thing, _Fill] = {}
+        self.purged: list[tuple[Callable[[Thing], bool], float]] = []  # what each covers, and before when
         self.hits = self.fills = self.joins = 0
 
     def crash(self) -> None:
@@ -116,6 +119,14 @@
         if life == self.life:
             self.pipe.resize(self.build.capacity * part)
 
+    def purge(self, covered: Callable[[Thing], bool], before: float) -> None:
+        """Drops covered copies from before then, and keeps none that a fill brings later."""
+        self.copies.purge(covered, before)
+        self.purged.append((covered, before))
+
+    def _is_purged(self, thing: Thing, dated: float) -> bool:
+        return any(dated < before and covered(thing) for covered, before in self.purged)
+
     def held(self, thing: Thing, oldest: float) -> float | None:
         """The date of a copy given out at `oldest` or later."""
         dated = self.copies.dated(thing)
@@ -142,12 +153,13 @@
             if self.filling.get(thing) is mine:
                 del self.filling[thing]
             if dated is not None:
-                self.copies.keep(thing, rank, size, dated)
+                kept_at = 0 if self._is_purged(thing, dated) else rank
+                self.copies.keep(thing, kept_at, size, dated)
             for waiting in mine.waiting:
                 waiting(dated, asked)
 
         source(came)
-        self.line.after(GIVE_UP, partial(came, None, False))
+        self.line.after(GIVE_UP, partial(came, None, True))
 
 
 class Parent(Keeper):
@@ -157,8 +169,9 @@
         super().__init__(line, build)
         self.origin = origin
 
-    def get(self, thing: Thing, size: float, oldest: float, done: Filled) -> None:
-        """For a cache's fill; a parent that is down says nothing, as a machine that vanished."""
+    def get(self, thing: Thing, size: float, oldest: float, done: Filled, holds_only: bool = False) -> None:
+        """For a cache's fill; a parent that is down says nothing, as a machine that vanished. `holds_only`:
+        it asks the origin for nothing."""
         if not self.up:
             return
         dated = self.held(thing, oldest)
@@ -167,6 +180,9 @@
             self.copies.use(thing, 0)
             self.pipe.start(size, partial(done, dated, False))
             return
+        if holds_only:
+            self.line.after(0.0, partial(done, None, False))
+            return
 
         def asked(came: Filled) -> None:
             self.origin.fetch(size, lambda dated: came(dated, True))
@@ -210,19 +226,28 @@
         else:
             self.open[work] = None
 
-            def through(came: Filled) -> None:
-                source(partial(self._inlet, work.size, came))
-
             def filled(dated: float | None, asked: bool) -> None:
                 if work.over:
                     self.open.pop(work, None)
                 elif dated is None:
                     self.open.pop(work, None)
-                    work.finish(Status.ERROR, Note.ORIGIN_FAILED)
+                    if asked:
+                        work.finish(Status.ERROR, Note.ORIGIN_FAILED)
+                    else:
+                        work.finish(Status.MISS, Note.SOURCE_LACKS)
+                elif dated < work.least_date:  # it joined a fill that was asked for less: for its own, then
+                    self.fill(work.thing, work.size, rank, False, self._through(work.size, source), filled)
                 else:
                     self._send(work, Note.FROM_ORIGIN if asked else Note.PARENT_HELD, dated)
 
-            self.fill(work.thing, work.size, rank, join, through, filled)
+            self.fill(work.thing, work.size, rank, join, self._through(work.size, source), filled)
+
+    def renew(self, thing: Thing, size: float, rank: int, source: Callable[[Filled], None]) -> None:
+        """Behind an answer from an ageing copy: nobody waits for it."""
+        self.fill(thing, size, rank, True, self._through(size, source), lambda dated, asked: None)
+
+    def _through(self, size: float, source: Callable[[Filled], None]) -> Callable[[Filled], None]:
+        return lambda came: source(partial(self._inlet, size, came))
 
     def abort(self, work: Work) -> None:
         """Work stops when its request is given up; a fill runs on."""
