Measure how long after a client has left an attempt for it still begins

`python -m benchmarks.leaves [--quick]`: one director process, stand-ins for caches, parent and origin, clients that close, reset or cancel at random moments, by the place where their requests wait, cancels allowed and not. The director is stopped for 0.12 to 0.35 s again and again, so that a leave lies unread while something falls due.

Stand-ins can read nothing for a while (`pause`, `resume`) and say which requests had come by then: those are not timed. `Seen.at` is now when the line had come, not the body.

--- /dev/null
+++ b/benchmarks/leaves.py
@@ -0,0 +1,365 @@
+"""Clients that leave: how long after it an attempt for one still begins, by the place where it waited.
+
+`python -m benchmarks.leaves [--quick]`: one director process on loopback, clients that close, reset or cancel
+(type 18) at random moments while their request waits, and stand-ins for caches and the origin. The director
+is held up (SIGSTOP) for a fraction of a second again and again, so that a leave lies unread while timers,
+dials and late answers fall due. Each place is played with cancels allowed and without.
+
+An attempt's beginning is when its line came to a stand-in. `over`: began more than 0.1 s after its client's
+leave was sent, even if it came as early as this process may have missed it; `unclear`: only if it came as
+late as it was read. What had come to a server that read nothing just then is not timed. Exits with 1 if any
+is over.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import random
+import signal
+import socket
+import struct
+import sys
+import tempfile
+from bisect import bisect_left
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager, suppress
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import uvloop
+
+from benchmarks import conclude
+from gladelane.endpoints.address import Family
+from gladelane.lab.board import BoardStandin
+from gladelane.lab.processes import Processes
+from gladelane.lab.standins import Fault, Said, Seen, Standin
+from gladelane.net.frames import FrameDecoder, Type, encode_fields, encode_frame
+
+ROOT = Path(__file__).parent.parent
+LIMIT_S = 0.1  # the operators': no attempt begins later after its client has left
+CACHES = 6
+CLIENTS = 24
+BEAT_S = 0.002  # how exactly this process knows when it last looked for arrivals
+STALL_S = (0.12, 0.35)  # of the director, each time
+STALL_APART_S = (0.2, 0.6)
+SETTLE_S = 1.5  # after the last leave: longer than a repeated SYN and any held-up attempt
+DIAL_MS = 1500.0  # a dial that is dropped comes up with the system's second SYN, after 1 s
+NARROW = 4096  # bytes that the system takes for a server that reads nothing
+CLOSE, RESET, CANCEL = "close", "reset", "type 18"
+READ, WRITE = "question-item", "answer-submit"
+
+
+@dataclass(frozen=True)
+class Place:
+    """Where requests wait when their clients leave, and how it comes about."""
+
+    name: str
+    cls: str = READ
+    waits_s: tuple[float, float] = (0.0, 0.3)  # from the request to the leave
+    answers_s: tuple[float, float] = (0.02, 0.25)  # what a server takes
+    refuses: float = 0.0  # share of answers that say 'it never ran': a further attempt follows
+    body: int = 0
+    late_dials: bool = False
+    pauses: bool = False  # servers that read nothing for a while
+    pieces: bool = False  # frames come in pieces
+    flood: int = 0  # requests in one write, cancelled at its end
+
+
+PLACES = (
+    Place("a full loop"),
+    Place("late answers of a cache", refuses=0.7),
+    Place("a timer", WRITE, answers_s=(0.0, 0.05), refuses=0.8, waits_s=(0.0, 0.8)),
+    Place("a dial", WRITE, waits_s=(0.1, 1.3), late_dials=True),
+    Place("unread bytes", body=24_000, pauses=True, waits_s=(0.0, 0.4)),
+    Place("requests in pieces", refuses=0.5, pieces=True),
+    Place("a flood", refuses=0.5, flood=8, body=24_000),
+)
+
+
+@dataclass
+class Leaves:
+    """What was seen at one place. Times are seconds of the loop."""
+
+    left: dict[str, float] = field(default_factory=dict)  # by the request's id, when the leave had been sent
+    beats: list[float] = field(default_factory=list)
+
+    def count(self, standins: list[Standin], since: dict[str, int]) -> dict[str, Any]:
+        late: list[tuple[float, float]] = []  # after the leave: at the earliest, and as read
+        attempts = 0
+        for standin in standins:
+            for seen in standin.seen[since[standin.name] :]:
+                attempts += 1
+                left = self.left.get(seen.id)
+                if left is not None and seen.at > left and not seen.lay_unread:
+                    late.append((self._earliest(seen.at) - left, seen.at - left))
+        return {
+            "leaves": len(self.left),
+            "attempts": attempts,
+            "begun_after": len(late),
+            "over": sum(earliest > LIMIT_S for earliest, _ in late),
+            "unclear": sum(earliest <= LIMIT_S < read for earliest, read in late),
+            "longest_ms": round(max((earliest for earliest, _ in late), default=0.0) * 1000.0, 1),
+        }
+
+    def _earliest(self, at: float) -> float:
+        """When this process looked the last time before."""
+        place = bisect_left(self.beats, at)
+        return self.beats[place - 1] if place else at
+
+
+class Leaver:
+    """A client that asks, waits a moment and leaves, again and again."""
+
+    def __init__(self, port: int, place: Place, rng: random.Random, leaves: Leaves) -> None:
+        self.port, self.place, self.rng, self.leaves = port, place, rng, leaves
+        self._sock: socket.socket | None = None
+        self._decoder = FrameDecoder()
+        self._stream = 0
+        self._open: dict[int, str] = {}
+
+    async def run(self) -> None:
+        try:
+            while True:
+                with suppress(OSError):
+                    await self._once()
+        finally:
+            self._end()
+
+    async def _once(self) -> None:
+        if self._sock is None or self._ended():
+            await self._connect()
+        frames = [self._request() for _ in range(max(self.place.flood, 1))]
+        how = self.rng.choice((CLOSE, RESET, CANCEL))
+        if self.place.flood and how == CANCEL:
+            frames += self._cancels()
+        await self._write(b"".join(frames))
+        if self.place.flood and how == CANCEL:
+            self._note()
+        await asyncio.sleep(self.rng.uniform(*self.place.waits_s))
+        if self._ended():
+            self._end()
+        elif how == CANCEL:
+            await self._write(b"".join(self._cancels()))
+            self._note()
+        else:
+            self._end(reset=how == RESET)
+            self._note()
+
+    async def _connect(self) -> None:
+        self._end()
+        self._sock = socket.socket()
+        self._sock.setblocking(False)
+        self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        await asyncio.get_running_loop().sock_connect(self._sock, ("127.0.0.1", self.port))
+        self._decoder, self._stream = FrameDecoder(), 0
+
+    def _request(self) -> bytes:
+        self._stream += 1
+        id_ = f"{self.rng.getrandbits(64):016x}"
+        self._open[self._stream] = id_
+        fields = {
+            "c": self.place.cls,
+            "i": id_,
+            "d": "2500",
+            "o": f"{self.rng.randrange(200):016x}",
+            "chunk": "0",
+            "tag": "1",
+            "m": "1",
+        }
+        if self.place.cls == WRITE:
+            fields["k"] = id_ * 2
+        return encode_frame(Type.REQUEST, self._stream, encode_fields(fields) + b"x" * self.place.body)
+
+    def _cancels(self) -> list[bytes]:
+        return [encode_frame(Type.GONE, stream) for stream in self._open]
+
+    async def _write(self, data: bytes) -> None:
+        assert self._sock is not None
+        loop = asyncio.get_running_loop()
+        while self.place.pieces and len(data) > 1:
+            size = self.rng.randint(1, len(data))
+            await loop.sock_sendall(self._sock, data[:size])
+            data = data[size:]
+            await asyncio.sleep(self.rng.uniform(0.0, 0.02))
+        await loop.sock_sendall(self._sock, data)
+
+    def _note(self) -> None:
+        """All that is open has been left now."""
+        now = asyncio.get_running_loop().time()
+        for id_ in self._open.values():
+            self.leaves.left.setdefault(id_, now)
+        self._open.clear()
+
+    def _ended(self) -> bool:
+        """Takes what has come: what was answered is not left any more."""
+        assert self._sock is not None
+        try:
+            while data := self._sock.recv(65_536):
+                for frame in self._decoder.feed(data):
+                    if frame.type == Type.ANSWER:
+                        self._open.pop(frame.stream, None)
+        except BlockingIOError:
+            return False
+        except OSError:
+            pass
+        return True
+
+    def _end(self, reset: bool = False) -> None:
+        if self._sock is not None:
+            if reset:
+                self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            self._sock.close()
+            self._sock = None
+
+
+class Fleet:
+    """Caches, a parent and the origin, and a director in front of them."""
+
+    def __init__(self, folder: Path, rng: random.Random) -> None:
+        self.folder, self.rng = folder, rng
+        self.place = PLACES[0]
+        names = (*(f"cache-{n}" for n in range(CACHES)), "depot", "bank")
+        self.standins = [Standin(name, self._answer) for name in names]
+        self.addresses: dict[str, str] = {}
+        self.board = BoardStandin()
+
+    async def start(self, cancel: bool) -> Processes:
+        raw = json.loads((ROOT / "example" / "config.json").read_text())
+        raw["board"] = await self.board.start()
+        raw["settings"]["limits"] |= {"cancel": cancel, "dial_timeout_ms": DIAL_MS}
+        instances = []
+        for standin in self.standins:
+            address = self.addresses[standin.name] = await standin.listen(Family.V4, receive_buffer=NARROW)
+            kind = {"depot": "parent", "bank": "origin"}.get(standin.name, "standard")
+            instances.append(
+                {
+                    "instanceId": standin.name,
+                    "hostPort": address,
+                    "machineType": kind,
+                    "zone": "branch" if kind == "standard" else "hub",
+                    "cell": 0,
+                    "lifecycle": "in_service",
+                    "weight": 5,
+                    "startedAtMs": 0,
+                }
+            )
+        self.board.tell({"pool": {"generation": 1, "reset": True, "instances": instances}})
+        raw["known"] = self.board.known()
+        processes = Processes(self.folder, raw)
+        await processes.start()
+        await processes.serving()
+        return processes
+
+    async def _answer(self, seen: Seen) -> Said:
+        await asyncio.sleep(self.rng.uniform(*self.place.answers_s))
+        if self.rng.random() < self.place.refuses:
+            return self.rng.choice(("overload -", "not_here -")), b""
+        return "served digest=d,dated=1,remark=h", b"\x00ok"
+
+    async def trouble(self) -> None:
+        """What the place has the servers do, all the while."""
+        origin = self.standins[-1]
+        while self.place.late_dials:
+            await origin.set(self.addresses[origin.name], Fault.BLACK_HOLE)
+            await asyncio.sleep(self.rng.uniform(0.5, 0.9))
+            await origin.set(self.addresses[origin.name], Fault.NONE, drop=False)
+            await asyncio.sleep(self.rng.uniform(0.4, 0.6))
+        while self.place.pauses:
+            halted = self.rng.sample(self.standins, 5)
+            for standin in halted:
+                standin.pause(self.addresses[standin.name])
+            await asyncio.sleep(self.rng.uniform(0.15, 0.4))
+            for standin in halted:
+                standin.resume(self.addresses[standin.name])
+            await asyncio.sleep(self.rng.uniform(0.1, 0.3))
+
+    async def close(self) -> None:
+        await self.board.close()
+        for standin in self.standins:
+            await standin.close()
+
+
+async def hold_up(process: asyncio.subprocess.Process, rng: random.Random) -> None:
+    """Stops the director for a moment, again and again."""
+    try:
+        while True:
+            await asyncio.sleep(rng.uniform(*STALL_APART_S))
+            os.kill(process.pid, signal.SIGSTOP)
+            await asyncio.sleep(rng.uniform(*STALL_S))
+            os.kill(process.pid, signal.SIGCONT)
+    finally:
+        os.kill(process.pid, signal.SIGCONT)
+
+
+async def beat(beats: list[float]) -> None:
+    while True:
+        beats.append(asyncio.get_running_loop().time())
+        await asyncio.sleep(BEAT_S)
+
+
+@asynccontextmanager
+async def going(*tasks: Awaitable[None]) -> AsyncIterator[None]:
+    running = [asyncio.ensure_future(task) for task in tasks]
+    try:
+        yield
+    finally:
+        for task in running:
+            task.cancel()
+        for ended in await asyncio.gather(*running, return_exceptions=True):
+            if isinstance(ended, Exception):
+                raise ended
+
+
+async def play(
+    place: Place, fleet: Fleet, director: Processes, most: int, told: Callable[[str], None]
+) -> dict[str, Any]:
+    """One place until it has been left so often."""
+    rng, leaves = fleet.rng, Leaves()
+    fleet.place = place
+    since = {standin.name: len(standin.seen) for standin in fleet.standins}
+    clients = [Leaver(director.port, place, rng, leaves) for _ in range(CLIENTS)]
+    async with going(beat(leaves.beats)):
+        async with going(
+            hold_up(director.all[0], rng), fleet.trouble(), *(client.run() for client in clients)
+        ):
+            while len(leaves.left) < most:
+                await asyncio.sleep(0.01)
+        for standin in fleet.standins:
+            standin.resume(fleet.addresses[standin.name])
+            await standin.set(fleet.addresses[standin.name], Fault.NONE, drop=False)
+        await asyncio.sleep(SETTLE_S)
+    found = leaves.count(fleet.standins, since)
+    told(f"{place.name}: {found}")
+    return found
+
+
+async def measure(quick: bool) -> dict[str, Any]:
+    figures: dict[str, Any] = {}
+    rng = random.Random(9)
+    for cancel in (True, False):
+        with tempfile.TemporaryDirectory(prefix="leaves") as folder:
+            fleet = Fleet(Path(folder), rng)
+            director = await fleet.start(cancel)
+            try:
+                for place in PLACES:
+                    name = f"{place.name}, {'cancels' if cancel else 'no cancels'}"
+                    figures[name] = await play(place, fleet, director, 40 if quick else 400, print)
+            finally:
+                await director.end()
+                await fleet.close()
+    return figures
+
+
+def main() -> int:
+    places = uvloop.run(measure("--quick" in sys.argv[1:]))
+    total = {key: sum(found[key] for found in places.values()) for key in ("leaves", "over", "unclear")}
+    longest = max(found["longest_ms"] for found in places.values())
+    broken = [f"{name}: {found['over']} over" for name, found in places.items() if found["over"]]
+    return conclude({**total, "longest_ms": longest, "places": places}, broken)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/gladelane/lab/standins.py
+++ b/gladelane/lab/standins.py
@@ -16,9 +16,10 @@
 from contextlib import suppress
 from enum import Enum
 from pathlib import Path
-from typing import NamedTuple
+from typing import NamedTuple, cast
 
 from ..endpoints.address import Address, Family, parse
+from ..net.sockets import unread_bytes
 
 LATE_S = 0.2
 FILL_MOST = 64  # dials that a listener without a backlog must swallow at the most before it drops
@@ -55,7 +56,8 @@
     fields: dict[str, str]
     body: bytes
     address: str
-    at: float  # seconds of the loop
+    at: float  # seconds of the loop, when its line had come
+    lay_unread: bool = False  # its first byte had come while the server read nothing: `at` is too late
 
 
 Said = tuple[str, bytes] | None
@@ -67,6 +69,23 @@
     return "served digest=aa,dated=1,remark=h", b"\x00bytes of " + seen.fields["thing"].encode()
 
 
+class _Peer:
+    """One connection to a stand-in."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader, self.writer = reader, writer
+        self.backlog = 0  # bytes that had come when reading was last resumed, and are not processed yet
+
+    def pause(self) -> None:
+        cast(asyncio.ReadTransport, self.writer.transport).pause_reading()
+
+    def resume(self) -> None:
+        if not self.writer.is_closing():
+            held: bytearray = self.reader._buffer  # type: ignore[attr-defined]
+            self.backlog = len(held) + unread_bytes(self.writer.get_extra_info("socket"))
+            cast(asyncio.ReadTransport, self.writer.transport).resume_reading()
+
+
 class _Place:
     """One address of a stand-in."""
 
@@ -75,8 +94,10 @@
         self.fault = Fault.NONE
         self.server: asyncio.Server | None = None
         self.hole: list[socket.socket] = []
-        self.open: set[asyncio.StreamWriter] = set()
+        self.open: dict[asyncio.StreamWriter, _Peer] = {}
         self.accepted = 0
+        self.paused = False
+        self.receive_buffer = 0
 
 
 class Standin:
@@ -105,8 +126,9 @@
         """Connections open at an address now."""
         return len(self._places[address].open)
 
-    async def listen(self, family: Family, host: str = "") -> str:
-        """Opens one more address on a free port or a new socket file, and gives its text."""
+    async def listen(self, family: Family, host: str = "", receive_buffer: int = 0) -> str:
+        """Opens one more address on a free port or a new socket file, and gives its text. `receive_buffer`:
+        bytes that the system takes while the server reads nothing; 0: the system's usual."""
         if family is Family.UNIX:
             if self._folder is None:
                 self._folder = tempfile.TemporaryDirectory(prefix="gl")
@@ -120,6 +142,7 @@
                 port = free.getsockname()[1]
             address = parse(f"{local}:{port}" if family is Family.V4 else f"[{local}]:{port}")
         place = self._places[address.text] = _Place(address)
+        place.receive_buffer = receive_buffer
         await self._open(place)
         return address.text
 
@@ -136,6 +159,19 @@
             await self._shut(place)
             await self._open(place)
 
+    def pause(self, address: str) -> None:
+        """From now on nothing is read there; what comes waits with the system."""
+        place = self._places[address]
+        place.paused = True
+        for peer in place.open.values():
+            peer.pause()
+
+    def resume(self, address: str) -> None:
+        place = self._places[address]
+        place.paused = False
+        for peer in place.open.values():
+            peer.resume()
+
     async def close(self) -> None:
         for place in self._places.values():
             for writer in list(place.open):
@@ -154,6 +190,8 @@
             path.write_text("no socket")
             return
         sock = self._bound(place.address)
+        if place.receive_buffer:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, place.receive_buffer)
         if fault is Fault.REFUSED:
             sock.close()  # a Unix socket's file stays behind: stale
             return
@@ -208,7 +246,9 @@
 
     async def _serve(self, place: _Place, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         place.accepted += 1
-        place.open.add(writer)
+        peer = place.open[writer] = _Peer(reader, writer)
+        if place.paused:
+            peer.pause()
         try:
             if place.fault is Fault.RESET_ON_ACCEPT:
                 _reset(writer)
@@ -217,17 +257,19 @@
                 return
             if place.fault is Fault.LATE:
                 await asyncio.sleep(LATE_S)
-            while words := (await reader.readline()).decode().split():
-                await self._command(place, words, reader, writer)
+            while line := await reader.readline():
+                await self._command(place, line, peer)
         except (OSError, asyncio.IncompleteReadError):
             pass
         finally:
-            place.open.discard(writer)
+            place.open.pop(writer, None)
             writer.close()
 
-    async def _command(
-        self, place: _Place, words: list[str], reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
+    async def _command(self, place: _Place, line: bytes, peer: _Peer) -> None:
+        reader, writer = peer.reader, peer.writer
+        words = line.decode().split()
+        lay_unread = peer.backlog > 0
+        peer.backlog = max(peer.backlog - len(line), 0)
         if words[0] == "abort":
             self.aborted.append(words[1])
             return
@@ -239,13 +281,15 @@
         if words[0] == "drop":
             orders = (await reader.readexactly(int(words[2]) + 2))[:-2].decode()
             if self.drop is not None and place.fault is not Fault.STALL:
-                for line in orders.splitlines():
-                    self.drop(line)
+                for order in orders.splitlines():
+                    self.drop(order)
                 writer.write(f"{words[1]} dropped - 0\r\n\r\n".encode())
             return
+        at = asyncio.get_running_loop().time()
         body = (await reader.readexactly(int(words[3]) + 2))[:-2]
+        peer.backlog = max(peer.backlog - len(body) - 2, 0)
         fields = dict(pair.split("=", 1) for pair in words[2].split(","))
-        seen = Seen(words[1], fields, body, place.address.text, asyncio.get_running_loop().time())
+        seen = Seen(words[1], fields, body, place.address.text, at, lay_unread)
         self.seen.append(seen)
         self.counts[seen.id, seen.address] += 1
         fault = place.fault
--- a/gladelane/net/sockets.py
+++ b/gladelane/net/sockets.py
@@ -29,12 +29,16 @@
         return data
 
 
-def has_unread(sock: socket.socket) -> bool:
-    """Whether the system holds bytes that the stream has not been given."""
+def unread_bytes(sock: socket.socket) -> int:
+    """How many bytes the system holds that the stream has not been given."""
     try:
-        return bool(struct.unpack("i", fcntl.ioctl(sock.fileno(), termios.FIONREAD, b"\0\0\0\0"))[0])
+        return int(struct.unpack("i", fcntl.ioctl(sock.fileno(), termios.FIONREAD, b"\0\0\0\0"))[0])
     except OSError:
-        return False
+        return 0
+
+
+def has_unread(sock: socket.socket) -> bool:
+    return unread_bytes(sock) > 0
 
 
 def has_ended(sock: socket.socket) -> bool:
