Look at what a client sent, read or not, just before each attempt for it

Cause, by a forced order: a loop that was held up acts on timers, dials and answers of caches in whatever order the system tells of them, and `recheck` knew only of leaves that had been read. A cancel may also lie in the stream's reader, or beyond READ_BYTES of one write, while the request before it is acted on. Ruled out: the module (it forgets a request with its ClientGone), a retry's timer (it finds nothing), FIN alone (`has_ended` saw it, but only with no byte unread before it and only as a request was read).

--- a/gladelane/net/director.py
+++ b/gladelane/net/director.py
@@ -43,7 +43,7 @@
 from ..routes.keys import KeyWindows, kept_for
 from .config import Instance, Notice, Pool
 from .ends import STATUS, End
-from .exchange import Ask, Attempt, Code, Exchange, Final
+from .exchange import Ask, Attempt, Code, Exchange, Final, never
 from .frames import HEX16
 from .lines import Reply
 from .wheel import TICK_MS, Wheel
@@ -134,8 +134,11 @@
 
     # --- from the client side
 
-    def admit(self, ask: Ask, deliver: Callable[[Final], None]) -> Exchange:
-        """Called when the last byte of the request has been read; it came earlier by up to the loop's lag."""
+    def admit(
+        self, ask: Ask, deliver: Callable[[Final], None], has_left: Callable[[], bool] = never
+    ) -> Exchange:
+        """Called when the last byte of the request has been read; it came earlier by up to the loop's lag.
+        `has_left` is asked just before each attempt for it."""
         self._numbers += 1
         # the module knows 0 as 'no object, a whole group', so objects count from 1
         now = self.clock()
@@ -153,7 +156,7 @@
             ran_at=ran_at,
         )
         spec, most = self.settings.classes[ask.cls], self.settings.max_attempts
-        exchange = Exchange(ask, request, deliver, spec, most, figures=self.figures)
+        exchange = Exchange(ask, request, deliver, spec, most, figures=self.figures, has_left=has_left)
         self.figures.inflight += 1
         if self.audit is not None and (back := self.audit.admits(ask.cls)):
             exchange.finish(Final(Code.REFUSED, come_back_ms=min(back, self.settings.max_retry_after_ms)))
@@ -350,6 +353,8 @@
         """Just before the first byte: a dial takes time, and clients, lists, purges, windows and the clock go
         on meanwhile."""
         now = self.clock()
+        if not attempt.exchange.done and attempt.exchange.has_left():
+            self.gone(attempt.exchange)
         if attempt.exchange.done:
             return End.SURPLUS
         if attempt.due_ms - now < 1.0:
--- a/gladelane/net/exchange.py
+++ b/gladelane/net/exchange.py
@@ -41,6 +41,11 @@
     come_back_ms: float = 0.0
 
 
+def never() -> bool:
+    """Of a request whose client cannot leave."""
+    return False
+
+
 @dataclass(slots=True, eq=False)
 class Exchange:
     ask: Ask
@@ -53,6 +58,7 @@
     done: bool = False
     ran_ms: float = 0.0  # when the first of its ended attempts that may have run was written, 0: none did
     figures: Figures | None = None
+    has_left: Callable[[], bool] = never  # looks whether its client has gone, also where that lies unread
 
     def finish(self, final: Final | None) -> None:
         """The first call ends the request; None when its client has gone and is owed nothing."""
--- a/gladelane/net/frames.py
+++ b/gladelane/net/frames.py
@@ -13,6 +13,7 @@
 
 MAX_FRAME = 262_144
 HEAD = struct.Struct(">IBI")
+LOOK_AHEAD = 1024  # frames: more than a client that knows of its answers can have under way
 LENGTH_COVERS = 5  # type and stream; the length does not count itself
 HEX16 = re.compile(r"[0-9a-fA-F]{16}")
 AMOUNT = re.compile(r"[0-9]{1,9}(\.[0-9]{1,20})?")  # float() also takes signs, nan, inf, 1_0, 1e999
@@ -64,6 +65,23 @@
             del held[: 4 + length]
             yield Frame(type_, stream, payload)
 
+    def given_up(self, unread: bytes) -> set[int]:
+        """The streams that whole frames of type 18 name, among what it holds and `unread` that follows it.
+        Nothing is taken."""
+        data = bytes(self._held) + unread
+        found: set[int] = set()
+        at = 0
+        for _ in range(LOOK_AHEAD):
+            if len(data) - at < HEAD.size:
+                break
+            length, type_, stream = HEAD.unpack_from(data, at)
+            at += 4 + length
+            if not LENGTH_COVERS <= length <= MAX_FRAME or at > len(data):
+                break
+            if type_ == Type.GONE:
+                found.add(stream)
+        return found
+
 
 def encode_frame(type_: Type, stream: int, payload: bytes = b"") -> bytes:
     return HEAD.pack(LENGTH_COVERS + len(payload), type_, stream) + payload
--- a/gladelane/net/front.py
+++ b/gladelane/net/front.py
@@ -9,6 +9,7 @@
 import sys
 from collections.abc import Callable
 from contextlib import suppress
+from functools import partial
 
 from ..operations.drain import Drain
 from .director import Director
@@ -25,7 +26,7 @@
     encode_ready,
     peek_class,
 )
-from .sockets import Reader, has_ended, has_unread, shut_write_side
+from .sockets import Reader, has_ended, has_unread, look_ahead, shut_write_side
 from .wheel import Wheel
 
 log = logging.getLogger(__name__)
@@ -101,6 +102,8 @@
         self._decoder = FrameDecoder()
         self._streams = Streams()
         self._unsent = 0
+        self._looked_to = 0  # up to which byte that has come cancels were looked for
+        self._given_up: set[int] = set()  # and which streams they name
         writer.transport.set_write_buffer_limits(high=UNSENT_BYTES)
 
     def unsent(self) -> int:
@@ -232,7 +235,9 @@
         front.held += len(ask.body)
         answered: list[Final] = []
         try:
-            exchange = front.director.admit(ask, lambda final: self._answer(stream, final, answered))
+            exchange = front.director.admit(
+                ask, lambda final: self._answer(stream, final, answered), partial(self.has_left, stream)
+            )
         except Exception:  # a fault here ends this request only
             log.exception("request failed id=%s", ask.id)
             self._answer(stream, FAILED, answered)
@@ -240,6 +245,18 @@
         if not answered:
             self.open[stream] = exchange
 
+    def has_left(self, stream: int) -> bool:
+        """Whether nobody waits for what is open there, as far as has come: a loop that is behind may act on
+        a timer, a dial or a late answer before it reads that."""
+        unread = look_ahead(self.sock)
+        if unread.ended or self.reader.exception() is not None:
+            return True
+        come = self.reader.fed + len(unread.data)
+        if come != self._looked_to and not self.deaf:
+            self._looked_to = come
+            self._given_up = self._decoder.given_up(self.reader.peek() + unread.data)
+        return stream in self._given_up
+
     def _too_slow(self) -> bool:
         """Whether it has not taken what it was answered: more work for it would only lie here. One that sends
         on and on all the same, whatever it is that has to be answered, is cut off."""
--- a/gladelane/net/sockets.py
+++ b/gladelane/net/sockets.py
@@ -9,7 +9,11 @@
 import termios
 from collections.abc import Iterable
 from contextlib import suppress
-from typing import SupportsIndex
+from typing import NamedTuple, SupportsIndex
+
+PEEK_MOST = 2_097_152  # bytes: more than all the requests that a client may have open
+#: of the system's connection states (include/net/tcp_states.h), those in which the peer sends nothing more
+PEER_ENDED = frozenset({7, 8, 9, 11})  # CLOSE, CLOSE_WAIT, LAST_ACK, CLOSING
 
 
 class Reader(asyncio.StreamReader):
@@ -18,9 +22,12 @@
     def __init__(self, limit: int) -> None:
         super().__init__(limit=limit)
         self.waiting = 0
+        self.fed = 0  # bytes in all
 
     def feed_data(self, data: Iterable[SupportsIndex]) -> None:
-        self.waiting += len(bytes(data))
+        size = len(bytes(data))
+        self.waiting += size
+        self.fed += size
         super().feed_data(data)
 
     async def read(self, n: int = -1) -> bytes:
@@ -28,6 +35,17 @@
         self.waiting -= len(data)
         return data
 
+    def peek(self) -> bytes:
+        """What it holds."""
+        return bytes(self._buffer)  # type: ignore[attr-defined]
+
+
+class Unread(NamedTuple):
+    """What lies in the system: bytes, and whether the peer has ended the connection behind them."""
+
+    data: bytes
+    ended: bool
+
 
 def unread_bytes(sock: socket.socket) -> int:
     """How many bytes the system holds that the stream has not been given."""
@@ -52,6 +70,28 @@
         return True
 
 
+def look_ahead(sock: socket.socket) -> Unread:
+    """What the stream will be given, without taking it. One system call where nothing has come."""
+    try:
+        if not sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT):
+            return Unread(b"", True)
+        most = min(unread_bytes(sock), PEEK_MOST)
+        data = sock.recv(most, socket.MSG_PEEK | socket.MSG_DONTWAIT) if most else b""
+    except BlockingIOError:
+        return Unread(b"", False)
+    except OSError:
+        return Unread(b"", True)
+    return Unread(data, _peer_ended(sock))
+
+
+def _peer_ended(sock: socket.socket) -> bool:
+    """By the connection's state: an end behind unread bytes shows in no read."""
+    try:
+        return sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] in PEER_ENDED
+    except (OSError, IndexError):
+        return False
+
+
 def shut_write_side(sock: socket.socket) -> None:
     """The peer reads an end of file after what it was sent; what it sends still comes, and resets nothing."""
     with suppress(OSError):
--- /dev/null
+++ b/tests/net/test_leaves.py
@@ -0,0 +1,176 @@
+"""Clients that leave, where that lies unread at the moment in which an attempt for them falls due.
+
+The client's connection is not read from the leave on, as in a loop that is behind: what then happens to the
+request happens in the bad order, on any machine.
+"""
+
+from __future__ import annotations
+
+import socket
+import struct
+
+import pytest
+from harness import Cache, Command, config, hit, mute, running, trial, until
+from raw_client import GONE, Raw, connected, request, waits_for_a_dial
+
+import gladelane.net.front as front_module
+from gladelane.__main__ import Node
+from gladelane.net.exchange import Attempt
+from gladelane.net.frames import FrameDecoder, Type, encode_frame
+from gladelane.net.front import ClientConnection
+
+REFUSED = "127.0.0.1:1"
+HALF = request(9)[:30]
+OVERLOAD = b"%016x overload - 0\r\n\r\n"
+
+
+def leave(raw: Raw, how: str) -> None:
+    if "behind" in how:
+        raw.send(HALF if how == "close behind half a frame" else request(7, c="nothing") * 3)
+    if "type 18" in how:
+        raw.send(GONE)
+    else:
+        if how == "reset":
+            raw.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        raw.sock.close()
+
+
+WAYS = ("type 18", "type 18 behind requests", "close", "close behind half a frame", "reset")
+
+
+def unread(conn: ClientConnection) -> None:
+    conn.writer.transport.pause_reading()  # type: ignore[attr-defined]
+
+
+async def none_begins(node: Node, caches: list[Cache], begun: int) -> None:
+    """The request ends without a further attempt and without an answer."""
+    await until(lambda: not node.director.live)
+    assert [node.director.figures.withdrawn, sum(len(cache.seen) for cache in caches)] == [1, begun]
+
+
+@pytest.mark.parametrize("cancel", [True, False])
+@pytest.mark.parametrize("how", WAYS)
+def test_a_dial_that_comes_up_before_a_leave_is_read_carries_no_attempt(how: str, cancel: bool) -> None:
+    @trial
+    async def scene() -> None:
+        cache = Cache(mute)
+        async with running(config({"c0": await cache.start(), "r0": REFUSED}, cancel=cancel)) as (node, _):
+            raw = Raw(node)
+            conn = await connected(node, raw)
+
+            async def leaves(attempt: Attempt) -> None:
+                unread(conn)
+                leave(raw, how)
+
+            waits_for_a_dial(node, leaves)
+            raw.send(request(1))
+            await until(lambda: cache.conns)
+            await none_begins(node, [cache], 0)
+            raw.sock.close()
+
+    scene()
+
+
+@pytest.mark.parametrize("cancel", [True, False])
+@pytest.mark.parametrize("how", WAYS)
+def test_a_late_answer_that_is_read_before_a_leave_begins_no_further_attempt(how: str, cancel: bool) -> None:
+    @trial
+    async def scene() -> None:
+        caches = [Cache(mute) for _ in range(2)]
+        listed = {f"c{n}": await cache.start() for n, cache in enumerate(caches)}
+        async with running(config({**listed, "r0": REFUSED}, cancel=cancel)) as (node, _):
+            raw = Raw(node)
+            conn = await connected(node, raw)
+            raw.send(request(1))
+            await until(lambda: any(cache.seen for cache in caches))
+            unread(conn)
+            leave(raw, how)
+            (asked,) = (cache for cache in caches if cache.seen)
+            asked.conns[0].write(OVERLOAD % 1)
+            await none_begins(node, caches, 1)
+            raw.sock.close()
+
+    scene()
+
+
+def refuses(command: Command) -> tuple[str, bytes] | None:
+    return "overload -", b""
+
+
+@pytest.mark.parametrize("how", WAYS)
+def test_a_retry_whose_timer_fires_before_a_leave_is_read_is_not_sent(how: str) -> None:
+    @trial
+    async def scene() -> None:
+        origin = Cache(refuses)
+        async with running(config({"c0": REFUSED, "r0": await origin.start()})) as (node, _):
+            raw = Raw(node)
+            conn = await connected(node, raw)
+            raw.send(request(1, c="sheet", k="aa"))
+            await until(lambda: origin.seen)
+            unread(conn)
+            leave(raw, how)
+            await none_begins(node, [origin], 1)
+            raw.sock.close()
+
+    scene()
+
+
+@pytest.mark.parametrize("cancel", [True, False])
+def test_a_second_copy_that_falls_due_before_a_leave_is_read_is_not_sent(cancel: bool) -> None:
+    @trial
+    async def scene() -> None:
+        caches = [Cache(mute) for _ in range(2)]
+        listed = {f"c{n}": await cache.start() for n, cache in enumerate(caches)}
+        async with running(config({**listed, "r0": REFUSED}, cancel=cancel)) as (node, _):
+            node.director.router.hedges = 5.0
+            raw = Raw(node)
+            conn = await connected(node, raw)
+            raw.send(request(1))
+            await until(lambda: any(cache.seen for cache in caches))
+            unread(conn)
+            leave(raw, "type 18")
+            await until(lambda: node.director.figures.withdrawn == 1)
+            await until(lambda: not node.director.live)
+            assert sum(len(cache.seen) for cache in caches) == 1
+            raw.sock.close()
+
+    scene()
+
+
+def test_a_request_whose_cancel_comes_in_a_later_read_is_not_sent_on(monkeypatch: pytest.MonkeyPatch) -> None:
+    @trial
+    async def scene() -> None:
+        cache = Cache(hit)
+        async with running(config({"c0": await cache.start(), "r0": REFUSED})) as (node, client):
+            client.ask(3)
+            assert (await client.next())[:3] == (17, 3, 0)  # from here on no request waits for a dial
+            raw = Raw(node)
+            raw.send(request(1) + request(2) + GONE)  # all of it lies there before it is accepted
+            await until(lambda: len(cache.seen) > 1 and not node.director.live)
+            assert [command[0] for command in cache.seen] == [f"{n:016x}" for n in (3, 2)]
+            raw.sock.close()
+
+    monkeypatch.setattr(front_module, "READ_BYTES", len(request(1)) + 20)
+    scene()
+
+
+CANCELS = encode_frame(Type.GONE, 3) + encode_frame(Type.GONE, 5)
+
+
+@pytest.mark.parametrize(
+    ("held", "unread", "found"),
+    [
+        (b"", b"", set()),
+        (b"", CANCELS, {3, 5}),
+        (CANCELS[:4], CANCELS[4:], {3, 5}),
+        (b"", CANCELS[:-1], {3}),
+        (request(1)[:50], request(1)[50:] + CANCELS, {3, 5}),
+        (request(1)[:50], CANCELS, set()),  # they lie within the frame that is under way
+        (b"", b"\0\0\0\1" + CANCELS, set()),  # no frame can be so short: nothing after it can be trusted
+    ],
+)
+def test_cancels_are_found_in_what_was_not_read(held: bytes, unread: bytes, found: set[int]) -> None:
+    decoder = FrameDecoder()
+    assert not list(decoder.feed(held))
+    assert decoder.given_up(unread) == found
+    assert decoder.pending() == len(held)
