Hold back what a cache does not take, so that it can still be given up

Cause: an attempt was written behind bytes that had not left, into the transport's buffer or the system's (2.6 MB on loopback), and counted as begun; only the transport's was ever looked at. What was cancelled there went out with its abort when the cache read on; and a connection given up as stuck was closed, on which the system sends on what it holds.

Change: an attempt is written once all before it has left (SIOCOUTQNSD and the transport's buffer), looked at each tick; after STUCK_MS it goes to another connection. The last one written may still be in the system as a whole: when nobody waits for it any more, the connection is reset after STUCK_MS, by SO_LINGER 0, so that it never goes out.

--- a/gladelane/net/director.py
+++ b/gladelane/net/director.py
@@ -64,6 +64,8 @@
 
     def abandon(self, attempt: Attempt, end: End) -> None: ...
 
+    def take_back(self, attempt: Attempt) -> None: ...
+
     def forsake(self, store: str) -> None: ...
 
     def withdraw(self, store: str, address: Address) -> None: ...
@@ -189,7 +191,9 @@
             exchange.finish(None)
             self.post(ClientGone(exchange.request.id))
             for attempt in list(exchange.open.values()):
-                if not attempt.written_ms:
+                if attempt.written_ms:
+                    self.sender.take_back(attempt)
+                else:
                     self._give_up(attempt, End.SURPLUS)
 
     def owed(self) -> bool:
--- a/gladelane/net/sockets.py
+++ b/gladelane/net/sockets.py
@@ -11,6 +11,7 @@
 from contextlib import suppress
 from typing import NamedTuple, SupportsIndex
 
+SIOCOUTQNSD = 0x894B  # linux/sockios.h: bytes that the system has not sent yet; termios has no name for it
 PEEK_MOST = 2_097_152  # bytes: more than all the requests that a client may have open
 #: of the system's connection states (include/net/tcp_states.h), those in which the peer sends nothing more
 PEER_ENDED = frozenset({7, 8, 9, 11})  # CLOSE, CLOSE_WAIT, LAST_ACK, CLOSING
@@ -55,6 +56,15 @@
         return 0
 
 
+def unsent_bytes(sock: socket.socket) -> int:
+    """How many bytes were given to the system and never sent: the peer takes none. What was sent and is not
+    acknowledged yet does not count."""
+    try:
+        return int(struct.unpack("i", fcntl.ioctl(sock.fileno(), SIOCOUTQNSD, b"\0\0\0\0"))[0])
+    except OSError:
+        return 0
+
+
 def has_unread(sock: socket.socket) -> bool:
     return unread_bytes(sock) > 0
 
@@ -92,6 +102,12 @@
         return False
 
 
+def reset(sock: socket.socket) -> None:
+    """Has the close that follows throw away what was not sent, and reset the connection."""
+    with suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+
+
 def shut_write_side(sock: socket.socket) -> None:
     """The peer reads an end of file after what it was sent; what it sends still comes, and resets nothing."""
     with suppress(OSError):
--- a/gladelane/net/upstream.py
+++ b/gladelane/net/upstream.py
@@ -9,8 +9,10 @@
 import asyncio
 import logging
 import socket
+from collections import deque
 from collections.abc import Callable
 from contextlib import suppress
+from functools import partial
 from itertools import islice
 from typing import Protocol
 
@@ -22,7 +24,7 @@
 from .ends import DIAL_END, End
 from .exchange import Attempt
 from .lines import Garbled, Reply, ReplyDecoder, encode_abort, encode_fetch
-from .sockets import Reader, has_ended, has_unread
+from .sockets import Reader, has_ended, has_unread, reset, unsent_bytes
 from .wheel import Entry, Wheel
 
 log = logging.getLogger(__name__)
@@ -68,6 +70,10 @@
         self.dialling: Dialling | None = None
         self.open: dict[str, Attempt] = {}  # by the request's id, which is all that answers carry
         self.spent: dict[str, None] = {}  # the latest, oldest first
+        self.waiting: deque[Attempt] = deque()  # until bytes before them have left; some may be over by then
+        self.waits: Entry | None = None  # the next look whether they have
+        self.latest: Attempt | None = None  # of those written, while not all of it has left
+        self.latest_bytes = 0  # given to the system and the transport since, its own among them
         self.leaving = 0  # attempts handed to the transport, some of whose bytes may still be there
         self.decoder = ReplyDecoder()
         self.reader: Reader | None = None
@@ -103,15 +109,36 @@
             return False  # its close has come, unread: what is written into it is lost and counts as run
         return not self._stuck()
 
+    def _unsent(self) -> int:
+        """Bytes that have not left this machine."""
+        if self.writer is None or self.sock is None:
+            return 0
+        return self.writer.transport.get_write_buffer_size() + unsent_bytes(self.sock)
+
+    def _backed(self) -> bool:
+        """Whether bytes wait to leave."""
+        if self.writer is None or not (self.backed_ms or self.writer.transport.get_write_buffer_size()):
+            return False
+        if not self._unsent():
+            self.backed_ms = 0.0
+            return False
+        self.backed_ms = self.backed_ms or self.pool.clock()
+        return True
+
     def _stuck(self) -> bool:
         """Whether bytes written a while ago have not left: what is written after them waits too, and would
         go out when its client has left or its window has passed."""
-        if self.writer is None or not self.writer.transport.get_write_buffer_size():
-            self.backed_ms = 0.0
-            return False
-        now = self.pool.clock()
-        self.backed_ms = self.backed_ms or now
-        return now - self.backed_ms > STUCK_MS + self.pool.wheel.lag()
+        return self._backed() and self.pool.clock() - self.backed_ms > STUCK_MS + self.pool.wheel.lag()
+
+    def _put(self, data: bytes) -> None:
+        """The transport hands them to the system at once, as far as that takes them."""
+        assert self.writer is not None
+        self.writer.write(data)
+        self.latest_bytes += len(data)
+        if not self._unsent():
+            self.latest = None
+        elif not self.backed_ms:
+            self.backed_ms = self.pool.clock()
 
     def unread(self) -> bool:
         """Whether something has come that was not read yet: an answer that is read late is not lost."""
@@ -122,7 +149,36 @@
     def carry(self, attempt: Attempt) -> None:
         self.open[attempt.exchange.ask.id] = attempt
         if self.writer is not None:
-            self._write(attempt)
+            self.waiting.append(attempt)
+            self._write_waiting()
+
+    def _write_waiting(self) -> None:
+        """An attempt is written once all before it has left: behind bytes that the peer does not take it
+        could not be taken back, and would begin long after its client has gone."""
+        if self.waits is not None:
+            self.waits.cancel()
+            self.waits = None
+        while self.waiting and not self.finished:
+            attempt = self.waiting[0]
+            still_open = self.open.get(attempt.exchange.ask.id) is attempt
+            if still_open and self._backed():
+                self._wait()
+                return
+            self.waiting.popleft()  # before it is written: what comes of that may bring a further one here
+            if still_open:
+                self._write(attempt)
+
+    def _wait(self) -> None:
+        if not self._stuck():
+            self.waits = self.pool.wheel.at(self.pool.clock(), self._write_waiting)
+            return
+        waiting, self.waiting = self.waiting, deque()
+        for attempt in waiting:
+            id_ = attempt.exchange.ask.id
+            if self.open.get(id_) is attempt:
+                del self.open[id_]
+                self.pool.send(attempt)
+        self._close_if_done()
 
     def _write(self, attempt: Attempt) -> None:
         assert self.writer is not None
@@ -134,9 +190,10 @@
             return
         now = self.pool.clock()
         attempt.written_ms = self.used_ms = now
-        self.writer.write(encode_fetch(ask.id, attempt.fields(now), ask.body))
+        self.latest, self.latest_bytes = attempt, 0
+        self._put(encode_fetch(ask.id, attempt.fields(now), ask.body))
         self.leaving += 1
-        self._stuck()  # from here on it counts
+        self.count_written()
 
     def count_written(self) -> None:
         """The transport writes in the order it was given, so an empty buffer means that all has left."""
@@ -156,12 +213,10 @@
             if self._stuck():
                 # the abort would wait behind what does not leave, and the attempt be out until then: it is
                 # given up with the connection, whose other attempts wait in vain too
-                log.warning("stuck peer=%s open=%d", self.peer, len(self.open))
-                self.end = End.RESET
-                self.writer.transport.abort()
-                self.close()
+                self._reset()
             elif not self.writer.is_closing():  # the peer's end may not have been read yet
-                self.writer.write(encode_abort(id_))
+                self._put(encode_abort(id_))
+                self.take_back(attempt)
             if end is End.TIMED_OUT and self.heard_ms <= attempt.written_ms:
                 self.mute += 1
                 # with another way to this store one is enough where nothing ever came
@@ -174,6 +229,27 @@
                     self.retire()
         self._close_if_done()
 
+    def take_back(self, attempt: Attempt) -> None:
+        """Nobody waits for it any more. While no byte of it has left the connection is given up instead, once
+        it has been stuck for long enough: else the attempt would begin when the peer reads on."""
+        if self.finished or self.latest is not attempt or not self._backed():
+            return
+        if self._unsent() < self.latest_bytes:
+            return
+        due_ms = self.backed_ms + STUCK_MS
+        if self.pool.clock() >= due_ms:
+            self._reset()
+        else:
+            self.pool.wheel.at(due_ms, partial(self.take_back, attempt))
+
+    def _reset(self) -> None:
+        assert self.writer is not None and self.sock is not None
+        log.warning("stuck peer=%s open=%d", self.peer, len(self.open))
+        self.end = End.RESET
+        reset(self.sock)
+        self.writer.transport.abort()
+        self.close()
+
     def _stalled(self, why: str = "STALLED") -> bool:
         """Whether new attempts are better dialled elsewhere."""
         if self.address is None:
@@ -297,9 +373,8 @@
         finally:
             dialling.close()
         self.reader, self.writer, self.address, self.sock = reader, writer, address, sock
-        for attempt in list(self.open.values()):
-            if self.open.get(attempt.exchange.ask.id) is attempt:
-                self._write(attempt)
+        self.waiting.extend(self.open.values())
+        self._write_waiting()
         self._close_if_done()
         return None
 
@@ -350,6 +425,8 @@
         self.finished = self.retired = True
         self.count_written()
         self.pool.remove(self)
+        if self.waits is not None:
+            self.waits.cancel()
         if self.writer is not None:
             self.writer.close()
         if self.open:
@@ -445,6 +522,11 @@
         for conn in list(self._pool.get(attempt.store, ())):
             conn.drop(attempt, end)
 
+    def take_back(self, attempt: Attempt) -> None:
+        """Its client has gone, and it may not be cancelled: where no byte of it has left none is to."""
+        for conn in list(self._pool.get(attempt.store, ())):
+            conn.take_back(attempt)
+
     def forsake(self, store: str) -> None:
         """It left, came up anew or drains: what waits for a dial hears so now, what is open finishes."""
         for conn in list(self._pool.get(store, ())):
--- a/tests/net/test_leaves.py
+++ b/tests/net/test_leaves.py
@@ -6,19 +6,28 @@
 
 from __future__ import annotations
 
+import asyncio
 import socket
 import struct
+import time
+from collections.abc import Callable
+from typing import Any
 
 import pytest
+import uvloop
 from harness import Cache, Command, config, hit, mute, running, trial, until
+from raw_cache import OK, Peer, ask, asked, heard, only
 from raw_client import GONE, Raw, connected, request, waits_for_a_dial
 
 import gladelane.net.front as front_module
+import gladelane.net.upstream as upstream_module
 from gladelane.__main__ import Node
 from gladelane.net.exchange import Attempt
 from gladelane.net.frames import FrameDecoder, Type, encode_frame
 from gladelane.net.front import ClientConnection
+from gladelane.net.sockets import unsent_bytes
 
+BODY = 200_000  # more than a narrow cache and the system between take at once
 REFUSED = "127.0.0.1:1"
 HALF = request(9)[:30]
 OVERLOAD = b"%016x overload - 0\r\n\r\n"
@@ -42,6 +51,17 @@
     conn.writer.transport.pause_reading()  # type: ignore[attr-defined]
 
 
+async def rest(sock: socket.socket) -> tuple[bytes, str]:
+    """All bytes to the end, and how it ended."""
+    came = b""
+    try:
+        while data := await asyncio.wait_for(asyncio.get_running_loop().sock_recv(sock, 65_536), 5.0):
+            came += data
+    except ConnectionError:
+        return came, "reset"
+    return came, "end of file"
+
+
 async def none_begins(node: Node, caches: list[Cache], begun: int) -> None:
     """The request ends without a further attempt and without an answer."""
     await until(lambda: not node.director.live)
@@ -174,3 +194,105 @@
     assert not list(decoder.feed(held))
     assert decoder.given_up(unread) == found
     assert decoder.pending() == len(held)
+
+
+@trial
+async def test_a_request_behind_bytes_that_a_cache_does_not_take_waits_and_goes_elsewhere() -> None:
+    # it lay in the system's buffer, where nothing could take it back
+    peer = Peer(takes=4096)
+    async with running(config({"c0": peer.address, "r0": REFUSED})) as (node, client):
+        client.ask(1, body=b"x" * BODY)
+        slow = await peer.accepted()
+        conn = only(node, "c0")
+        await until(lambda: conn.backed_ms)
+        client.ask(2)
+        fresh = await peer.accepted()
+        line = await heard(fresh, b"\r\n")
+        assert f"{2:016x}".encode() in line and not conn.waiting and list(conn.open) == [f"{1:016x}"]
+        fresh.close()
+        slow.close()
+
+
+@pytest.mark.parametrize("cancel", [True, False])
+@pytest.mark.parametrize("how", ["type 18", "close"])
+def test_a_client_that_leaves_while_a_cache_takes_no_bytes_costs_it_no_attempt(
+    how: str, cancel: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    @trial
+    async def scene() -> None:
+        peer = Peer(takes=4096)
+        async with running(config({"c0": peer.address, "r0": REFUSED}, cancel=cancel)) as (node, client):
+            client.ask(9, body=b"x" * BODY)
+            slow = await peer.accepted()
+            conn = only(node, "c0")
+            await until(lambda: conn.sock is not None and unsent_bytes(conn.sock))
+            raw = Raw(node)
+            raw.send(request(1))
+            await until(lambda: len(node.director.live) == 2)
+            assert len(conn.open) == 2
+            leave(raw, how)
+            await until(lambda: len(node.director.live) == 1)
+            whole = await heard(slow, b"x\r\n")
+            client.ask(3)  # nothing that was held back comes between
+            assert (whole + await heard(slow, b"\r\n")).count(b"fetch") == 2
+            raw.sock.close()
+            slow.close()
+
+    monkeypatch.setattr(upstream_module, "STUCK_MS", 10_000.0)  # what waits goes nowhere else meanwhile
+    scene()
+
+
+@pytest.mark.parametrize("cancel", [True, False])
+def test_a_request_in_the_buffer_of_the_system_goes_out_no_more_once_its_client_has_left(
+    cancel: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # the connection was closed, and the system sent on what it held
+    @trial
+    async def scene() -> None:
+        peer = Peer(takes=4096)
+        async with running(config({"c0": peer.address, "r0": REFUSED}, cancel=cancel)) as (node, client):
+            client.ask(9, body=b"x" * BODY, d="20000")  # nothing but the leave ends an attempt
+            slow = await peer.accepted()
+            conn = only(node, "c0")
+            await until(lambda: conn.sock is not None and unsent_bytes(conn.sock))
+            raw, look = Raw(node), upstream_module.unsent_bytes
+
+            def looks(sock: socket.socket) -> int:
+                """As if the cache had taken all until the second was written, and no more from then on."""
+                first = conn.latest is None or conn.latest.exchange.ask.id != f"{1:016x}"
+                return 0 if first else look(sock)
+
+            monkeypatch.setattr(upstream_module, "unsent_bytes", looks)
+            raw.send(request(1, d="20000"))
+            await until(lambda: len(conn.open) == 2)
+            assert all(attempt.written_ms for attempt in conn.open.values())
+            leave(raw, "type 18")
+            await until(lambda: conn.finished)
+            came, ended = await rest(slow)
+            assert ended == "reset"
+            assert came.count(b"fetch") == 1
+            raw.sock.close()
+            slow.close()
+
+    scene()
+
+
+@pytest.mark.parametrize("runner", [asyncio.run, uvloop.run])
+def test_an_attempt_leaves_in_the_turn_of_the_loop_in_which_its_client_was_looked_at(
+    runner: Callable[[Any], None],
+) -> None:
+    # the look is worth nothing if the loop writes at the end of its turn only, which may take long
+    async def scene() -> None:
+        peer = Peer()
+        async with running(config({"c0": peer.address, "r0": REFUSED})) as (node, client):
+            sock = await asked(peer, client)
+            for number in (2, 3):
+                node.director.admit(ask(number), lambda final: None)
+            time.sleep(0.02)  # in the same turn; loopback delivers at once
+            assert sock.recv(65_536).count(b"fetch") == 2
+            for number in (1, 2, 3):
+                sock.send(OK % (b"%016x" % number, 2, b"ok"))
+            await until(lambda: not node.director.live)
+            sock.close()
+
+    runner(scene())
