--- a/gladelane/net/director.py
+++ b/gladelane/net/director.py
@@ -40,7 +40,7 @@
 )
 from ..operations.figures import Figures
 from ..operations.maintenance import Register
-from ..routes.keys import KeyWindows, kept_for
+from ..routes.keys import KeyWindows, is_past_window, kept_for
 from .config import Instance, Notice, Pool
 from .ends import STATUS, End
 from .exchange import Ask, Attempt, Code, Exchange, Final, never
@@ -392,8 +392,8 @@
         return None
 
     def _past_window(self, attempt: Attempt, now: float) -> bool:
-        """Whether it would repeat a keyed request that may have run, later than its window allows. The module
-        has looked when it decided; a dial may take longer than a window lasts."""
+        """Of a keyed request. The module has looked when it decided; a dial may take longer than a window
+        lasts."""
         exchange = attempt.exchange
         if exchange.spec.effect is not Effect.KEYED:
             return False
@@ -402,7 +402,7 @@
             ran.append(exchange.ran_ms)
         if exchange.ask.key and (first := self.keys.first(exchange.ask.key, now)[0]):
             ran.append(first)
-        return bool(ran) and now - min(ran) >= exchange.spec.window_ms - self.settings.tick_ms - TICK_MS
+        return is_past_window(ran, now, exchange.spec.window_ms, self.settings.tick_ms + TICK_MS)
 
     def _ready(self, store: str) -> bool:
         # the register itself: what operators took out holds before this loop has come to lay it over the list
--- a/gladelane/routes/keys.py
+++ b/gladelane/routes/keys.py
@@ -17,6 +17,15 @@
     return max((spec.window_ms + spec.deadline_ms for spec in keyed), default=0.0)
 
 
+def is_past_window(ran_ms: Iterable[float], now_ms: float, window_ms: float, spare_ms: float) -> bool:
+    """Whether a try that begins now would repeat one that may have run, later than its window allows.
+
+    `ran_ms`: when earlier tries began, Unix ms; none, and this one is the first. `spare_ms`: how much earlier
+    the window is taken to end, for clocks that count in ticks."""
+    first_ms = min(ran_ms, default=None)
+    return first_ms is not None and now_ms - first_ms >= window_ms - spare_ms
+
+
 class KeyWindows:
     """Times are Unix ms. All attempts that may have run are kept, not the first alone: while two tries of a
     key are out, the proof that one never ran must not hide the other. Nothing that counts is ever forgotten
--- a/tests/operations/test_keys.py
+++ b/tests/operations/test_keys.py
@@ -4,13 +4,14 @@
 
 from dataclasses import replace
 
+import pytest
 from conftest import Driver, some
 from harness import Cache, config, hit, mute, running, trial
 from hypothesis import given
 from hypothesis import strategies as st
 
 from gladelane.interface import Fail, Fetch, Refuse
-from gladelane.routes.keys import KeyWindows, kept_for
+from gladelane.routes.keys import KeyWindows, is_past_window, kept_for
 
 REFUSED = "127.0.0.1:1"
 KEPT_MS, MOST = 10_000.0, 40
@@ -96,3 +97,20 @@
         )  # as the process before it tells
         client.ask(4, c="sheet", k="aa")
         assert (await client.next())[1:3] == (4, 1) and len(origin.seen) == sent
+
+
+@pytest.mark.parametrize(
+    ("ran", "now", "past"),
+    [
+        ([], 9000.0, False),  # nothing ran: it repeats nothing
+        ([1000.0], 1000.0, False),
+        ([1000.0], 2992.9, False),
+        ([1000.0], 2993.0, True),  # the window less what is to spare
+        ([2000.0, 1000.0], 2993.0, True),  # the first counts, in any order
+        ([2000.0], 2993.0, False),
+    ],
+)
+def test_a_repeat_is_past_its_window_counted_from_the_first_try(
+    ran: list[float], now: float, past: bool
+) -> None:
+    assert is_past_window(ran, now, window_ms=2000.0, spare_ms=7.0) is past
