Split the connection to a cache from the pool that holds it

net/cache_connection.py holds one connection, net/upstream.py the pool, net/streams.py the reader and both ways to open a stream. Tests follow the names (tests/endpoints/test_sockets.py among them). The connection's log lines carry gladelane.net.cache_connection.

--- a/gladelane/net/front.py
+++ b/gladelane/net/front.py
@@ -26,14 +26,14 @@
     encode_ready,
     peek_class,
 )
-from .sockets import Reader, has_ended, has_unread, look_ahead, shut_write_side
+from .sockets import has_ended, has_unread, look_ahead, shut_write_side
+from .streams import READ_BYTES, Reader, accept_stream
 from .wheel import Wheel
 
 log = logging.getLogger(__name__)
 
 # The figures below are the protocol's, or the system's, or bounds on what a client may cost; none follows
 # from a deployment's settings, so they hold for any customer.
-READ_BYTES = 65_536
 FRAMES_AT_ONCE = 64  # of one client in a turn of the loop, so that a flood holds up nobody else
 MOST_OPEN = 32  # the protocol's
 UNSENT_BYTES = 524_288  # unsent answers on one connection above which it is given no further work
@@ -428,7 +428,7 @@
 
     async def _welcome(self, accepted: socket.socket) -> None:
         try:
-            reader, writer = await self._streams(accepted)
+            reader, writer = await accept_stream(accepted)
         except OSError as error:
             log.warning("accept failed: %s", error)
             accepted.close()
@@ -438,16 +438,6 @@
         conn = ClientConnection(self, reader, writer, accepted)
         self.connections[conn] = asyncio.create_task(self._serve(conn))
 
-    @staticmethod
-    async def _streams(accepted: socket.socket) -> tuple[Reader, asyncio.StreamWriter]:
-        loop, reader = asyncio.get_running_loop(), Reader(READ_BYTES)
-        protocol = asyncio.StreamReaderProtocol(reader)
-        accepted.setblocking(False)
-        with suppress(OSError):  # else small answers wait in the system, and go with a reset
-            accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        transport, _ = await loop.connect_accepted_socket(lambda: protocol, accepted)
-        return reader, asyncio.StreamWriter(transport, protocol, reader, loop)
-
     async def _serve(self, conn: ClientConnection) -> None:
         try:
             await conn.serve()
--- a/gladelane/net/sockets.py
+++ b/gladelane/net/sockets.py
@@ -2,14 +2,12 @@
 
 from __future__ import annotations
 
-import asyncio
 import fcntl
 import socket
 import struct
 import termios
-from collections.abc import Iterable
 from contextlib import suppress
-from typing import NamedTuple, SupportsIndex
+from typing import NamedTuple
 
 SIOCOUTQNSD = 0x894B  # linux/sockios.h: bytes that the system has not sent yet; termios has no name for it
 PEEK_MOST = 2_097_152  # bytes: more than all the requests that a client may have open
@@ -17,30 +15,6 @@
 PEER_ENDED = frozenset({7, 8, 9, 11})  # CLOSE, CLOSE_WAIT, LAST_ACK, CLOSING
 
 
-class Reader(asyncio.StreamReader):
-    """Knows how much it holds that has not been read: a connection with something in there is not idle."""
-
-    def __init__(self, limit: int) -> None:
-        super().__init__(limit=limit)
-        self.waiting = 0
-        self.fed = 0  # bytes in all
-
-    def feed_data(self, data: Iterable[SupportsIndex]) -> None:
-        size = len(bytes(data))
-        self.waiting += size
-        self.fed += size
-        super().feed_data(data)
-
-    async def read(self, n: int = -1) -> bytes:
-        data = await super().read(n)
-        self.waiting -= len(data)
-        return data
-
-    def peek(self) -> bytes:
-        """What it holds."""
-        return bytes(self._buffer)  # type: ignore[attr-defined]
-
-
 class Unread(NamedTuple):
     """What lies in the system: bytes, and whether the peer has ended the connection behind them."""
 
--- a/tests/endpoints/test_sockets.py
+++ b/tests/endpoints/test_sockets.py
@@ -30,7 +30,7 @@
 from gladelane.endpoints.rules import Listing
 from gladelane.interface import Status
 from gladelane.lab.standins import Fault, Standin
-from gladelane.net import upstream as upstream_module
+from gladelane.net import cache_connection as connection_module
 from gladelane.net.config import Notice
 from gladelane.net.exchange import Attempt
 
@@ -129,7 +129,7 @@
     ):
         paid = []
         for name in standins:
-            connection = upstream_module.Connection(node.upstream, name)
+            connection = connection_module.Connection(node.upstream, name)
             led = node.endpoints.plan(name, node.clock.now()).addresses[0].family
             await until(lambda c=connection: c.writer is not None)  # type: ignore[misc]
             paid.append(led is Family.V6)
@@ -289,7 +289,7 @@
         async with origin(ALL, max_attempts=1) as (standin, listed, node, client):
             for address in listed[:deaths]:
                 await standin.set(address, Fault.RESET_ON_ACCEPT)
-            opened = upstream_module.open_stream
+            opened = connection_module.open_stream
 
             async def slowly(sock: socket.socket, opened: Any = opened) -> Any:
                 streams = await opened(sock)
@@ -297,7 +297,7 @@
                 return streams
 
             with pytest.MonkeyPatch.context() as patch:
-                patch.setattr(upstream_module, "open_stream", slowly)
+                patch.setattr(connection_module, "open_stream", slowly)
                 events = told(node.director)
                 submit(client, 1)
                 assert (await client.next())[:3] == (17, 1, code)
--- a/tests/net/raw_cache.py
+++ b/tests/net/raw_cache.py
@@ -9,8 +9,8 @@
 from harness import Client
 
 from gladelane.__main__ import Node
+from gladelane.net.cache_connection import Connection
 from gladelane.net.exchange import Ask
-from gladelane.net.upstream import Connection
 
 OK = b"%s served digest=aa,dated=1,remark=h %d\r\n%s\r\n"
 
--- a/tests/net/test_cache_crossings.py
+++ b/tests/net/test_cache_crossings.py
@@ -10,7 +10,7 @@
 from harness import Cache, Client, config, hit, mute, running, trial, until
 from raw_cache import OK, Peer, ask, asked, heard, only
 
-import gladelane.net.upstream as upstream_module
+import gladelane.net.cache_connection as connection_module
 from gladelane.net.ends import End
 from gladelane.net.exchange import Attempt, Final
 
@@ -225,9 +225,9 @@
         sock = await asked(peer, client)
         conn = only(node, "c0")
         answer, second = OK % (b"%016x" % 1, 2, b"ok"), b"%016x served - 0\r\n\r\n" % 1
-        sock.send(answer + second * upstream_module.STRAYS_MOST)
+        sock.send(answer + second * connection_module.STRAYS_MOST)
         assert (await client.next())[:3] == (17, 1, 0)
-        await until(lambda: conn.strays == upstream_module.STRAYS_MOST)
+        await until(lambda: conn.strays == connection_module.STRAYS_MOST)
         assert not conn.finished
         sock.send(second)
         await until(lambda: conn.finished)
--- a/tests/net/test_leaves.py
+++ b/tests/net/test_leaves.py
@@ -19,8 +19,8 @@
 from raw_cache import OK, Peer, ask, asked, heard, only
 from raw_client import GONE, Raw, connected, request, waits_for_a_dial
 
+import gladelane.net.cache_connection as connection_module
 import gladelane.net.front as front_module
-import gladelane.net.upstream as upstream_module
 from gladelane.__main__ import Node
 from gladelane.net.exchange import Attempt
 from gladelane.net.frames import FrameDecoder, Type, encode_frame
@@ -238,7 +238,7 @@
             raw.sock.close()
             slow.close()
 
-    monkeypatch.setattr(upstream_module, "STUCK_MS", 10_000.0)  # what waits goes nowhere else meanwhile
+    monkeypatch.setattr(connection_module, "STUCK_MS", 10_000.0)  # what waits goes nowhere else meanwhile
     scene()
 
 
@@ -255,14 +255,14 @@
             slow = await peer.accepted()
             conn = only(node, "c0")
             await until(lambda: conn.sock is not None and unsent_bytes(conn.sock))
-            raw, look = Raw(node), upstream_module.unsent_bytes
+            raw, look = Raw(node), connection_module.unsent_bytes
 
             def looks(sock: socket.socket) -> int:
                 """As if the cache had taken all until the second was written, and no more from then on."""
                 first = conn.latest is None or conn.latest.exchange.ask.id != f"{1:016x}"
                 return 0 if first else look(sock)
 
-            monkeypatch.setattr(upstream_module, "unsent_bytes", looks)
+            monkeypatch.setattr(connection_module, "unsent_bytes", looks)
             raw.send(request(1, d="20000"))
             await until(lambda: len(conn.open) == 2)
             assert all(attempt.written_ms for attempt in conn.open.values())
--- a/tests/test_net_rules.py
+++ b/tests/test_net_rules.py
@@ -24,6 +24,7 @@
 from gladelane.interface import Event, Outcome, Purge, Request, Status
 from gladelane.logs import LINES_A_SECOND, Flood
 from gladelane.net import board as board_module
+from gladelane.net import cache_connection as connection_module
 from gladelane.net import front as front_module
 from gladelane.net import upstream as upstream_module
 from gladelane.net.board import Board
@@ -202,7 +203,7 @@
         for stream in range(1, 6):
             client.ask(stream, d="5000")
         await until(lambda: len(cache.seen) == 5)
-        await asyncio.sleep(upstream_module.QUIET_MS / 1000 + 0.05)
+        await asyncio.sleep(connection_module.QUIET_MS / 1000 + 0.05)
         client.ask(6, d="5000")  # on a connection of its own, and answered there
         assert (await client.next())[:3] == (17, 6, 0)
         while [s for _, _, s, _ in outcomes(events)].count(Status.RESET) < 5:
@@ -845,5 +846,5 @@
             client.ask(stream, d="5000")
             await until(lambda: len(cache.seen) >= stream)  # noqa: B023
             if stream % 3 == 0:
-                await asyncio.sleep(upstream_module.QUIET_MS / 1000 / 4)
+                await asyncio.sleep(connection_module.QUIET_MS / 1000 / 4)
         assert upstream_module.SPREAD_MOST <= len(cache.conns) <= upstream_module.QUIET_MOST + 1
