Split the front into the listener, one client's connection and the set of them

net/listener.py accepts, net/client_connection.py is one client's connection, net/front.py the set and its bounds. Moved as they stood but for accepting, which asks its owner for room and hands over what it got, in the same turn as before. benchmarks/operations.py and tests import from the new places.

--- a/benchmarks/operations.py
+++ b/benchmarks/operations.py
@@ -30,7 +30,7 @@
 from gladelane.lab.client import Client
 from gladelane.lab.processes import Load, Processes
 from gladelane.lab.standins import Seen, Standin
-from gladelane.net.front import open_listener, steer_away
+from gladelane.net.listener import open_listener, steer_away
 
 ROOT = Path(__file__).parent.parent
 MEMORY_MB, SOCKETS = 96, 384  # of the director: both processes together keep within
--- a/tests/net/raw_client.py
+++ b/tests/net/raw_client.py
@@ -11,9 +11,9 @@
 from harness import until
 
 from gladelane.__main__ import Node
+from gladelane.net.client_connection import ClientConnection
 from gladelane.net.exchange import Attempt
 from gladelane.net.frames import FrameDecoder, encode_fields, encode_frame
-from gladelane.net.front import ClientConnection
 
 
 def request(stream: int, **fields: str) -> bytes:
--- a/tests/net/test_client_crossings.py
+++ b/tests/net/test_client_crossings.py
@@ -18,11 +18,12 @@
 from raw_client import GONE, Raw, connected, request, waits_for_a_dial
 
 import gladelane.__main__ as main_module
+import gladelane.net.client_connection as client_module
 import gladelane.net.front as front_module
 from gladelane.__main__ import Node
+from gladelane.net.client_connection import ClientConnection
 from gladelane.net.exchange import Attempt
 from gladelane.net.frames import encode_fields
-from gladelane.net.front import ClientConnection
 
 REFUSED = "127.0.0.1:1"
 BIG = 240_000
@@ -238,7 +239,7 @@
     @trial
     async def scene() -> None:
         with pytest.MonkeyPatch.context() as patch:
-            patch.setattr(front_module, "UNSENT_BYTES", 50_000)
+            patch.setattr(client_module, "UNSENT_BYTES", 50_000)
             async with running(config({"c0": await cache.start(), "r0": REFUSED})) as (node, _):
                 raw, conn = await narrow(node)
                 raw.send(request(1, d="20000"))
@@ -263,8 +264,8 @@
 async def test_a_client_that_takes_nothing_and_asks_on_is_cut_off_and_harms_nobody() -> None:
     cache = Cache(big)
     with pytest.MonkeyPatch.context() as patch:
-        patch.setattr(front_module, "UNSENT_BYTES", 50_000)
-        patch.setattr(front_module, "OVER_MOST", 40)
+        patch.setattr(client_module, "UNSENT_BYTES", 50_000)
+        patch.setattr(client_module, "OVER_MOST", 40)
         async with running(config({"c0": await cache.start(), "r0": REFUSED})) as (node, client):
             raw, conn = await narrow(node)
             raw.send(request(1))
@@ -296,7 +297,7 @@
         while conn in node.front.connections:
             await asyncio.sleep(0)
             counts.append(0)
-        assert max(counts) == front_module.FRAMES_AT_ONCE
+        assert max(counts) == client_module.FRAMES_AT_ONCE
         client.send(32, 5, encode_fields({}))
         assert (await client.next())[:3] == (33, 5, 0)
 
@@ -336,12 +337,12 @@
     # only requests were counted, and each other frame left an answer that nobody took
     cache = Cache(big)
     with pytest.MonkeyPatch.context() as patch:
-        patch.setattr(front_module, "UNSENT_BYTES", 50_000)
+        patch.setattr(client_module, "UNSENT_BYTES", 50_000)
         async with running(config({"c0": await cache.start(), "r0": REFUSED})) as (node, client):
             raw, conn = await narrow(node)
             raw.send(request(1))
             await until(lambda: conn.unsent() > 50_000)
-            raw.send(struct.pack(">IBI", 5, 32, 0) * (front_module.OVER_MOST + 1))
+            raw.send(struct.pack(">IBI", 5, 32, 0) * (client_module.OVER_MOST + 1))
             await until(lambda: conn not in node.front.connections)
             client.ask(1)
             assert (await client.next())[:3] == (17, 1, 0)
--- a/tests/net/test_leaves.py
+++ b/tests/net/test_leaves.py
@@ -20,11 +20,11 @@
 from raw_client import GONE, Raw, connected, request, waits_for_a_dial
 
 import gladelane.net.cache_connection as connection_module
-import gladelane.net.front as front_module
+import gladelane.net.client_connection as client_module
 from gladelane.__main__ import Node
+from gladelane.net.client_connection import ClientConnection
 from gladelane.net.exchange import Attempt
 from gladelane.net.frames import FrameDecoder, Type, encode_frame
-from gladelane.net.front import ClientConnection
 from gladelane.net.sockets import unsent_bytes
 
 BODY = 200_000  # more than a narrow cache and the system between take at once
@@ -170,7 +170,7 @@
             assert [command[0] for command in cache.seen] == [f"{n:016x}" for n in (3, 2)]
             raw.sock.close()
 
-    monkeypatch.setattr(front_module, "READ_BYTES", len(request(1)) + 20)
+    monkeypatch.setattr(client_module, "READ_BYTES", len(request(1)) + 20)
     scene()
 
 
--- a/tests/test_net_rules.py
+++ b/tests/test_net_rules.py
@@ -25,7 +25,7 @@
 from gladelane.logs import LINES_A_SECOND, Flood
 from gladelane.net import board as board_module
 from gladelane.net import cache_connection as connection_module
-from gladelane.net import front as front_module
+from gladelane.net import client_connection as client_module
 from gladelane.net import upstream as upstream_module
 from gladelane.net.board import Board
 from gladelane.net.config import Notice, notice_decoder, read_config
@@ -547,9 +547,9 @@
         await until(lambda: len(cache.seen) == 32 and not conn.open)
         now = node.clock.now()
         conn.sweep(now)
-        conn.sweep(now + front_module.STALLED_MS / 2)
+        conn.sweep(now + client_module.STALLED_MS / 2)
         assert not conn.writer.transport.is_closing()
-        conn.sweep(now + front_module.STALLED_MS * 2)
+        conn.sweep(now + client_module.STALLED_MS * 2)
         await until(lambda: not node.front.connections)
 
 
