Move the bytes on their way out of a cache's connection into a class of their own

net/outgoing.py knows what has not left yet and whose it is. No change of behaviour. With it, tests that a request in pieces is sent on once it is whole, that half a cancel is none, and that a cancel in two pieces is one.

--- a/gladelane/net/cache_connection.py
+++ b/gladelane/net/cache_connection.py
@@ -23,7 +23,8 @@
 from .ends import DIAL_END, End
 from .exchange import Attempt
 from .lines import Garbled, Reply, ReplyDecoder, encode_abort, encode_fetch
-from .sockets import has_ended, has_unread, reset, unsent_bytes
+from .outgoing import Outgoing
+from .sockets import has_ended, has_unread
 from .streams import READ_BYTES, Reader, open_stream
 from .wheel import Entry, Wheel
 
@@ -85,15 +86,12 @@
         self.spent: dict[str, None] = {}  # the latest, oldest first
         self.waiting: deque[Attempt] = deque()  # until bytes before them have left; some may be over by then
         self.waits: Entry | None = None  # the next look whether they have
-        self.latest: Attempt | None = None  # of those written, while not all of it has left
-        self.latest_bytes = 0  # given to the system and the transport since, its own among them
-        self.leaving = 0  # attempts handed to the transport, some of whose bytes may still be there
         self.decoder = ReplyDecoder()
         self.reader: Reader | None = None
         self.writer: asyncio.StreamWriter | None = None
         self.sock: socket.socket | None = None  # the transport's, for looks beside it
+        self.out: Outgoing | None = None  # from when it is dialled, as the three above
         self.begun_ms = 0.0  # since when an answer has been under way, 0: none is
-        self.backed_ms = 0.0  # since when bytes have waited to leave, 0: none do
         self.strays = 0  # answers in a row that nobody waited for
         self.finished = False
         self.retired = False  # carries on with what is open, takes nothing new
@@ -122,36 +120,15 @@
             return False  # its close has come, unread: what is written into it is lost and counts as run
         return not self._stuck()
 
-    def _unsent(self) -> int:
-        """Bytes that have not left this machine."""
-        if self.writer is None or self.sock is None:
-            return 0
-        return self.writer.transport.get_write_buffer_size() + unsent_bytes(self.sock)
-
-    def _backed(self) -> bool:
-        """Whether bytes wait to leave."""
-        if self.writer is None or not (self.backed_ms or self.writer.transport.get_write_buffer_size()):
-            return False
-        if not self._unsent():
-            self.backed_ms = 0.0
-            return False
-        self.backed_ms = self.backed_ms or self.pool.clock()
-        return True
+    def _backed_ms(self) -> float:
+        """Since when bytes have waited to leave; 0: none do."""
+        return self.out.backed_since_ms() if self.out is not None else 0.0
 
     def _stuck(self) -> bool:
         """Whether bytes written a while ago have not left: what is written after them waits too, and would
         go out when its client has left or its window has passed."""
-        return self._backed() and self.pool.clock() - self.backed_ms > STUCK_MS + self.pool.wheel.lag()
-
-    def _put(self, data: bytes) -> None:
-        """The transport hands them to the system at once, as far as that takes them."""
-        assert self.writer is not None
-        self.writer.write(data)
-        self.latest_bytes += len(data)
-        if not self._unsent():
-            self.latest = None
-        elif not self.backed_ms:
-            self.backed_ms = self.pool.clock()
+        since_ms = self._backed_ms()
+        return bool(since_ms) and self.pool.clock() - since_ms > STUCK_MS + self.pool.wheel.lag()
 
     def unread(self) -> bool:
         """Whether something has come that was not read yet: an answer that is read late is not lost."""
@@ -174,7 +151,7 @@
         while self.waiting and not self.finished:
             attempt = self.waiting[0]
             still_open = self.open.get(attempt.exchange.ask.id) is attempt
-            if still_open and self._backed():
+            if still_open and self._backed_ms():
                 self._wait()
                 return
             self.waiting.popleft()  # before it is written: what comes of that may bring a further one here
@@ -194,7 +171,7 @@
         self._close_if_done()
 
     def _write(self, attempt: Attempt) -> None:
-        assert self.writer is not None
+        assert self.writer is not None and self.out is not None
         ask = attempt.exchange.ask
         end = End.LOST_UNSENT if self.writer.is_closing() else self.pool.owner.recheck(attempt)
         if end is not None:
@@ -203,17 +180,12 @@
             return
         now = self.pool.clock()
         attempt.written_ms = self.used_ms = now
-        self.latest, self.latest_bytes = attempt, 0
-        self._put(encode_fetch(ask.id, attempt.fields(now), ask.body))
-        self.leaving += 1
+        self.out.begin(attempt, encode_fetch(ask.id, attempt.fields(now), ask.body))
         self.count_written()
 
     def count_written(self) -> None:
-        """The transport writes in the order it was given, so an empty buffer means that all has left."""
-        if self.leaving and self.writer is not None and not self.writer.transport.get_write_buffer_size():
-            while self.leaving:
-                self.leaving -= 1
-                self.pool.owner.written()
+        for _ in range(self.out.count_left() if self.out is not None else 0):
+            self.pool.owner.written()
 
     def drop(self, attempt: Attempt, end: End) -> None:
         id_ = attempt.exchange.ask.id
@@ -221,14 +193,14 @@
             return
         del self.open[id_]
         self.count_written()
-        if attempt.written_ms and self.writer is not None:
+        if attempt.written_ms and self.writer is not None and self.out is not None:
             self._spend(id_)
             if self._stuck():
                 # the abort would wait behind what does not leave, and the attempt be out until then: it is
                 # given up with the connection, whose other attempts wait in vain too
                 self._reset()
             elif not self.writer.is_closing():  # the peer's end may not have been read yet
-                self._put(encode_abort(id_))
+                self.out.write(encode_abort(id_))
                 self.take_back(attempt)
             if end is End.TIMED_OUT and self.heard_ms <= attempt.written_ms:
                 self.mute += 1
@@ -245,22 +217,19 @@
     def take_back(self, attempt: Attempt) -> None:
         """Nobody waits for it any more. While no byte of it has left the connection is given up instead, once
         it has been stuck for long enough: else the attempt would begin when the peer reads on."""
-        if self.finished or self.latest is not attempt or not self._backed():
-            return
-        if self._unsent() < self.latest_bytes:
+        since_ms = self._backed_ms()
+        if self.finished or self.out is None or not since_ms or not self.out.holds_whole(attempt):
             return
-        due_ms = self.backed_ms + STUCK_MS
-        if self.pool.clock() >= due_ms:
+        if self.pool.clock() >= since_ms + STUCK_MS:
             self._reset()
         else:
-            self.pool.wheel.at(due_ms, partial(self.take_back, attempt))
+            self.pool.wheel.at(since_ms + STUCK_MS, partial(self.take_back, attempt))
 
     def _reset(self) -> None:
-        assert self.writer is not None and self.sock is not None
+        assert self.out is not None
         log.warning("stuck peer=%s open=%d", self.peer, len(self.open))
         self.end = End.RESET
-        reset(self.sock)
-        self.writer.transport.abort()
+        self.out.reset()
         self.close()
 
     def _stalled(self, why: str = "STALLED") -> bool:
@@ -386,6 +355,7 @@
         finally:
             dialling.close()
         self.reader, self.writer, self.address, self.sock = reader, writer, address, sock
+        self.out = Outgoing(writer, sock, pool.clock)
         self.waiting.extend(self.open.values())
         self._write_waiting()
         self._close_if_done()
--- a/tests/net/test_leaves.py
+++ b/tests/net/test_leaves.py
@@ -21,6 +21,7 @@
 
 import gladelane.net.cache_connection as connection_module
 import gladelane.net.client_connection as client_module
+import gladelane.net.outgoing as outgoing_module
 from gladelane.__main__ import Node
 from gladelane.net.client_connection import ClientConnection
 from gladelane.net.exchange import Attempt
@@ -36,7 +37,10 @@
 def leave(raw: Raw, how: str) -> None:
     if "behind" in how:
         raw.send(HALF if how == "close behind half a frame" else request(7, c="nothing") * 3)
-    if "type 18" in how:
+    if how == "type 18 in pieces":
+        raw.send(GONE[:3])
+        raw.send(GONE[3:])
+    elif "type 18" in how:
         raw.send(GONE)
     else:
         if how == "reset":
@@ -44,7 +48,14 @@
         raw.sock.close()
 
 
-WAYS = ("type 18", "type 18 behind requests", "close", "close behind half a frame", "reset")
+WAYS = (
+    "type 18",
+    "type 18 in pieces",
+    "type 18 behind requests",
+    "close",
+    "close behind half a frame",
+    "reset",
+)
 
 
 def unread(conn: ClientConnection) -> None:
@@ -204,7 +215,7 @@
         client.ask(1, body=b"x" * BODY)
         slow = await peer.accepted()
         conn = only(node, "c0")
-        await until(lambda: conn.backed_ms)
+        await until(lambda: conn.sock is not None and unsent_bytes(conn.sock))
         client.ask(2)
         fresh = await peer.accepted()
         line = await heard(fresh, b"\r\n")
@@ -255,14 +266,14 @@
             slow = await peer.accepted()
             conn = only(node, "c0")
             await until(lambda: conn.sock is not None and unsent_bytes(conn.sock))
-            raw, look = Raw(node), connection_module.unsent_bytes
+            raw, look = Raw(node), outgoing_module.unsent_bytes
 
             def looks(sock: socket.socket) -> int:
                 """As if the cache had taken all until the second was written, and no more from then on."""
-                first = conn.latest is None or conn.latest.exchange.ask.id != f"{1:016x}"
-                return 0 if first else look(sock)
+                latest = conn.out.latest if conn.out is not None else None
+                return look(sock) if latest is not None and latest.exchange.ask.id == f"{1:016x}" else 0
 
-            monkeypatch.setattr(connection_module, "unsent_bytes", looks)
+            monkeypatch.setattr(outgoing_module, "unsent_bytes", looks)
             raw.send(request(1, d="20000"))
             await until(lambda: len(conn.open) == 2)
             assert all(attempt.written_ms for attempt in conn.open.values())
@@ -296,3 +307,33 @@
             sock.close()
 
     runner(scene())
+
+
+@trial
+async def test_half_a_cancel_is_none() -> None:
+    origin = Cache(refuses)
+    async with running(config({"c0": REFUSED, "r0": await origin.start()})) as (node, _):
+        raw = Raw(node)
+        conn = await connected(node, raw)
+        raw.send(request(1, c="sheet", k="aa"))
+        await until(lambda: origin.seen)
+        unread(conn)
+        raw.send(GONE[:-1])
+        await until(lambda: len(origin.seen) > 1)  # it is tried again
+        raw.sock.close()
+
+
+@trial
+async def test_a_request_in_pieces_is_sent_on_once_it_is_whole_and_not_before() -> None:
+    cache = Cache(hit)
+    async with running(config({"c0": await cache.start(), "r0": REFUSED})) as (node, _):
+        raw = Raw(node)
+        conn = await connected(node, raw)
+        whole = request(1)
+        for at in range(0, len(whole) - 1, 7):
+            raw.send(whole[at : min(at + 7, len(whole) - 1)])
+            await until(lambda: not conn.unread())
+        assert not node.director.live and not cache.seen
+        raw.send(whole[-1:])
+        await until(lambda: cache.seen)
+        raw.sock.close()
