--- a/gladelane/net/client_connection.py
+++ b/gladelane/net/client_connection.py
@@ -251,8 +251,10 @@
         unread = look_ahead(self.sock)
         if unread.ended or self.reader.exception() is not None:
             return True
+        if self.deaf or not (unread.data or self.reader.waiting or self._decoder.pending()):
+            return False
         come = self.reader.fed + len(unread.data)
-        if come != self._looked_to and not self.deaf:
+        if come != self._looked_to:
             self._looked_to = come
             self._given_up = self._decoder.given_up(self.reader.peek() + unread.data)
         return stream in self._given_up
