--- a/gladelane/net/client_connection.py
+++ b/gladelane/net/client_connection.py
@@ -95,7 +95,7 @@
         self.active_ms = self.born_ms = front.clock()
         self.proven = False  # has sent a frame that could be used
         self.partial_ms = 0.0  # since when a frame has been under way, 0: none is
-        self.deaf = False  # nothing that comes is taken any more
+        self.discards_input = False  # nothing that comes is taken any more
         self.shut_ms = 0.0  # when the write side was shut down, 0: it is open
         self._taking = False  # in the middle of what it sent
         self._over = 0  # requests since it last took enough of its answers
@@ -119,18 +119,18 @@
 
     def arriving(self, now: float) -> bool:
         """Whether something that it sent may still be a request: bytes unread, or a frame half read."""
-        if self.deaf:
+        if self.discards_input:
             return False
         paused = now - self.active_ms > PAUSED_MS
         return self._taking or self.unread() or (bool(self.partial_ms) and not paused)
 
     def stop_taking(self) -> None:
         """What comes from here on is thrown away; what is open is answered before the close."""
-        self.deaf = True
+        self.discards_input = True
         self._shut_if_done()
 
     def _shut_if_done(self) -> None:
-        if self.deaf and not self.open and not self.shut_ms and not self.writer.is_closing():
+        if self.discards_input and not self.open and not self.shut_ms and not self.writer.is_closing():
             self.shut_ms = self.front.clock()
             self.front.lingering += 1
             if self.unsent():
@@ -144,7 +144,7 @@
         not lie behind bytes that nobody reads."""
         try:
             while data := await self.reader.read(READ_BYTES):
-                if not self.deaf:
+                if not self.discards_input:
                     await self._take(data)
         except OSError:
             pass  # the client has gone; what it had open is given up below
@@ -164,7 +164,7 @@
                 if len(frames) == FRAMES_AT_ONCE:
                     self._handle_all(frames)
                     await asyncio.sleep(0)
-                    if self.deaf:
+                    if self.discards_input:
                         return
             self._handle_all(frames)
         except FramingLost as error:
@@ -186,7 +186,7 @@
         for frame in frames:
             if frame.type == Type.REQUEST and (left or frame.stream in given_up):
                 self._streams.use(frame.stream)
-            elif not self.deaf:
+            elif not self.discards_input:
                 self._handle(frame)
         frames.clear()
 
@@ -251,7 +251,7 @@
         unread = look_ahead(self.sock)
         if unread.ended or self.reader.exception() is not None:
             return True
-        if self.deaf or not (unread.data or self.reader.waiting or self._decoder.pending()):
+        if self.discards_input or not (unread.data or self.reader.waiting or self._decoder.pending()):
             return False
         come = self.reader.fed + len(unread.data)
         if come != self._looked_to:
@@ -268,7 +268,7 @@
         self._over += 1
         if self._over > OVER_MOST:
             log.warning("client cut off: sends on, takes nothing unsent=%d", self.unsent())
-            self.deaf = True
+            self.discards_input = True
             self.writer.transport.abort()
         return True
 
@@ -280,7 +280,7 @@
         self.open.pop(stream, None)
         self._send(encode_answer(stream, final))
         if self.front.drain.on:
-            self.no_more()  # a newcomer, let in while the director empties
+            self.send_goaway()  # a newcomer, let in while the director empties
         self._shut_if_done()
 
     def _answer_unread(self, frame: Frame, final: Final) -> None:
@@ -294,7 +294,7 @@
             self.writer.write(data)
             self.front.held += len(data)
 
-    def no_more(self) -> None:
+    def send_goaway(self) -> None:
         if not self.told_ms:
             self.told_ms = self.front.clock()
             self._send(encode_frame(Type.NO_MORE, 0))
@@ -316,22 +316,22 @@
         elif self.shut_ms:
             if now - self.shut_ms > LINGER_MS:
                 self.writer.close()
-        elif self.deaf:
+        elif self.discards_input:
             return  # what is open is waited for
         elif self.partial_ms and now - self.partial_ms > FRAME_MS and not self._taking and not self.unread():
             log.warning("frame never ended")
             self._send(encode_answer(0, FAILED))
             self.stop_taking()
         elif not self.told_ms and self.front.drain.tells(self.born_ms, now):
-            self.no_more()
-        elif self.spare() and (
+            self.send_goaway()
+        elif self.is_idle() and (
             idle > IDLE_MS
             or (not self.proven and now - self.born_ms > FIRST_MS)
             or self.front.drain.closes(self.told_ms, now)
         ):
             self.stop_taking()
 
-    def spare(self) -> bool:
+    def is_idle(self) -> bool:
         """May be closed at any time: nothing is owed here, nor under way as far as can be seen."""
-        busy = self.deaf or self.open or self._taking or self.partial_ms or self.unsent()
+        busy = self.discards_input or self.open or self._taking or self.partial_ms or self.unsent()
         return not busy and not self.unread()
--- a/gladelane/net/front.py
+++ b/gladelane/net/front.py
@@ -108,7 +108,7 @@
         latest = self.clock() - SPARE_MS
         idle = [c for c in self.connections if c.active_ms < latest]
         idle.sort(key=lambda c: (c.proven, c.active_ms))
-        spare = next((c for c in idle if not c.writer.is_closing() and c.spare()), None)
+        spare = next((c for c in idle if not c.writer.is_closing() and c.is_idle()), None)
         if spare is None:
             return False
         spare.stop_taking()
@@ -128,7 +128,7 @@
         first request yet is told after it, or in a while."""
         for conn in self.connections:
             if conn.proven or self.drain.tells(conn.born_ms, self.clock()):
-                conn.no_more()
+                conn.send_goaway()
 
     def steer_away(self) -> None:
         if self._listener is not None:
--- a/tests/net/test_client_crossings.py
+++ b/tests/net/test_client_crossings.py
@@ -149,10 +149,10 @@
             conn = await connected(node, raw)
             await until(lambda: cache.seen)
             raw.send(struct.pack(">I", 3) if bad == "length" else raw_frame(50_000, 16, 2, b"x" * 30_000))
-            await until(lambda: conn.deaf or conn.partial_ms)
+            await until(lambda: conn.discards_input or conn.partial_ms)
             conn.sweep(conn.active_ms + 2600.0)
             raw.send(request(3))  # nothing after it can be trusted
-            await until(lambda: conn.deaf and not conn.unread())
+            await until(lambda: conn.discards_input and not conn.unread())
             cache.conns[0].write(b"0000000000000001 served digest=aa,dated=1,remark=h 2\r\nok\r\n")
             frames, end = await raw.rest()
             raw.sock.close()
