Cold budgets: stake credit that covers no request, so that whole fleets stay under N + 2 √N + 2

Seen: simulated before one server that starts (real ColdBudgets and Tokens, 1 to 2,300 directors), 500 of 5,600 servers fell under the sum; at 1,000 directors a window held 13 times the bound, with one director twice.

Lines at fault, all in routes/cold.py: `_refill` kept `max(depth, most)`, so a share far under one request was saved up to one and all had it in the same moment after a rest; its start `random() * work` was drawn in the first request's work, so most directors had enough for a lighter class at once; budgets divided by a class's mean that a just-started director had from one request (choice.py `work_of`); a hub's heavy requests paid the mean; equal seeds drew equal numbers; seats that are not told counted as one; `upgrade/learnt.look` put credit into documents for later starts. Ruled out: further attempts and second copies pass `fetch` and are counted.

--- a/gladelane/choice.py
+++ b/gladelane/choice.py
@@ -46,7 +46,7 @@
     Timer,
 )
 from .purges.index import Index
-from .routes.cold import ColdBudgets, Tokens
+from .routes.cold import ColdBudgets, Tokens, Work
 from .routes.concurrency import LATE_STEP, LIMIT_LEAST, LIMIT_MOST, ConcurrencyLimit
 
 # Shares, steps and counts carry no unit. Tables bound this process's memory, whatever comes.
@@ -173,6 +173,7 @@
     came_ms: float
     aim_ms: float
     most: int
+    work: Work
     attempts: int = 0
     out: dict[int, Try] = field(default_factory=dict)
     tried: list[str] = field(default_factory=list)
@@ -269,12 +270,13 @@
                 self.stores.pop(name, None)
             elif known is None:
                 self.stores[name] = Store(member, self.weighted)
+                self.stores[name].tokens.renew(self.now)
                 if member.kind == self.settings.parent_kind:
                     self.start_shared(self.stores[name], self.cold.link_share(member))
             else:
                 if member.came_up_ms > known.member.came_up_ms:  # a new process: what the old one did is void
                     known.close()
-                    known.tokens.renew()
+                    known.tokens.renew(self.now)
                 known.member = member
         of = sorted(self.stores)
         self.caches = [s for n in of if self.is_cache(s := self.stores[n])]
@@ -297,7 +299,7 @@
             share = START_SHARED * link / 1000.0
             store.concurrency.limit = min(share + share**0.5 + 1.0, store.concurrency.limit)
 
-    def bears(self, store: Store, work: float) -> bool:
+    def bears(self, store: Store, work: Work) -> bool:
         return self.cold.allows(store.member, store.tokens, self.now, work)
 
     def is_cache(self, store: Store) -> bool:
@@ -314,7 +316,8 @@
         work = self.learn_work(request, spec)
         self.learn_earning(spec.name)
         aim = min(spec.aim_ms + spec.aim_stretch * work, spec.deadline_ms)
-        owed = Pending(request, spec, self.now, aim, self.settings.max_attempts)
+        told = self.cold.work(spec.name, work)
+        owed = Pending(request, spec, self.now, aim, self.settings.max_attempts, told)
         if request.ran_ms:  # the window of a key is one for all tries
             owed.may_have_run, owed.first_ran_ms, owed.ran_at = True, request.ran_ms, request.ran_at
         self.pending[request.id] = owed
@@ -423,7 +426,7 @@
     # --- the ordinary path
 
     def learn_work(self, request: Request, spec: ClassSpec) -> float:
-        """Sending time of the request; the mean of its class is what cold budgets count."""
+        """Sending time of the request; cold budgets learn a mean of their own."""
         if request.size_kb and self.settings.flow_kb_per_s:
             # no more than can be sent in time: a size made up is not to spoil the mean
             work = min(request.size_kb / self.settings.flow_kb_per_s * 1000.0, spec.deadline_ms)
@@ -484,12 +487,11 @@
 
     def pick_cache(self, owed: Pending) -> Store | None:
         """The first usable cache of the zone in hash order."""
-        work = self.work_of.get(owed.spec.name, 0.0)
         share = self.share(owed)
         for cache in self.order(self.caches, self.key(owed.request)):
             name = cache.member.store
             if cache.member.state is State.READY and name not in owed.tried and not cache.resting(self.now):
-                if self.bears(cache, work):
+                if self.bears(cache, owed.work):
                     if cache.concurrency.room(share):
                         return cache
                     share *= SPILL_SHARE
@@ -506,13 +508,12 @@
 
     def pick_source(self, owed: Pending) -> Store | None:
         """The first parent in hash order that is up and bears it, else the origin."""
-        work = self.work_of.get(owed.spec.name, 0.0)
         share = self.share(owed)
         for parent in self.order(self.parents, owed.request.object):
             name = parent.member.store
             if parent.member.state is State.READY and name not in owed.bad_sources:
                 up = not parent.resting(self.now) and parent.concurrency.room(share)
-                if up and self.bears(parent, work):
+                if up and self.bears(parent, owed.work):
                     return parent
         return self.origin if self.origin and self.origin.member.state is State.READY else None
 
@@ -610,10 +611,9 @@
         renew: bool,
         held_only: bool = False,
     ) -> bool:
-        work = self.work_of.get(owed.spec.name, 0.0)
         for target in {store.member.store: store, source.member.store: source}.values():
             if target is not self.origin:
-                self.cold.spend(target.member, target.tokens, self.now, work)
+                self.cold.spend(target.member, target.tokens, self.now, owed.work)
             if target.rest_ms > DOWN_MS:
                 target.trial_at = self.now + timeout
         self.emit(
--- a/gladelane/upgrade/learnt.py
+++ b/gladelane/upgrade/learnt.py
@@ -10,7 +10,6 @@
 import msgspec
 
 from ..choice import Object, Router
-from ..routes.cold import Tokens
 
 MOST_OBJECTS = 4096  # of those asked for last: the rest would be forgotten soon
 SHARE = 0.5  # of a budget, to the new process
@@ -28,7 +27,9 @@
     limit: float
     fills: float
     opened: bool
-    tokens: tuple[float, float, float]  # left, counted at, the most that one request took
+    #: credit of a cold budget, until when it is counted (below 0: none is given), and 0 (was used by older
+    #: versions)
+    tokens: tuple[float, float, float] = (0.0, -1.0, 0.0)
 
 
 class ObjectLearnt(msgspec.Struct, array_like=True):
@@ -52,7 +53,8 @@
 
 
 def look(router: Router, share: float = 1.0) -> Learnt:
-    """As it is, with a part of the budgets; the router keeps its own."""
+    """As it is, with a part of the budgets; the router keeps its own. Without credit at cold servers: whoever
+    starts after this process has none."""
     stores = [
         StoreLearnt(
             name,
@@ -66,7 +68,6 @@
             s.concurrency.limit,
             s.fills.limit,
             s.opened,
-            (max(s.tokens.left, 0.0) * share, s.tokens.at_ms, s.tokens.most),
         )
         for name, s in router.stores.items()
     ]
@@ -91,7 +92,10 @@
     """Leaves the old router its part of what is split."""
     learnt = look(router, SHARE)
     for told in learnt.stores:
-        router.stores[told.store].tokens.left -= told.tokens[0]
+        tokens = router.stores[told.store].tokens
+        given = max(tokens.left, 0.0) * SHARE
+        told.tokens = given, tokens.at_ms, 0.0
+        tokens.left -= given
     router.retries -= learnt.retries
     router.hedges -= learnt.hedges
     return learnt
@@ -112,7 +116,8 @@
         s.down_until, s.rest_ms, s.opened = told.down_until, told.rest_ms, told.opened
         s.concurrency.most = max(s.concurrency.most, told.limit)
         s.concurrency.limit, s.fills.limit = told.limit, min(told.fills, s.fills.most)
-        s.tokens = Tokens()
-        s.tokens.left, s.tokens.at_ms, s.tokens.most = told.tokens
+        credit, counted_ms, _ = told.tokens
+        if counted_ms >= 0.0:
+            s.tokens.left, s.tokens.at_ms = credit, counted_ms
     for o in learnt.objects:
         router.objects[o.key] = Object(o.count, o.utility, o.gate, o.parts, o.admitted, o.work)
--- a/tests/fleet/test_many_directors.py
+++ b/tests/fleet/test_many_directors.py
@@ -137,3 +137,18 @@
             <= 2.0 * min(part, 1.0) * 40.0 * WINDOW_MS
         )
     assert min(sent) < 105_000.0
+
+
+def test_directors_that_saved_for_a_heavy_request_do_not_all_send_a_light_one_at_once() -> None:
+    # each began somewhere within the heavy one, by chance: three in four had enough for the light one
+    cold = replace(HUBS[0], weight=5.0, came_up_ms=100_000.0)
+    directors = fleet((*FOUR, cold, HUBS[1], ROOT))
+    sent: list[tuple[float, float]] = []
+    for cls, work in (("film", 1600.0), ("page", 400.0)):
+        for n, d in enumerate(directors):
+            d.now += 100.0
+            for object in range(20):  # half of them go to the other hub
+                for fetch in some(d.ask(cls=cls, object=100 * n + object, size_kb=4.0 * work), Fetch):
+                    sent += [(d.now, work)] * (fetch.source == cold.store)
+    allowed = 5.0 * 0.1 * 2.0 * WINDOW_MS / 1000.0  # in requests of 1000 ms, the mean of both
+    assert sum(work for _, work in sent) / 1000.0 <= allowed + 2.0 * allowed**0.5 + 2.0
