Cold budgets: whole routers in the simulation; a site that tells no window still sends cold servers

Whole routers (1 to 30) before one cache or hub that starts: further attempts after resets, second copies after half the aim and fills all count (lab/cold_routers.py).

--- a/gladelane/routes/cold.py
+++ b/gladelane/routes/cold.py
@@ -27,6 +27,7 @@
 # moments of arrival that are known roughly.
 STEADY_SHARE = 0.5  # staked steadily
 WINDOW_SHARE = 0.65  # staked in any window, and held by those who are asked for little
+UNTOLD_MS = 1000.0  # window where none is told: shorter ones only make what is sent smoother
 SLOTS = 8  # parts of a window by which stakes are remembered: the limit holds for a window and one part more
 # One request is never much of a window's, or a few heavy ones by chance push over what bears many usual ones.
 # Two mean ones always pass: the slack of two requests is there however little a server can do.
@@ -126,7 +127,7 @@
         self.rng = random.Random(f"{s.me} {rng.random()}")
         self.parent_kind = s.parent_kind
         self.weighted = s.weights in ("nominal", "rough")
-        self.fall_ms = s.fall_ms
+        self.window_ms = s.fall_ms or UNTOLD_MS
         seats = seats if s.seats_by_zone else s.proxies  # untold: all may sit here
         self.caches = _Kind(s.cold_from, s.warm_after_ms, s.fall_multiple, seats)
         self.parents = _Kind(s.parent_cold_from, s.parent_cold_ms, s.parent_fall_multiple, s.proxies)
@@ -160,7 +161,7 @@
         if kind.warm(member, now):
             return True
         cost = self._cost(kind, work)
-        together = self._allowed(kind, member, now) * kind.senders * self.fall_ms / 1000.0
+        together = self._allowed(kind, member, now) * kind.senders * self.window_ms / 1000.0
         if cost > LARGEST_SHARE * together + LARGEST_MEANS * work.mean_low:
             return False
         credit = self._refill(kind, member, tokens, now)
@@ -185,7 +186,7 @@
         tokens.won = tokens.staked = 0.0
 
     def _slot(self, now: float) -> int:
-        return int(now * SLOTS // max(self.fall_ms, 1.0))
+        return int(now * SLOTS // self.window_ms)
 
     def _allowed(self, kind: _Kind, member: Member, now: float) -> float:
         """Work a second that this director's share of the server bears without falling over."""
@@ -196,7 +197,7 @@
         if tokens.at_ms < 0:
             tokens.renew(now)
         allowed = self._allowed(kind, member, now) / self.parts / 1000.0  # work a ms
-        most = allowed * WINDOW_SHARE * self.fall_ms
+        most = allowed * WINDOW_SHARE * self.window_ms
         if now > tokens.at_ms:
             gained = allowed * STEADY_SHARE * (now - tokens.at_ms)
             tokens.left, tokens.at_ms = min(tokens.left + gained, most), now
--- a/tests/routes/test_cold.py
+++ b/tests/routes/test_cold.py
@@ -20,6 +20,7 @@
     measure,
     play,
 )
+from gladelane.lab.cold_routers import play as play_routers
 from gladelane.routes.cold import (
     LARGEST_MEANS,
     LARGEST_SHARE,
@@ -173,6 +174,12 @@
     assert ColdBudgets(told, 1, random.Random(1)).link_share(CACHE) == WEIGHT * 1000.0 / 50
 
 
+def test_where_no_window_is_told_a_cold_server_is_sent_something_all_the_same() -> None:
+    told = settings(weights="nominal", seats_by_zone=[0, 1], fall_ms=0.0)
+    cold, tokens = ColdBudgets(told, 1, random.Random(1)), tokens_of()
+    assert cold.allows(CACHE, tokens, NOW + 1_000.0, work(500.0, 500.0))
+
+
 def test_a_heavy_request_waits_until_the_server_bears_it_among_others() -> None:
     cold, mean = budgets(), 400.0
     cold.rng = Lucky()
@@ -242,3 +249,15 @@
                 assert measured.over <= 0.0, (case, measured)
                 if name == "told at once" and requests == 20.0 and directors <= 30:
                     assert measured.used > 0.3, (case, measured)
+
+
+@pytest.mark.parametrize("directors", [2, 30])
+def test_further_attempts_and_second_copies_of_whole_routers_count(directors: int) -> None:
+    for name in ("told at once", "all ask at once", "just started, heavy tails"):
+        for server in Server:
+            for requests in (2.0, 20.0):
+                case = Case(name, server, directors, requests, 2, **KINDS[name])
+                measured = play_routers(case)
+                assert measured.over <= 0.0, (case, measured)
+                if name == "told at once" and requests == 20.0:
+                    assert measured.used > 0.3, (case, measured)
