Cold budgets: the usual load of warm servers counts their requests' own work

The first requests of a just-started director cost up to five times their work at a cold server, as its mean of their class is unsure. `spend` counted that for warm servers too: where no size is told, the usual load learned in the first second was up to five times too high, and so was what cold ones were sent for some spans. Own work is counted now. The test gets 500 for 100 without it.

--- a/gladelane/routes/cold.py
+++ b/gladelane/routes/cold.py
@@ -177,10 +177,10 @@
     def spend(self, member: Member, tokens: Tokens, now: float, work: Work) -> None:
         """It is sent."""
         kind = self._of(member)
-        cost = self._cost(kind, work)
         if kind.warm(member, now):
-            kind.sent += cost
+            kind.sent += work.own  # not what it would cost: few requests' doubt is no load of the server
             return
+        cost = self._cost(kind, work)
         self._refill(kind, member, tokens, now)
         tokens.take(tokens.staked if tokens.won >= cost else cost, self._slot(now))
         tokens.won = tokens.staked = 0.0
--- a/tests/routes/test_cold.py
+++ b/tests/routes/test_cold.py
@@ -203,6 +203,14 @@
     assert tokens.left == -cost
 
 
+def test_the_usual_load_of_warm_servers_is_what_they_were_sent() -> None:
+    cold, warm = budgets(), replace(CACHE, came_up_ms=0.0)
+    cold.learn(NOW, [warm], [])
+    cold.spend(warm, tokens_of(), NOW, cold.work("page", 100.0))  # its first request: the mean may be 500
+    cold.learn(NOW + 1_000.0, [warm], [])
+    assert cold.caches.usual == pytest.approx(100.0)
+
+
 def test_a_mean_of_few_requests_is_known_roughly() -> None:
     cold = budgets()
     told = [cold.work("page", 100.0) for _ in range(MEAN_OF)]
