Set descriptors aside for the watch, listeners and the admin endpoint before sharing them

Seen, real processes, 128 descriptors, 300 idle clients, 42 servers, discovery down for 8 s: accept, the watch, dials to caches and the admin endpoint all failed with EMFILE (26 lines of the watch), the list was followed 1.45 s after discovery was back, 76 of 1,650 requests were refused, and at SIGTERM the process ended with 1: the import of ctypes in `steer_away` found no descriptor. Without the admin endpoint: 0.06 s and 0, with EMFILE at accept and watch too. Cause: the reserve was 15 % of the limit, whatever the process needs for itself (19 open before any client, 14 without the admin endpoint), and shut connections, 6 %, came out of it. A system limit below the configured one was not seen. Change: net/descriptors.py takes what the process needs, the descriptors it inherits and its feeds from the limit (the configured or the system's, whichever is lower) first and scales both shares down where they do not fit: below about 390. From there on they are as before. A failed import at the end is no longer fatal.

--- a/gladelane/__main__.py
+++ b/gladelane/__main__.py
@@ -32,6 +32,7 @@
 from .interface import Settings
 from .net.board import Board
 from .net.config import BadConfig, Config, host_port, read_config
+from .net.descriptors import share_descriptors
 from .net.director import Director
 from .net.front import Front
 from .net.upstream import Upstream
@@ -44,10 +45,7 @@
 log = logging.getLogger("gladelane")
 endpoints_log = logging.getLogger("gladelane.endpoints")
 
-# of the descriptors; the rest is the reserve. Usual clients hold a third at most, others find room beside
-CLIENT_SHARE, UPSTREAM_SHARE = 0.6, 0.25
-OWN_SOCKETS = 16  # of a process: its loops, listeners, the board's stream, the channel, files for a moment
-CALLERS_LEAST = 4  # at the door, however few descriptors there are
+STANDARD = 3  # descriptors that a process is started with
 HELD_SHARE = 0.25  # of the memory, for bodies and answers not yet taken
 KEYS_SHARE = 0.04  # of the memory, for keys that may have run: 4,500 of them where it is 80 MB
 GC_THRESHOLDS = (50_000, 10, 10)  # nearly all is freed by its last reference; cycles are few
@@ -65,7 +63,7 @@
 class Node:
     """The parts of one director and who holds whom; `config` says all that differs between two of them."""
 
-    def __init__(self, config: Config, operator: Operator | None = None) -> None:
+    def __init__(self, config: Config, operator: Operator | None = None, inherited: int = STANDARD) -> None:
         self.config = config
         self.clock = Clock()
         self.wheel = Wheel(self.clock.now)
@@ -80,14 +78,17 @@
             self.endpoints,
             int(limits.memory_mb * 1_000_000 * KEYS_SHARE / KEY_BYTES),
         )
-        most = int(limits.sockets * UPSTREAM_SHARE)
-        self.upstream = Upstream(config.conn, most, self.clock.now, self.wheel, self.endpoints)
+        feeds = len(operator.purges.feeds) if operator is not None and operator.purges is not None else 0
+        self.shares = share_descriptors(most_descriptors(limits.sockets), inherited, feeds)
+        self.upstream = Upstream(
+            config.conn, self.shares.upstream, self.clock.now, self.wheel, self.endpoints
+        )
         self.director.sender, self.upstream.owner = self.upstream, self.director
         self.front = Front(
             self.director,
             self.clock.now,
             self.wheel,
-            int(limits.sockets * CLIENT_SHARE),
+            self.shares.clients,
             limits.memory_mb * 1_000_000 * HELD_SHARE,
         )
         self.audit: Service | None = None
@@ -175,10 +176,7 @@
     def _open_door(self, host: str, port: int) -> None:
         from .operations.door import Door  # on older days there is neither a place nor a thread
 
-        # from the reserve, of which each of two processes needs a part for itself
-        reserve = int(self.config.limits.sockets * (1.0 - CLIENT_SHARE - UPSTREAM_SHARE))
-        callers = max((reserve - 2 * OWN_SOCKETS) // 2, CALLERS_LEAST)
-        self.door = Door(self.desk, asyncio.get_running_loop(), callers)
+        self.door = Door(self.desk, asyncio.get_running_loop(), self.shares.callers)
         self.door.open(host, port)
 
     def _meet(self) -> socket.socket | None:
@@ -266,7 +264,8 @@
             self.front.stop_listening(queued=False)
         else:
             await asyncio.sleep(LINGER_S)
-            self.front.steer_away()
+            with contextlib.suppress(OSError):  # a module is imported there, which takes a descriptor
+                self.front.steer_away()
             await asyncio.sleep(STEER_S)
             self.front.stop_listening()
         longest = max(spec.deadline_ms for spec in self.director.settings.classes.values()) / 1000.0
@@ -361,6 +360,20 @@
     return owner
 
 
+def most_descriptors(told: int) -> int:
+    """By the configuration, or by the system where that allows fewer."""
+    allowed = os.sysconf("SC_OPEN_MAX")  # RLIMIT_NOFILE as it is now; -1: without bound
+    return min(told, allowed) if allowed > 0 else told
+
+
+def open_descriptors() -> int:
+    """Those of this process now."""
+    try:
+        return len(os.listdir("/proc/self/fd")) - 1  # less the one that lists them
+    except OSError:
+        return STANDARD
+
+
 def watch_gc() -> None:
     began = 0.0
 
@@ -413,9 +426,14 @@
 
 
 async def serve(
-    config: Config, used: bytes, path: str, operator: Operator | None, operator_path: str
+    config: Config,
+    used: bytes,
+    path: str,
+    operator: Operator | None,
+    operator_path: str,
+    inherited: int,
 ) -> None:
-    node = Node(config, operator)
+    node = Node(config, operator, inherited)
     stop = asyncio.Event()
 
     def reload() -> None:
@@ -453,6 +471,7 @@
 def main() -> int:
     """GW_CONFIG names the platform's file, GW_OPERATOR an operator's own; the latter may be absent."""
     logs.set_up()
+    inherited = open_descriptors()
     path, operator_path = os.environ.get("GW_CONFIG", ""), os.environ.get("GW_OPERATOR", "")
     # one that comes while the file is read waits for its handler: by default it would end the process
     signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
@@ -462,7 +481,7 @@
             config.ops = ops_place(os.environ["GW_OPS"])
         if operator is not None:
             logs.set_up(operator.logs.format, operator.logs.level)
-        uvloop.run(serve(config, used, path, operator, operator_path))
+        uvloop.run(serve(config, used, path, operator, operator_path, inherited))
     except (BadConfig, OSError) as error:
         print(f"gladelane: {error if path else 'GW_CONFIG names no file'}", file=sys.stderr)
         return 1
--- a/gladelane/lab/processes.py
+++ b/gladelane/lab/processes.py
@@ -6,10 +6,12 @@
 import asyncio
 import json
 import os
+import resource
 import socket
 import sys
 from collections.abc import Mapping
 from contextlib import suppress
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -25,6 +27,10 @@
         return int(found.getsockname()[1])
 
 
+def _limit_descriptors(limit: int) -> None:
+    resource.setrlimit(resource.RLIMIT_NOFILE, (limit, limit))
+
+
 class Processes:
     """Each gets a file, a log and an operators' address of its own; the folder is what they share."""
 
@@ -34,7 +40,9 @@
         self.ops: list[int] = []
         self.all: list[asyncio.subprocess.Process] = []
 
-    async def start(self, **changes: Any) -> asyncio.subprocess.Process:
+    async def start(self, descriptors: int = 0, **changes: Any) -> asyncio.subprocess.Process:
+        """`descriptors`: the system's limit on them (RLIMIT_NOFILE), 0: as this process has it. `changes` are
+        to its file."""
         self.ops.append(free_port())
         path = self.folder / f"config{len(self.ops)}.json"
         path.write_text(json.dumps({**self.raw, **changes}))
@@ -43,7 +51,13 @@
         env.pop("GW_OPERATOR", None)
         with open(self.folder / f"log{len(self.ops)}", "wb") as log:
             process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "gladelane", cwd=ROOT, env=env, stderr=log
+                sys.executable,
+                "-m",
+                "gladelane",
+                cwd=ROOT,
+                env=env,
+                stderr=log,
+                preexec_fn=partial(_limit_descriptors, descriptors) if descriptors else None,
             )
         self.all.append(process)
         return process
--- /dev/null
+++ b/tests/net/test_descriptors.py
@@ -0,0 +1,125 @@
+"""Shares of the descriptors, and a real process under a small limit whose clients, callers and caches want more."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+from contextlib import suppress
+from pathlib import Path
+
+import pytest
+from harness import Cache, config, hit, until
+from hypothesis import given
+from hypothesis import strategies as st
+
+from gladelane.lab.board import BoardStandin
+from gladelane.lab.processes import Load, Processes, free_port
+from gladelane.net import descriptors
+from gladelane.net.descriptors import Shares, lingering_most, share_descriptors
+
+OWN = descriptors.EVENT_LOOP + descriptors.SERVING + descriptors.ADMIN + descriptors.IN_MOTION
+CACHES, CROWD, CALLERS = 32, 120, 8
+
+
+@pytest.mark.parametrize(
+    ("limit", "inherited", "feeds", "shares"),
+    [
+        (4096, 3, 0, Shares(2457, 1024, 24)),  # as they were: what the process needs is in the rest
+        (1024, 3, 0, Shares(614, 256, 24)),
+        (384, 3, 0, Shares(230, 95, 7)),
+        (128, 3, 0, Shares(61, 25, 7)),  # were 76 and 32: 6 to 11 over the limit with the admin endpoint
+        (128, 20, 0, Shares(50, 20, 7)),  # what the start leaves open counts
+        (128, 3, 3, Shares(55, 23, 7)),
+        (0, 3, 0, Shares(4, 2, 6)),
+    ],
+)
+def test_shares_by_limit(limit: int, inherited: int, feeds: int, shares: Shares) -> None:
+    assert share_descriptors(limit, inherited, feeds) == shares
+
+
+@given(st.integers(64, 100_000), st.integers(3, 12), st.integers(0, 3))
+def test_shares_and_what_the_process_needs_stay_within_the_limit(
+    limit: int, inherited: int, feeds: int
+) -> None:
+    shares = share_descriptors(limit, inherited, feeds)
+    own = OWN + inherited + descriptors.FEED * feeds
+    held = shares.clients + lingering_most(shares.clients) + shares.upstream + shares.callers
+    # the least of each is given whatever the limit
+    assert held + own <= max(limit, own + held if shares.upstream == descriptors.UPSTREAM_LEAST else 0)
+
+
+class ReturningBoard(BoardStandin):
+    """Discovery at one port, down and back."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.port = free_port()
+
+    async def come(self) -> None:
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
+
+
+async def crowd(port: int, text: bytes) -> None:
+    """Holds a connection, says no more than that, and comes again whenever it is closed."""
+    while True:
+        with suppress(OSError):
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(text)
+            try:
+                await reader.read()
+            finally:
+                writer.close()
+        await asyncio.sleep(0.1)
+
+
+def instances(caches: dict[str, str]) -> list[dict[str, object]]:
+    return list(json.loads(config(caches))["known"]["notices"][0]["pool"]["instances"])
+
+
+@pytest.mark.parametrize(("told", "allowed"), [(128, 128), (1024, 128)])
+def test_a_crowd_beyond_the_descriptors_starves_neither_discovery_nor_dials_nor_the_admin_endpoint(
+    tmp_path: Path, told: int, allowed: int
+) -> None:
+    # at 128 all of them failed with EMFILE, and the director ended with 1 at SIGTERM: its last step opens a file
+
+    async def scene() -> None:
+        board, caches = ReturningBoard(), [Cache(hit) for _ in range(CACHES + 1)]
+        addresses = [await cache.start() for cache in caches]
+        listed = {f"c{n}": address for n, address in enumerate(addresses[:-1])}
+        raw = json.loads(config({**listed, "r0": "127.0.0.1:1"}, board=f"127.0.0.1:{board.port}"))
+        raw["limits"]["sockets"] = told
+        director, tasks = Processes(tmp_path, raw), []
+        try:
+            await director.start(descriptors=allowed)
+            await director.serving()
+            load = Load(director.port, clients=6)
+            tasks = [asyncio.create_task(crowd(director.port, b"")) for _ in range(CROWD)]
+            tasks += [asyncio.create_task(crowd(director.ops[0], b"GET /he")) for _ in range(CALLERS)]
+            # every cache has been dialled, all callers have come, and more clients than there is room for
+            await until(lambda: sum(bool(cache.conns) for cache in caches) >= 16, wait=20.0)
+            await until(lambda: "clients wait for room" in director.log() or load.served > 300, wait=20.0)
+            for _ in range(5):
+                assert (await director.call("GET", "/healthcheck"))[0] == 200
+
+            board.notices = [*raw["known"]["notices"]]
+            board.tell(
+                {"pool": {"generation": 2, "reset": False, "instances": instances({"c99": addresses[-1]})}}
+            )
+            await board.come()
+            await until(lambda: caches[-1].seen, wait=20.0)  # the list is followed, and its cache dialled
+            assert (await director.call("GET", "/healthcheck"))[0] == 200
+            await load.stop()
+            # a request of the load may be cut off by its own stop, and a kept one cross a close
+            assert not [lost for lost in load.lost if lost.endswith(": 2")] and load.served > 100
+            director.all[0].send_signal(signal.SIGTERM)
+            assert await asyncio.wait_for(director.all[0].wait(), 20.0) == 0
+            assert "Too many open files" not in director.log()
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+            await director.end()
+            await board.close()
+
+    asyncio.run(scene())
