Move reading files, process limits and optional wiring out of __main__.py; nothing else

gladelane/files.py reads the platform's and the operator's file, gladelane/process.py says what the system allows this process and watches its collector, gladelane/wiring.py makes the parts that only an operator's file switches on and is imported for them alone. The two commands that read files import them from there. Node and drain's bounds stay in __main__.py: tests patch `LINGER_S` and `LAST_MOST_S` there.

--- a/gladelane/__main__.py
+++ b/gladelane/__main__.py
@@ -11,7 +11,6 @@
 import signal
 import socket
 import sys
-import time
 from typing import TYPE_CHECKING
 
 import uvloop
@@ -19,19 +18,18 @@
 if TYPE_CHECKING:
     from .fleet.service import Service
     from .operations.door import Door
-    from .ownership.options import Options as OwnerOptions
     from .ownership.owner import Owner
     from .purges.holder import Holder
-    from .purges.holder import Options as HolderOptions
     from .recovery.service import Recovery
     from .settings.operator import Operator
     from .upgrade.succession import Succession
 
 from . import logs
 from .endpoints.plan import Endpoints
+from .files import load_after, load_operator, ops_place
 from .interface import Settings
 from .net.board import Board
-from .net.config import BadConfig, Config, host_port, read_config
+from .net.config import BadConfig, Config
 from .net.descriptors import share_descriptors
 from .net.director import Director
 from .net.front import Front
@@ -40,16 +38,15 @@
 from .operations.calls import Call
 from .operations.desk import Desk
 from .operations.retune import BOTH_MS, applied, between
+from .process import STANDARD, most_descriptors, open_descriptors, watch_gc
 from .routes.keys import KEY_BYTES
 
 log = logging.getLogger("gladelane")
 endpoints_log = logging.getLogger("gladelane.endpoints")
 
-STANDARD = 3  # descriptors that a process is started with
 HELD_SHARE = 0.25  # of the memory, for bodies and answers not yet taken
 KEYS_SHARE = 0.04  # of the memory, for keys that may have run: 4,500 of them where it is 80 MB
 GC_THRESHOLDS = (50_000, 10, 10)  # nearly all is freed by its last reference; cycles are few
-GC_LONG_MS = 10.0  # a collection this long is logged
 ENDPOINTS_SEED = 0x656E6473
 LINGER_S = 0.8  # after SIGTERM clients go on arriving for up to 0.6 s
 SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
@@ -95,6 +92,8 @@
         self.configure(operator)
         self.purges: Holder | None = None
         if operator is not None and operator.purges is not None:
+            from .wiring import open_purges
+
             self.purges = self.director.guard = open_purges(operator.purges, self.director, self.clock)
         self.recovery: Recovery | None = None
         if operator is not None and operator.recovery is not None:
@@ -127,6 +126,8 @@
             self.director.more = self._lines
         self.owner: Owner | None = None
         if operator is not None and operator.owners is not None and self.purges is not None:
+            from .wiring import open_owner
+
             self.owner = open_owner(operator.owners, self.purges, config)
         self.port = 0
         self.folder = os.environ.get("TMPDIR", "")
@@ -302,129 +303,6 @@
                 task.cancel()
 
 
-def open_purges(options: HolderOptions, director: Director, clock: Clock) -> Holder:
-    """Follows the fleet's purges. Raises BadConfig for what the files say, and OSError."""
-    from pathlib import Path
-
-    from .durable.files import Folder, set_aside
-    from .durable.log import Damaged
-    from .purges.holder import Holder
-    from .purges.tokens import BadTokens
-
-    unknown = sorted(options.strict - director.settings.classes.keys())
-    if unknown:
-        raise BadConfig(f"purges.strict: {unknown[0]!r}; expected classes of the settings")
-
-    def opened() -> Holder:
-        disk = Folder(options.folder) if options.folder else None
-        try:
-            return Holder(
-                options, director.router.purges, clock.now, disk, director.settings.proxies, random.Random()
-            )
-        except BaseException:
-            if disk is not None:
-                disk.close()
-            raise
-
-    try:
-        return opened()
-    except BadTokens as error:
-        raise BadConfig(str(error)) from None
-    except Damaged as error:
-        # what it held is asked of the feeds again: a director that does not start would help nobody
-        aside = set_aside(Path(options.folder))
-        log.error("purges: folder set aside as %s: %s", aside, error)
-        return opened()
-
-
-def open_owner(options: OwnerOptions, purges: Holder, config: Config) -> Owner:
-    """Orders to servers go out by shards, each from the one director that has it."""
-    from .fleet.steady import steady_ms
-    from .ownership.owner import Owner
-    from .ownership.shards import Sharded, works
-
-    settings = config.settings
-    owner = Owner(
-        works(options.shards, settings.me, settings.proxies),
-        config.name,
-        list(purges.options.feeds),
-        options.length_ms,
-        purges.own_token,
-        steady_ms,
-        random.Random(),
-    )
-    sharded = Sharded(
-        purges.orders, options.shards, owner.holds, owner.alone, purges.standing.positions.vector
-    )
-    owner.progress, owner.resume, purges.orders.owned = sharded.progress, sharded.resume, sharded.owned
-    return owner
-
-
-def most_descriptors(told: int) -> int:
-    """By the configuration, or by the system where that allows fewer."""
-    allowed = os.sysconf("SC_OPEN_MAX")  # RLIMIT_NOFILE as it is now; -1: without bound
-    return min(told, allowed) if allowed > 0 else told
-
-
-def open_descriptors() -> int:
-    """Those of this process now."""
-    try:
-        return len(os.listdir("/proc/self/fd")) - 1  # less the one that lists them
-    except OSError:
-        return STANDARD
-
-
-def watch_gc() -> None:
-    began = 0.0
-
-    def told(phase: str, info: dict[str, int]) -> None:
-        nonlocal began
-        if phase == "start":
-            began = time.perf_counter()
-        elif (pause := (time.perf_counter() - began) * 1000.0) > GC_LONG_MS:
-            log.warning("gc pause ms=%.0f generation=%d", pause, info["generation"])
-
-    gc.callbacks.append(told)
-
-
-def load(path: str) -> Config:
-    """Raises BadConfig, which names the file, and OSError."""
-    return load_after(path, None)[0]
-
-
-def load_after(path: str, used: bytes | None) -> tuple[Config, bytes]:
-    """Read against the text of the file in use, with its own. Raises as `load` does."""
-    with open(path, "rb") as file:
-        data = file.read()
-    try:
-        return read_config(data, used), data
-    except BadConfig as error:
-        raise BadConfig(f"{path}: {error}") from None
-
-
-def ops_place(text: str) -> tuple[str, int]:
-    """Raises BadConfig."""
-    try:
-        return host_port(text)
-    except ValueError as error:
-        raise BadConfig(f"GW_OPS: {error}") from None
-
-
-def load_operator(path: str) -> Operator | None:
-    """None without a path. Raises BadConfig, which names the file, and OSError. The readers of JSON5 are
-    imported for such a file alone."""
-    if not path:
-        return None
-    from .settings.operator import BadOperatorFile, read_operator
-
-    with open(path, "rb") as file:
-        data = file.read()
-    try:
-        return read_operator(data)
-    except BadOperatorFile as error:
-        raise BadConfig(f"{path}: {error}") from None
-
-
 async def serve(
     config: Config,
     used: bytes,
--- a/gladelane/cli/addresses.py
+++ b/gladelane/cli/addresses.py
@@ -67,7 +67,7 @@
     cell: Annotated[int, typer.Option(help="Likewise.")] = 0,
 ) -> None:
     """The way to each server's addresses, rule by rule, and the order in which they are dialled."""
-    from ..__main__ import load, load_operator
+    from ..files import load, load_operator
 
     try:
         operator = load_operator(str(file))
--- a/gladelane/cli/director.py
+++ b/gladelane/cli/director.py
@@ -31,7 +31,7 @@
     config: Annotated[Path | None, typer.Option(help="Also the platform's file, and both together.")] = None,
 ) -> None:
     """Says whether a file can be used; else one line with file, key and what was expected."""
-    from ..__main__ import load, load_operator
+    from ..files import load, load_operator
     from ..net.config import BadConfig
 
     try:
