--- a/gladelane/__main__.py
+++ b/gladelane/__main__.py
@@ -11,7 +11,6 @@
 import signal
 import socket
 import sys
-import time
 from typing import TYPE_CHECKING
 
 import uvloop
@@ -19,19 +18,19 @@
 if TYPE_CHECKING:
     from .fleet.service import Service
     from .operations.door import Door
-    from .ownership.options import Options as OwnerOptions
     from .ownership.owner import Owner
     from .purges.holder import Holder
-    from .purges.options import Options as HolderOptions
     from .recovery.service import Recovery
     from .settings.operator import Operator
     from .upgrade.succession import Succession
 
 from . import logs
 from .endpoints.plan import Endpoints
+from .files import load_after, load_operator, ops_place
 from .interface import Settings
 from .net.board import Board
-from .net.config import BadConfig, Config, host_port, read_config
+from .net.config import BadConfig, Config
+from .net.descriptors import share_descriptors
 from .net.director import Director
 from .net.front import Front
 from .net.upstream import Upstream
@@ -39,19 +38,15 @@
 from .operations.calls import Call
 from .operations.desk import Desk
 from .operations.retune import BOTH_MS, applied, between
+from .process import STANDARD, most_descriptors, open_descriptors, watch_gc
 from .routes.keys import KEY_BYTES
 
 log = logging.getLogger("gladelane")
 endpoints_log = logging.getLogger("gladelane.endpoints")
 
-# of the descriptors; the rest is the reserve. Usual clients hold a third at most, others find room beside
-CLIENT_SHARE, UPSTREAM_SHARE = 0.6, 0.25
-OWN_SOCKETS = 16  # of a process: its loops, listeners, the board's stream, the channel, files for a moment
-CALLERS_LEAST = 4  # at the door, however few descriptors there are
 HELD_SHARE = 0.25  # of the memory, for bodies and answers not yet taken
 KEYS_SHARE = 0.04  # of the memory, for keys that may have run: 4,500 of them where it is 80 MB
 GC_THRESHOLDS = (50_000, 10, 10)  # nearly all is freed by its last reference; cycles are few
-GC_LONG_MS = 10.0  # a collection this long is logged
 ENDPOINTS_SEED = 0x656E6473
 LINGER_S = 0.8  # after SIGTERM clients go on arriving for up to 0.6 s
 SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
@@ -65,7 +60,7 @@
 class Node:
     """The parts of one director and who holds whom; `config` says all that differs between two of them."""
 
-    def __init__(self, config: Config, operator: Operator | None = None) -> None:
+    def __init__(self, config: Config, operator: Operator | None = None, inherited: int = STANDARD) -> None:
         self.config = config
         self.clock = Clock()
         self.wheel = Wheel(self.clock.now)
@@ -80,20 +75,25 @@
             self.endpoints,
             int(limits.memory_mb * 1_000_000 * KEYS_SHARE / KEY_BYTES),
         )
-        most = int(limits.sockets * UPSTREAM_SHARE)
-        self.upstream = Upstream(config.conn, most, self.clock.now, self.wheel, self.endpoints)
+        feeds = len(operator.purges.feeds) if operator is not None and operator.purges is not None else 0
+        self.shares = share_descriptors(most_descriptors(limits.sockets), inherited, feeds)
+        self.upstream = Upstream(
+            config.conn, self.shares.upstream, self.clock.now, self.wheel, self.endpoints
+        )
         self.director.sender, self.upstream.owner = self.upstream, self.director
         self.front = Front(
             self.director,
             self.clock.now,
             self.wheel,
-            int(limits.sockets * CLIENT_SHARE),
+            self.shares.clients,
             limits.memory_mb * 1_000_000 * HELD_SHARE,
         )
         self.audit: Service | None = None
         self.configure(operator)
         self.purges: Holder | None = None
         if operator is not None and operator.purges is not None:
+            from .wiring import open_purges
+
             self.purges = self.director.guard = open_purges(operator.purges, self.director, self.clock)
         self.recovery: Recovery | None = None
         if operator is not None and operator.recovery is not None:
@@ -126,6 +126,8 @@
             self.director.more = self._lines
         self.owner: Owner | None = None
         if operator is not None and operator.owners is not None and self.purges is not None:
+            from .wiring import open_owner
+
             self.owner = open_owner(operator.owners, self.purges, config)
         self.port = 0
         self.folder = os.environ.get("TMPDIR", "")
@@ -175,10 +177,7 @@
     def _open_door(self, host: str, port: int) -> None:
         from .operations.door import Door  # on older days there is neither a place nor a thread
 
-        # from the reserve, of which each of two processes needs a part for itself
-        reserve = int(self.config.limits.sockets * (1.0 - CLIENT_SHARE - UPSTREAM_SHARE))
-        callers = max((reserve - 2 * OWN_SOCKETS) // 2, CALLERS_LEAST)
-        self.door = Door(self.desk, asyncio.get_running_loop(), callers)
+        self.door = Door(self.desk, asyncio.get_running_loop(), self.shares.callers)
         self.door.open(host, port)
 
     def _meet(self) -> socket.socket | None:
@@ -266,7 +265,8 @@
             self.front.stop_listening(queued=False)
         else:
             await asyncio.sleep(LINGER_S)
-            self.front.steer_away()
+            with contextlib.suppress(OSError):  # a module is imported there, which takes a descriptor
+                self.front.steer_away()
             await asyncio.sleep(STEER_S)
             self.front.stop_listening()
         longest = max(spec.deadline_ms for spec in self.director.settings.classes.values()) / 1000.0
@@ -303,119 +303,15 @@
                 task.cancel()
 
 
-def open_purges(options: HolderOptions, director: Director, clock: Clock) -> Holder:
-    """Follows the fleet's purges. Raises BadConfig for what the files say, and OSError."""
-    from pathlib import Path
-
-    from .control.tokens import BadTokens
-    from .durable.files import Folder, set_aside
-    from .durable.log import Damaged
-    from .purges.holder import Holder
-
-    unknown = sorted(options.strict - director.settings.classes.keys())
-    if unknown:
-        raise BadConfig(f"purges.strict: {unknown[0]!r}; expected classes of the settings")
-
-    def opened() -> Holder:
-        disk = Folder(options.folder) if options.folder else None
-        try:
-            return Holder(
-                options, director.router.purges, clock.now, disk, director.settings.proxies, random.Random()
-            )
-        except BaseException:
-            if disk is not None:
-                disk.close()
-            raise
-
-    try:
-        return opened()
-    except BadTokens as error:
-        raise BadConfig(str(error)) from None
-    except Damaged as error:
-        # what it held is asked of the feeds again: a director that does not start would help nobody
-        aside = set_aside(Path(options.folder))
-        log.error("purges: folder set aside as %s: %s", aside, error)
-        return opened()
-
-
-def open_owner(options: OwnerOptions, purges: Holder, config: Config) -> Owner:
-    """Orders to servers go out by shards, each from the one director that has it."""
-    from .fleet.steady import steady_ms
-    from .ownership.owner import Owner
-    from .ownership.shards import Sharded, works
-
-    settings = config.settings
-    owner = Owner(
-        works(options.shards, settings.me, settings.proxies),
-        config.name,
-        list(purges.options.feeds),
-        options.length_ms,
-        purges.own_token,
-        steady_ms,
-        random.Random(),
-    )
-    sharded = Sharded(
-        purges.orders, options.shards, owner.holds, owner.alone, purges.standing.positions.vector
-    )
-    owner.progress, owner.resume, purges.orders.owned = sharded.progress, sharded.resume, sharded.owned
-    return owner
-
-
-def watch_gc() -> None:
-    began = 0.0
-
-    def told(phase: str, info: dict[str, int]) -> None:
-        nonlocal began
-        if phase == "start":
-            began = time.perf_counter()
-        elif (pause := (time.perf_counter() - began) * 1000.0) > GC_LONG_MS:
-            log.warning("gc pause ms=%.0f generation=%d", pause, info["generation"])
-
-    gc.callbacks.append(told)
-
-
-def load(path: str) -> Config:
-    """Raises BadConfig, which names the file, and OSError."""
-    return load_after(path, None)[0]
-
-
-def load_after(path: str, used: bytes | None) -> tuple[Config, bytes]:
-    """Read against the text of the file in use, with its own. Raises as `load` does."""
-    with open(path, "rb") as file:
-        data = file.read()
-    try:
-        return read_config(data, used), data
-    except BadConfig as error:
-        raise BadConfig(f"{path}: {error}") from None
-
-
-def ops_place(text: str) -> tuple[str, int]:
-    """Raises BadConfig."""
-    try:
-        return host_port(text)
-    except ValueError as error:
-        raise BadConfig(f"GW_OPS: {error}") from None
-
-
-def load_operator(path: str) -> Operator | None:
-    """None without a path. Raises BadConfig, which names the file, and OSError. The readers of JSON5 are
-    imported for such a file alone."""
-    if not path:
-        return None
-    from .settings.operator import BadOperatorFile, read_operator
-
-    with open(path, "rb") as file:
-        data = file.read()
-    try:
-        return read_operator(data)
-    except BadOperatorFile as error:
-        raise BadConfig(f"{path}: {error}") from None
-
-
 async def serve(
-    config: Config, used: bytes, path: str, operator: Operator | None, operator_path: str
+    config: Config,
+    used: bytes,
+    path: str,
+    operator: Operator | None,
+    operator_path: str,
+    inherited: int,
 ) -> None:
-    node = Node(config, operator)
+    node = Node(config, operator, inherited)
     stop = asyncio.Event()
 
     def reload() -> None:
@@ -453,6 +349,7 @@
 def main() -> int:
     """GW_CONFIG names the platform's file, GW_OPERATOR an operator's own; the latter may be absent."""
     logs.set_up()
+    inherited = open_descriptors()
     path, operator_path = os.environ.get("GW_CONFIG", ""), os.environ.get("GW_OPERATOR", "")
     # one that comes while the file is read waits for its handler: by default it would end the process
     signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
@@ -462,7 +359,7 @@
             config.ops = ops_place(os.environ["GW_OPS"])
         if operator is not None:
             logs.set_up(operator.logs.format, operator.logs.level)
-        uvloop.run(serve(config, used, path, operator, operator_path))
+        uvloop.run(serve(config, used, path, operator, operator_path, inherited))
     except (BadConfig, OSError) as error:
         print(f"gladelane: {error if path else 'GW_CONFIG names no file'}", file=sys.stderr)
         return 1
--- a/gladelane/lab/planted.py
+++ b/gladelane/lab/planted.py
@@ -12,9 +12,9 @@
 from ..interface import Effect, Member, Settings, State
 from ..net.config import Instance, Notice
 from ..net.director import Director
-from ..net.exchange import Ask, Attempt, Exchange, Final
+from ..net.exchange import Ask, Attempt, Exchange, Final, never
 from ..net.wheel import Wheel
-from ..routes.cold import ColdBudgets, Tokens
+from ..routes.cold import ColdBudgets, Tokens, Work
 from .deployed import MakeDirector
 
 MISREAD_DRAIN_GRACE_MS = 1000.0
@@ -55,10 +55,10 @@
 class _FreeFills(ColdBudgets):
     """What goes to a hub are fills, nearly all of it: a budget that counts none of them is never spent."""
 
-    def allows(self, member: Member, tokens: Tokens, now: float, work: float) -> bool:
+    def allows(self, member: Member, tokens: Tokens, now: float, work: Work) -> bool:
         return member.kind == self.parent_kind or super().allows(member, tokens, now, work)
 
-    def spend(self, member: Member, tokens: Tokens, now: float, work: float) -> None:
+    def spend(self, member: Member, tokens: Tokens, now: float, work: Work) -> None:
         if member.kind != self.parent_kind:
             super().spend(member, tokens, now, work)
 
@@ -74,13 +74,15 @@
 class SecondAnswer(Director):
     """Answers some requests twice."""
 
-    def admit(self, ask: Ask, deliver: Callable[[Final], None]) -> Exchange:
+    def admit(
+        self, ask: Ask, deliver: Callable[[Final], None], has_left: Callable[[], bool] = never
+    ) -> Exchange:
         def twice(final: Final) -> None:
             deliver(final)
             if int(ask.id, 16) % ANSWERED_TWICE == 0:
                 deliver(final)
 
-        return super().admit(ask, twice)
+        return super().admit(ask, twice, has_left)
 
 
 def _changed(change: Callable[[Director], None], make_director: MakeDirector = Director) -> MakeDirector:
--- a/gladelane/lab/virtual_sender.py
+++ b/gladelane/lab/virtual_sender.py
@@ -141,6 +141,9 @@
         sent.given_up = True
         self.line.after(self.world.way(sent.zone, sent.store), partial(self.world.aborted, sent))
 
+    def take_back(self, attempt: Attempt) -> None:
+        """Nothing waits to leave here: what was written is on its way."""
+
     def forsake(self, store: str) -> None:
         for connection in list(self._pool.get(store, ())):
             connection.retired = True
