--- a/gladelane/lab/standins.py
+++ b/gladelane/lab/standins.py
@@ -19,7 +19,7 @@
 from typing import NamedTuple, cast
 
 from ..endpoints.address import Address, Family, parse
-from ..net.sockets import unread_bytes
+from ..sockets import unread_bytes
 
 LATE_S = 0.2
 FILL_MOST = 64  # dials that a listener without a backlog must swallow at the most before it drops
--- a/gladelane/net/cache_connection.py
+++ b/gladelane/net/cache_connection.py
@@ -19,12 +19,12 @@
 from ..endpoints.dialling import Budget, Dialling, alive
 from ..endpoints.health import DialEnd
 from ..endpoints.plan import Endpoints
+from ..sockets import has_ended, has_unread
 from .config import ConnLimits
 from .ends import DIAL_END, End
 from .exchange import Attempt
 from .lines import Garbled, Reply, ReplyDecoder, encode_abort, encode_fetch
 from .outgoing import Outgoing
-from .sockets import has_ended, has_unread
 from .streams import READ_BYTES, Reader, open_stream
 from .wheel import Entry, Wheel
 
--- a/gladelane/net/client_connection.py
+++ b/gladelane/net/client_connection.py
@@ -10,6 +10,7 @@
 from typing import Protocol
 
 from ..operations.drain import Drain
+from ..sockets import has_ended, has_unread, look_ahead, shut_write_side
 from .director import Director
 from .exchange import Code, Exchange, Final
 from .frames import (
@@ -24,7 +25,6 @@
     encode_ready,
     peek_class,
 )
-from .sockets import has_ended, has_unread, look_ahead, shut_write_side
 from .streams import READ_BYTES, Reader
 
 log = logging.getLogger(__name__)
--- a/gladelane/net/outgoing.py
+++ b/gladelane/net/outgoing.py
@@ -6,8 +6,8 @@
 import socket
 from collections.abc import Callable
 
+from ..sockets import reset, unsent_bytes
 from .exchange import Attempt
-from .sockets import reset, unsent_bytes
 
 
 class Outgoing:
--- a/gladelane/operations/door.py
+++ b/gladelane/operations/door.py
@@ -17,7 +17,7 @@
 import h11
 import msgspec
 
-from ..net.sockets import has_unread
+from ..sockets import has_unread
 from .calls import Answer, BadCall, Call, Word, read_call
 
 log = logging.getLogger(__name__)
--- a/tests/net/test_leaves.py
+++ b/tests/net/test_leaves.py
@@ -26,7 +26,7 @@
 from gladelane.net.client_connection import ClientConnection
 from gladelane.net.exchange import Attempt
 from gladelane.net.frames import FrameDecoder, Type, encode_frame
-from gladelane.net.sockets import unsent_bytes
+from gladelane.sockets import unsent_bytes
 
 BODY = 200_000  # more than a narrow cache and the system between take at once
 REFUSED = "127.0.0.1:1"
