Ask a keyed repeat's group also where no cache runs and the source is asked straight

At fault: Router.send_read, whose branch for no_cache_runs() sent without asking in_group, as every other send does. Change: that branch asks in_group too.

--- a/gladelane/choice.py
+++ b/gladelane/choice.py
@@ -578,7 +578,9 @@
         source = self.pick_source(owed)
         age, purged = self.age_bound(owed.request, owed.spec.fresh_ms)
         if cache is None and self.settings.straight and source is not None and self.no_cache_runs():
-            return self.fetch(owed, source, source, left, 0, age, False, False)
+            return self.in_group(owed, source) and self.fetch(
+                owed, source, source, left, 0, age, False, False
+            )
         if cache is None or not self.in_group(owed, cache):
             return False
         if source is None or not all(limit.room(self.share(owed)) for limit in self.filling(cache)):
