--- a/tests/routes/test_cold.py
+++ b/tests/routes/test_cold.py
@@ -31,7 +31,7 @@
     Tokens,
     Work,
 )
-from gladelane.upgrade.learnt import give, look, take
+from gladelane.upgrade.learnt import restore, split_off, take_snapshot
 
 NOW, WEIGHT, SEATS = 100_000.0, 8.0, 4
 CACHE = Member("c0", "edge", "box", weight=WEIGHT, came_up_ms=NOW)
@@ -224,9 +224,9 @@
     old = Driver(members(2)).router
     old.stores["c0"].tokens.left, old.stores["c0"].tokens.at_ms = 80.0, 4.0
     after, beside = Driver(members(2)).router, Driver(members(2)).router
-    give(after, look(old))
+    restore(after, take_snapshot(old))
     assert after.stores["c0"].tokens.left == 0.0
-    give(beside, take(old))
+    restore(beside, split_off(old))
     assert beside.stores["c0"].tokens.left == old.stores["c0"].tokens.left == 40.0
 
 
