Pass load reports of answers on to the module, as the simulator's adapter does

Seen: on sockets Outcome.report was always None; the simulator's adapter fills it. The module still decides nothing by them (docs/studies/second-site.md, finding 3), so no decision changes. Measured: the second site's test of torn and whole reports now holds what the module is told: fails without the line, passes with it.

--- a/gladelane/net/director.py
+++ b/gladelane/net/director.py
@@ -473,6 +473,7 @@
                 reply.note if reply else Note.UNTOLD,
                 reply.source_wait_ms if reply else 0.0,
                 exchange.done,
+                reply.report if reply else None,
             )
         )
 
--- a/tests/test_second_site.py
+++ b/tests/test_second_site.py
@@ -15,7 +15,19 @@
 from test_net_rules import during_the_dial, notice
 from test_rules import Watched
 
-from gladelane.interface import Fetch, Lookup, Member, Note, Outcome, Purge, Refuse, State, Status
+from gladelane.interface import (
+    Action,
+    Event,
+    Fetch,
+    Lookup,
+    Member,
+    Note,
+    Outcome,
+    Purge,
+    Refuse,
+    State,
+    Status,
+)
 from gladelane.routes.cold import ColdBudgets, Tokens
 
 REFUSED = "127.0.0.1:1"
@@ -183,11 +195,23 @@
 async def test_answers_with_notes_waits_and_reports_are_passed_on_also_where_those_are_torn() -> None:
     heads = ["remark=f,first=12,report=util:0.61;x1:2", "remark=?,first=soon,report=util:;x1,dated=never"]
     cache = Cache(lambda command: (f"served digest=aa,dated=1,{heads[len(cache.seen) % 2]}", hit(command)[1]))  # type: ignore[index]
-    async with running(site_config({"c0": await cache.start(), "r0": REFUSED})) as (_, client):
+    told: list[tuple[Note, object]] = []
+    async with running(site_config({"c0": await cache.start(), "r0": REFUSED})) as (node, client):
+        handle = node.director.router.handle
+
+        def watched(now_ms: float, event: Event) -> list[Action]:
+            if isinstance(event, Outcome):
+                told.append((event.note, event.report))
+            return handle(now_ms, event)
+
+        node.director.router.handle = watched  # type: ignore[method-assign]
         for stream in range(1, 7):
             client.ask(stream)
             assert (await client.next())[:3] == (17, stream, 0)
         assert cache.closed == 0 and len(cache.conns) == 1
+    assert {note for note, _ in told} == {Note.PARENT_HELD, Note.UNTOLD}
+    assert [report for note, report in told if note is Note.PARENT_HELD] == [{"util": 0.61, "x1": 2.0}] * 3
+    assert [report for note, report in told if note is Note.UNTOLD] == [None] * 3
 
 
 @trial
