Seeds of cold runs by the director's file, ports below the ephemeral range, more descriptors in motion

Now the run's seed is the file's seed and me stays a director's number; 2 of 2 pass. In 50 runs of tests/net/test_descriptors.py, four at once beside other work, 7 failed: 3 times another process had taken the port found free (the system had given it to a connection on its way out), 4 times accepting met the limit for a moment. Ports are now chosen below the ephemeral range, the returning board holds its own from the start, and 16 descriptors count as in motion where it was 8 (clients' cap at 128 is 56 for 61). Measured: 1 of 50 still fails (accept, EMFILE for a moment, nothing lost): connections to stores that are closed count as gone a turn before the system closes them. 50 of 50 of test_door.py pass.

--- a/gladelane/lab/fleet/cold.py
+++ b/gladelane/lab/fleet/cold.py
@@ -179,9 +179,9 @@
     director did not start."""
     world = ColdWorld(plan.server)
     fleet = _fleet(folder, world, plan)
-    for number, one in enumerate(fleet.directors):
-        # all are given one seed: their numbers make their draws differ, and those of runs
-        fleet.settings[one.name] = {**settings_for(plan), "me": seed * plan.directors + number}
+    fleet.seed = f"{seed:016x}"  # one for all directors: their numbers make their draws differ
+    for one in fleet.directors:
+        fleet.settings[one.name] = settings_for(plan)
         if program is not None:
             fleet.program[one.name] = program
     try:
--- a/gladelane/lab/fleet/fleet.py
+++ b/gladelane/lab/fleet/fleet.py
@@ -141,6 +141,7 @@
         self.counts: Counter[str] = Counter()
         self.changes: dict[str, dict[str, Any]] = {}  # of a director's operator file
         self.settings: dict[str, dict[str, Any]] = {}  # of a director's own
+        self.seed = ""  # hexadecimal, of all directors; the example's where it is empty
         self.names: dict[str, str] = {}  # of directors that claim another's
         self.program: dict[str, Path] = {}  # folders of other versions of the program
         self.held_up: dict[str, list[list[float]]] = {}  # from and to, Unix ms: a process answers nothing
@@ -259,6 +260,7 @@
         }
         raw["settings"] |= {"balancers": shape.directors, "me": self.directors.index(one)}
         raw["settings"] |= self.settings.get(one.name, {})
+        raw["seed"] = self.seed or raw["seed"]
         operator: dict[str, Any] = {"recovery": {"every_s": 1}}
         if shape.warm:
             operator["recovery"]["dir"] = str(one.folder / "warm")
--- a/gladelane/lab/processes.py
+++ b/gladelane/lab/processes.py
@@ -13,18 +13,24 @@
 from contextlib import suppress
 from functools import partial
 from pathlib import Path
+from random import SystemRandom
 from typing import Any
 
 from .client import Client
 
 ROOT = Path(__file__).parent.parent.parent
 START_S = 20.0
+PORTS = range(20_000, 32_000)  # the system gives 32768 and up to connections on their way out
 CALL_S = 5.0
 
 
 def free_port() -> int:
-    with socket.create_server(("127.0.0.1", 0)) as found:
-        return int(found.getsockname()[1])
+    """Below those that the system gives to connections on their way out: between this look and the moment in
+    which a process listens there, one of them would take the port. Raises OSError where none is free."""
+    for port in SystemRandom().sample(PORTS, 100):
+        with suppress(OSError), socket.create_server(("127.0.0.1", port)):
+            return port
+    raise OSError("no free port")
 
 
 def _limit_descriptors(limit: int) -> None:
--- a/gladelane/net/descriptors.py
+++ b/gladelane/net/descriptors.py
@@ -21,8 +21,9 @@
 ADMIN = 5  # the admin endpoint's listener, its thread's loop of three, and the meeting place of an upgrade
 FEED = 3  # a feed's stream, and a report and a lease asked there meanwhile
 # A socket counts as free from the order to close it and is closed a turn of the loop later, and files are
-# open for a moment: the hand-over, a module imported late, a socket handed over.
-IN_MOTION = 8
+# open for a moment: the hand-over, a module imported late, a socket handed over. With 8, accepting met the
+# limit in 5 of 78 runs beside 120 clients who come again at once.
+IN_MOTION = 16
 CALLERS_LEAST, CALLERS_MOST = 6, 24  # at the admin endpoint: a few that say nothing, and those who call
 CLIENTS_LEAST, UPSTREAM_LEAST = 4, 2  # with less nothing is served; so tiny a limit is overrun then
 
--- a/tests/net/test_descriptors.py
+++ b/tests/net/test_descriptors.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import signal
+import socket
 from contextlib import suppress
 from pathlib import Path
 
@@ -14,7 +15,7 @@
 from hypothesis import strategies as st
 
 from gladelane.lab.board import BoardStandin
-from gladelane.lab.processes import Load, Processes, free_port
+from gladelane.lab.processes import Load, Processes
 from gladelane.net import descriptors
 from gladelane.net.descriptors import Shares, lingering_most, share_descriptors
 
@@ -27,10 +28,10 @@
     [
         (4096, 3, 0, Shares(2457, 1024, 24)),  # as they were: what the process needs is in the rest
         (1024, 3, 0, Shares(614, 256, 24)),
-        (384, 3, 0, Shares(230, 95, 7)),
-        (128, 3, 0, Shares(61, 25, 7)),  # were 76 and 32: 6 to 11 over the limit with the admin endpoint
-        (128, 20, 0, Shares(50, 20, 7)),  # what the start leaves open counts
-        (128, 3, 3, Shares(55, 23, 7)),
+        (384, 3, 0, Shares(224, 93, 8)),
+        (128, 3, 0, Shares(56, 23, 7)),  # were 76 and 32: 6 to 11 over the limit with the admin endpoint
+        (128, 20, 0, Shares(44, 18, 8)),  # what the start leaves open counts
+        (128, 3, 3, Shares(50, 20, 7)),
         (0, 3, 0, Shares(4, 2, 6)),
     ],
 )
@@ -50,14 +51,17 @@
 
 
 class ReturningBoard(BoardStandin):
-    """Discovery at one port, down and back."""
+    """Discovery at one port, down and back. The port is its own from the start: a socket that does not listen
+    refuses calls, and nobody else is given its port meanwhile."""
 
     def __init__(self) -> None:
         super().__init__()
-        self.port = free_port()
+        self._sock = socket.socket()
+        self._sock.bind(("127.0.0.1", 0))
+        self.port = int(self._sock.getsockname()[1])
 
     async def come(self) -> None:
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
+        self._server = await asyncio.start_server(self._serve, sock=self._sock)
 
 
 async def crowd(port: int, text: bytes) -> None:
@@ -114,7 +118,7 @@
             assert not [lost for lost in load.lost if lost.endswith(": 2")] and load.served > 100
             director.all[0].send_signal(signal.SIGTERM)
             assert await asyncio.wait_for(director.all[0].wait(), 20.0) == 0
-            assert "Too many open files" not in director.log()
+            assert [line for line in director.log().splitlines() if "Too many open files" in line] == []
         finally:
             for task in tasks:
                 task.cancel()
