--- a/review/stand/harness.py
+++ b/review/stand/harness.py
@@ -279,7 +279,7 @@
         self.stream = 0
         self._reader, self._writer, self._record = reader, writer, record
         self._changed = asyncio.Event()
-        self._ready: list[int] = []
+        self.ready_codes: list[int] = []  # the answers to type 32
         self._task = asyncio.ensure_future(self._read())
 
     @classmethod
@@ -305,14 +305,11 @@
                 await asyncio.wait_for(changed.wait(), left)
         return self.answers[stream][0]
 
-    async def is_ready(self) -> bool:
-        self._writer.write(struct.pack(">IBI", 6, ASK_READY, 0) + b"\x00")
-        deadline = time.monotonic() + 1.0
-        while not self._ready and not self.ended_ms and time.monotonic() < deadline:
-            changed = self._changed
-            with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(changed.wait(), 0.2)
-        return bool(self._ready) and self._ready.pop() == 0
+    def ask_ready(self) -> int:
+        """Asks whether the director is ready, on a stream of its own; returns the stream."""
+        self.stream += 1
+        self._writer.write(struct.pack(">IBI", 6, ASK_READY, self.stream) + b"\x00")
+        return self.stream
 
     def close(self) -> None:
         self._writer.close()
@@ -326,7 +323,7 @@
                 if kind == ANSWER:
                     self.answers.setdefault(stream, []).append(Final(*decode_payload(payload)))
                 elif kind == READY:
-                    self._ready.append(payload[0])
+                    self.ready_codes.append(payload[0])
                 elif kind == NO_MORE:
                     self.told_no_more = True
                 self._wake()
