--- a/review/stand/harness.py
+++ b/review/stand/harness.py
@@ -553,9 +553,13 @@
     async def main() -> int:
         case = Case(Path(file).resolve().parent)
         case.record(f"TROUBLE={int(TROUBLE)}")
+        task = asyncio.current_task()
+        assert task is not None
+        for number in (signal.SIGTERM, signal.SIGINT):  # so that nothing is left behind
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         try:
             broken = await asyncio.wait_for(play(case), within_s)
-        except (CaseNotRunError, OSError, TimeoutError) as error:
+        except (Exception, asyncio.CancelledError) as error:  # no error of the script may look like a verdict
             case.record(f"could not run: {type(error).__name__} {error}")
             print(f"could not run: {type(error).__name__} {error}")
             return COULD_NOT_RUN
