--- a/review/stand/harness.py
+++ b/review/stand/harness.py
@@ -347,7 +347,7 @@
 
 
 class Process:
-    """A program that the case started, in a session of its own; its log is a file in the folder."""
+    """A program that the case started, in a process group of its own; its log is a file in the folder."""
 
     def __init__(self, command: list[str], env: dict[str, str], log: Path) -> None:
         self.log = log
