--- a/gladelane/admin/live_settings.py
+++ b/gladelane/admin/live_settings.py
@@ -4,7 +4,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import fields, replace
+from enum import Enum
 from types import MappingProxyType
 
 from ..routing.events import ClassSpec, Effect, Settings
@@ -41,6 +43,32 @@
     return replace(current, **{name: getattr(new, name) for name in LIVE_SETTINGS}), restart
 
 
+def describe_changes(current: Settings, new: Settings) -> list[str]:
+    """Returns a text for each live setting that differs, such as `max_attempts 8 -> 3`, for the log."""
+    changes = [f"class {name} added" for name in new.classes if name not in current.classes]
+    changes += [f"class {name} removed" for name in current.classes if name not in new.classes]
+    for name, spec in current.classes.items():
+        if name in new.classes:
+            names = [field.name for field in fields(ClassSpec)]
+            changes += _changed_fields(spec, new.classes[name], names, f"class {name} ")
+    names = [name for name in LIVE_SETTINGS if name != "classes"]
+    return changes + _changed_fields(current, new, names)
+
+
+def _changed_fields(old: object, new: object, names: Iterable[str], prefix: str = "") -> list[str]:
+    """Describes those of the named fields that differ."""
+    changes = []
+    for name in names:
+        before, after = _plain_value(getattr(old, name)), _plain_value(getattr(new, name))
+        if before != after:
+            changes.append(f"{prefix}{name} {before} -> {after}")
+    return changes
+
+
+def _plain_value(value: object) -> object:
+    return value.value if isinstance(value, Enum) else value
+
+
 def transition_settings(current: Settings, new: Settings) -> Settings:
     """Returns the settings for the time in which clients use either file: they contain every class, no class
     is less strict than in either file, and they permit only what both files permit."""
--- a/gladelane/server.py
+++ b/gladelane/server.py
@@ -16,7 +16,7 @@
 
 from . import shutdown
 from .admin.handler import AdminHandler
-from .admin.live_settings import TRANSITION_MS, apply_live, transition_settings
+from .admin.live_settings import TRANSITION_MS, apply_live, describe_changes, transition_settings
 from .admin.requests import AdminRequest
 from .clock import Clock
 from .discovery.client import DiscoveryClient
@@ -263,6 +263,7 @@
     def _change_settings(self, settings: Settings) -> None:
         """Applies new settings. Clients switch to them a little later; until then, requests that conform to
         the old or to the new settings are accepted."""
+        log.info("reloaded settings: %s", "; ".join(describe_changes(self.config.settings, settings)))
         self.config.settings = settings
         self.director.retune(transition_settings(self.director.settings, settings))
 
--- a/tests/admin/test_live_settings.py
+++ b/tests/admin/test_live_settings.py
@@ -11,7 +11,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from gladelane.admin.live_settings import STRICTNESS, apply_live, combine_strictest, transition_settings
+from gladelane.admin.live_settings import (
+    STRICTNESS,
+    apply_live,
+    combine_strictest,
+    describe_changes,
+    transition_settings,
+)
 from gladelane.deployment.wire import settings_from_wire
 from gladelane.net.config import ConfigError, read_config
 from gladelane.routing.events import ClassSpec, Effect
@@ -108,6 +114,25 @@
     )
 
 
+def test_each_changed_rule_is_described_for_the_log() -> None:
+    classes = settings()["classes"]
+    current = settings_from_wire({**settings(), "classes": [classes[0], {**classes[1], "group": "cell"}]})
+    changes = [
+        {**classes[0], "name": "new"},
+        {**classes[1], "group": "all", "effect": "fragile", "deadline_ms": 1000},
+    ]
+    new = settings_from_wire({**settings(max_attempts=2), "classes": changes})
+    assert describe_changes(current, new) == [
+        "class new added",
+        "class film removed",
+        "class sheet effect keyed -> unsafe",
+        "class sheet group cell -> all",
+        "class sheet deadline_ms 3000.0 -> 1000.0",
+        "max_attempts 6 -> 2",
+    ]
+    assert describe_changes(current, current) == []
+
+
 def family_info_for(names: list[str]) -> dict[str, Any]:
     """The settings `family_info`, whose lists have one value for each of these classes."""
     lists = {
