Turn down a new configuration whose classes or tenants lack a key, or have null there

Callers saw: after a SIGHUP with a file that lacks settings.classes[1].group, a keyed request whose first attempt may have run was sent to a cache of another cell and ran there again; the client was told `refused`, which says that a further try does no harm.

Cause: net/config.py, _check_no_key_is_missing, lines 213 to 226: it returned at the first value that was no object, so it never looked at the keys of a class; and it looked whether a key was there, not whether it was null, though deployment/checks.py, read_fields, takes null as absent. The missing key then got the default of deployment._CLASS_FIELDS, `all`.

Change: the check is a module of its own, net/missing_keys.py. Lists of objects with names (classes, tenants) are compared by name; an object with a new name needs the keys that all in use have. null counts as missing. Why this is enough: what a file in use states can no longer turn into a default.

The two new rows of test_settings_files did not end without the change (cut off after 30 s).

--- a/gladelane/net/config.py
+++ b/gladelane/net/config.py
@@ -8,7 +8,6 @@
 
 import json
 import re
-from collections.abc import Mapping
 from typing import Any
 
 import msgspec
@@ -26,8 +25,8 @@
 from ..deployment.wire import settings_from_wire
 from ..discovery.events import KnownEvents
 from ..routing.events import Settings
+from .missing_keys import check_no_key_is_missing
 
-OPTIONAL_KEYS = frozenset({"ops"})  # GW_OPS may name the admin endpoint instead
 SEED = re.compile(r"[0-9a-fA-F]{1,64}")  # int() would also accept signs, 0x and 1_0
 MAX_SOCKETS = 10_000_000  # more than any system permits to a process
 MAX_MEMORY_MB = 100_000_000.0  # a hundred terabytes; a larger value is in bytes, or a typing error
@@ -121,7 +120,7 @@
     try:
         raw = read_object(_decode(data), "")
         if current is not None:
-            _check_no_key_is_missing(raw, _decode(current))
+            check_no_key_is_missing(raw, _decode(current))
         fields = read_fields(raw, _FIELDS)
         return Config(
             fields["name"],
@@ -209,18 +208,3 @@
     for name, index in re.findall(r"\.(\w+)|\[(\d+)\]", path):
         raw = raw[name] if name else raw[int(index)]
     return raw
-
-
-def _check_no_key_is_missing(new: Any, current: Any, parent_path: str = "") -> None:
-    """Raises BadSetting for a key of `current` that `new` lacks. Lists are not compared, so they may be
-    shorter."""
-    if not isinstance(current, Mapping):
-        return
-    if not isinstance(new, Mapping):
-        raise BadSetting(parent_path, new, "an object")
-    for key, value in current.items():
-        path = f"{parent_path}.{key}" if parent_path else key
-        if key not in new and key not in OPTIONAL_KEYS:
-            raise BadSetting(path, MISSING, "it as in the file in use")
-        if key in new:
-            _check_no_key_is_missing(new[key], value, path)
--- a/tests/test_settings_files.py
+++ b/tests/test_settings_files.py
@@ -263,6 +263,7 @@
 
 @pytest.mark.parametrize("path,value", [
     ("settings.rules.fall_ms", MISSING), ("settings.limits.max_attempts", "three"), ("settings.classes[0].deadline_ms", float("nan")),
+    ("settings.classes[2].group", MISSING), ("settings.classes[2].group", None),
 ])  # fmt: skip
 def test_a_reload_of_an_invalid_file_logs_the_key_and_keeps_the_old_configuration(
     tmp_path: Path, path: str, value: Any
