Require group and window of a class with idempotency keys, also at the start

`window_ms` was read as 0, which repeats nothing (checked in routing/retries.py, may_repeat); it is required too, since no default is right. Lines: deployment/__init__.py, _CLASS_FIELDS.

Change: _KEYED_CLASS_FIELDS, read for keyed classes only. The example's and the tests' files name the group where they lacked it (tests/harness.py, two files of tests); what those tests check is unchanged.

Measured: test_a_class_with_keys_has_no_default_group_or_window fails 4 of 4 without the change, and so do the two new rows of the table in test_settings_files.

--- a/gladelane/deployment/__init__.py
+++ b/gladelane/deployment/__init__.py
@@ -36,6 +36,11 @@
 MAX_REPORT_FIELDS = 16  # the platform has at most four today; the others are reserved for new fields
 
 
+#: The servers that drop repeats of a request with an idempotency key: all of them, those of one zone or those
+#: of one cell.
+GROUPS = ("all", "zone", "cell")
+
+
 class Effect(Enum):
     """Whether a request may be executed twice.
 
@@ -129,7 +134,7 @@
 _CLASS_FIELDS: Mapping[str, Field] = {
     "name": Field(_NAME),
     "effect": Field(Choice(tuple(effect.value for effect in Effect))),
-    "group": Field(Choice(("all", "zone", "cell")), "all"),
+    "group": Field(Choice(GROUPS), "all"),
     "window_ms": Field(_MS, 0.0),
     "aim_ms": Field(_MS),
     "aim_stretch": Field(_FACTOR, 0.0),
@@ -142,6 +147,9 @@
     "parts": Field(_FLAG, False),
     "cacheable": Field(_FLAG, True),
 }
+#: Required for classes with idempotency keys, because no default is right: with a larger group than the true
+#: one a request is repeated where it runs a second time.
+_KEYED_CLASS_FIELDS: Mapping[str, Field] = {"group": Field(Choice(GROUPS)), "window_ms": Field(_MS)}
 
 
 @dataclass(frozen=True, slots=True)
@@ -251,10 +259,13 @@
         raise BadSetting("classes", rows, "a list of at least one class")
     classes: dict[str, ClassSpec] = {}
     for index, row in enumerate(rows):
-        values = read_fields(read_object(row, f"classes[{index}]"), _CLASS_FIELDS, f"classes[{index}]")
+        path = f"classes[{index}]"
+        values = read_fields(read_object(row, path), _CLASS_FIELDS, path)
+        if values["effect"] == Effect.KEYED.value:
+            read_fields(row, _KEYED_CLASS_FIELDS, path)
         name = values["name"]
         if name in classes:
-            raise BadSetting(f"classes[{index}].name", name, "a name that no other class has")
+            raise BadSetting(f"{path}.name", name, "a name that no other class has")
         classes[name] = ClassSpec(**{**values, "effect": Effect(values["effect"])})
     return classes
 
--- a/tests/admin/test_live_settings.py
+++ b/tests/admin/test_live_settings.py
@@ -215,7 +215,9 @@
     film, _ = settings()["classes"]
     addresses = {"c0": await ScriptedCache(hit).start(), "r0": REFUSED}
     async with running_director(config(addresses)) as (node, client):
-        node.reload(make_config(addresses, [{**film, "effect": "dedup", "window_ms": 2000.0}]))
+        node.reload(
+            make_config(addresses, [{**film, "effect": "dedup", "group": "all", "window_ms": 2000.0}])
+        )
         client.ask(1)
         assert (await client.next())[2] == 0
         await wait_until(lambda: not node.director.settings.classes["film"].keyless)
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -21,6 +21,7 @@
     {
         "name": "sheet",
         "effect": "dedup",
+        "group": "all",
         "window_ms": 2000.0,
         "aim_ms": 800.0,
         "deadline_ms": 3000.0,
--- a/tests/net/test_configuration_reloads.py
+++ b/tests/net/test_configuration_reloads.py
@@ -60,7 +60,7 @@
 
 def make_config(addresses: dict[str, str], film: Effect, **limits: Any) -> Config:
     raw = json.loads(config(addresses, **limits))
-    raw["settings"]["classes"][0].update(effect=EFFECT_KEYS[film], window_ms=2000.0)
+    raw["settings"]["classes"][0].update(effect=EFFECT_KEYS[film], group="all", window_ms=2000.0)
     return read_config(json.dumps(raw).encode())
 
 
--- a/tests/net/test_missing_keys.py
+++ b/tests/net/test_missing_keys.py
@@ -147,6 +147,16 @@
         read_config(json.dumps(new).encode(), json.dumps(FULL).encode())
 
 
+@pytest.mark.parametrize("is_null", [False, True], ids=["missing", "null"])
+@pytest.mark.parametrize("key", ["group", "window_ms"])
+def test_a_class_with_keys_has_no_default_group_or_window(key: str, is_null: bool) -> None:
+    # Guards against a director that starts with such a file and repeats keyed requests in every cell.
+    with pytest.raises(ConfigError) as caught:
+        read_config(without(FULL, ("settings", "classes", 2, key), is_null))
+    assert str(caught.value).startswith(f"settings.classes[2].{key} is missing; expected ")
+    read_config(without(FULL, ("settings", "classes", 0, key), is_null))  # a class without keys
+
+
 # --- in a running director --------------------------------------------------------------------------------
 
 
--- a/tests/test_settings_files.py
+++ b/tests/test_settings_files.py
@@ -76,6 +76,8 @@
     "settings.classes[0].effect": (False, NOT_A_CHOICE),
     "settings.classes[0].group": (True, NOT_A_CHOICE),
     "settings.classes[0].window_ms": (True, NOT_A_NUMBER),
+    "settings.classes[2].group": (False, NOT_A_CHOICE),  # required for a class with keys
+    "settings.classes[2].window_ms": (False, NOT_A_NUMBER),
     "settings.classes[0].aim_ms": (False, NOT_A_NUMBER),
     "settings.classes[0].aim_stretch": (True, NOT_A_NUMBER),
     "settings.classes[0].deadline_ms": (False, [*NOT_A_NUMBER, 0]),
@@ -245,7 +247,7 @@
 
 @pytest.mark.parametrize("path,value", [
     ("settings.rules.drain_grace_ms", MISSING), ("settings.limits.max_streams", "many"), ("settings.classes[0].effect", "maybe"),
-    ("settings.family_info.pass_on", [False]),
+    ("settings.family_info.pass_on", [False]), ("settings.classes[2].group", MISSING),
 ])  # fmt: skip
 def test_a_director_does_not_start_with_an_invalid_file_and_prints_one_line(
     tmp_path: Path, path: str, value: Any
