Require the warm-up of parents where a deployment has parents

Seen: read_config and the simulator's adapter took a file with parents that lacks family_info.parent_cold_from or parent_cold_ms, or has null there, and read 1.0 and 0: a parent that has just started would be sent as much as a warm one (the rule on cold servers). WIRE lists both keys without "may be absent". Checked, and left with their defaults since those are the strictest value or no rule depends on them: parent_breaks_at (1.0), limits.cancel, may_duplicate, probes, may_tell, retry_after, straight, peers_fill, merges_fills, notice_time_ms, grace_to_answer_ms, seats_by_zone (then the number of all directors is taken), upper_kind (then no parent is used), stale_for_ms, weights, notes_given, hub_of, inlet_kb_per_s, segmented. Lines: deployment/wire.py, settings_from_wire.

Change: _REQUIRED_PARENT_FIELDS beside the fields that were required for the same reason.

--- a/gladelane/deployment/wire.py
+++ b/gladelane/deployment/wire.py
@@ -102,10 +102,11 @@
 #: the objects in the file that contain the paths above
 _SECTIONS = ("family_info", "limits", "rules", "report")
 #: `Settings.read` has defaults for these, but a default could break a rule unnoticed: the answer to a write
-#: would be cached like a copy, a copy would be served although it is too old, or a purge would expire while
-#: old copies still exist. They are therefore required here.
+#: would be cached like a copy, a copy would be served although it is too old, a purge would expire while old
+#: copies still exist, or a cold parent would be sent as much as a warm one. They are therefore required here.
 _REQUIRED_LISTS = ("pass_on", "good_for_ms")
 _REQUIRED_FIELDS = {"gone_everywhere_ms": Field(Number())}
+_REQUIRED_PARENT_FIELDS = {"parent_cold_from": Field(Number(0, 1)), "parent_cold_ms": Field(Number())}
 _CLASS_KEY = re.compile(r"classes\[([0-9]+)\]\.(\w+)")
 
 
@@ -126,6 +127,8 @@
         found = _value_at(fields, key) if key in (*_PATHS.values(), *_KIND_PATHS.values()) else error.found
         raise BadSetting(key, MISSING if found is None else found, error.expected) from None
     read_fields(fields["family_info"], _REQUIRED_FIELDS, "family_info")
+    if settings.parent_kind:
+        read_fields(fields["family_info"], _REQUIRED_PARENT_FIELDS, "family_info")
     return settings
 
 
--- a/tests/net/test_missing_keys.py
+++ b/tests/net/test_missing_keys.py
@@ -157,6 +157,19 @@
     read_config(without(FULL, ("settings", "classes", 0, key), is_null))  # a class without keys
 
 
+@pytest.mark.parametrize("is_null", [False, True], ids=["missing", "null"])
+@pytest.mark.parametrize("key", ["parent_cold_from", "parent_cold_ms"])
+def test_parents_have_no_default_warm_up(key: str, is_null: bool) -> None:
+    # Guards against a director that starts with such a file and sends a cold parent as much as a warm one.
+    path: KeyPath = ("settings", "family_info", key)
+    with pytest.raises(ConfigError) as caught:
+        read_config(without(FULL, path, is_null))
+    assert str(caught.value).startswith(f"settings.family_info.{key} is missing; expected ")
+    without_parents = copy.deepcopy(FULL)
+    without_parents["settings"]["family_info"]["upper_kind"] = -1
+    read_config(without(without_parents, path, is_null))
+
+
 # --- in a running director --------------------------------------------------------------------------------
 
 
