Treat a server without a cell as one that shares its keys with no other server

Seen: an instance without `cell` was read as one of cell 0 (discovery/events.py, Instance; the simulator's adapter likewise). With the group `cell`, all servers of such a list were taken to share their keys: a keyed request whose first attempt may have run was sent to a second cache. PROTOCOL shows `cell` in each instance and says nothing of its absence; `startedAtMs` and a weight may be absent. Turning down the whole event was considered: it would also lose the drains that it carries, so only the rule gets stricter.

Change: the default is deployment.UNKNOWN_KEY_GROUP; routing/retries.py, is_deduplicated_at, lets a request go again only to the server itself. The golden value of a minimal instance is that default now.

--- a/gladelane/deployment/__init__.py
+++ b/gladelane/deployment/__init__.py
@@ -39,6 +39,8 @@
 #: The servers that drop repeats of a request with an idempotency key: all of them, those of one zone or those
 #: of one cell.
 GROUPS = ("all", "zone", "cell")
+#: The `cell` of a server whose entry names none. It shares the keys that it knows with no other server.
+UNKNOWN_KEY_GROUP = -1
 
 
 class Effect(Enum):
--- a/gladelane/discovery/events.py
+++ b/gladelane/discovery/events.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from ..clock import UnixMs
+from ..deployment import UNKNOWN_KEY_GROUP
 
 
 class Instance(msgspec.Struct, rename="camel"):
@@ -16,7 +17,7 @@
     zone: str
     machine_type: str
     lifecycle: str
-    cell: int = 0
+    cell: int = UNKNOWN_KEY_GROUP
     weight: float = 1.0
     started_at_ms: UnixMs = UnixMs(0.0)
     addresses: list[str] = []  # further addresses of the server; this platform sends none
--- a/gladelane/routing/retries.py
+++ b/gladelane/routing/retries.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from ..deployment import UNKNOWN_KEY_GROUP
 from .context import RoutingContext
 from .events import Effect
 from .request_state import PendingRequest
@@ -83,6 +84,8 @@
             return False
         if pending.spec.group == "zone":
             return store.member.zone == ran.member.zone
+        if store.member.cell == UNKNOWN_KEY_GROUP:
+            return store.member.store == ran.member.store
         return store.member.cell == ran.member.cell
 
 
--- a/gladelane/simhost.py
+++ b/gladelane/simhost.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from typing import Any, TextIO
 
+from .deployment import UNKNOWN_KEY_GROUP
 from .deployment.wire import settings_from_wire
 from .routing import events as api
 from .routing.router import Router
@@ -45,9 +46,9 @@
     return float(value) if value is not None else 0.0
 
 
-def _integer(parts: list[str], index: int) -> int:
+def _integer(parts: list[str], index: int, default: int = 0) -> int:
     value = _text(parts, index)
-    return int(value) if value is not None else 0
+    return int(value) if value is not None else default
 
 
 def _parse_report(settings: api.Settings, value: str | None) -> dict[str, float] | None:
@@ -102,7 +103,7 @@
         store=parts[1],
         zone=parts[2],
         kind=parts[3],
-        cell=_integer(parts, 4),
+        cell=_integer(parts, 4, UNKNOWN_KEY_GROUP),
         state=_STATES[parts[5]],
         weight=_number(parts, 6),
         started_at_ms=_number(parts, 7),
--- a/tests/golden/test_discovery_events.py
+++ b/tests/golden/test_discovery_events.py
@@ -33,7 +33,7 @@
     1764667245123.5,
     ["[::1]:5001"],
 )
-MINIMAL_VALUES = ("cache-2", "127.0.0.1:5002", "hub", "mid", "gone", 0, 1.0, 0.0, [])
+MINIMAL_VALUES = ("cache-2", "127.0.0.1:5002", "hub", "mid", "gone", -1, 1.0, 0.0, [])
 #: JSON of an event, and its decoded values in the order in which the struct declares its fields
 EVENTS: dict[str, tuple[str, Any]] = {
     "nothing": ('{"rev":7}', (7, None, None)),
--- a/tests/net/test_missing_keys.py
+++ b/tests/net/test_missing_keys.py
@@ -1,5 +1,5 @@
-"""A file that lacks a key is turned down: at SIGHUP one that lacks any key of the file in use, at the start one
-that lacks a key on which a rule depends."""
+"""A missing key is never read as the least strict value. At SIGHUP a file that lacks any key of the file in use is
+turned down, at the start one that lacks a key on which a rule depends; a server without a cell shares none."""
 
 from __future__ import annotations
 
@@ -205,6 +205,22 @@
     return sent_to
 
 
+def test_keyed_requests_stay_at_one_cache_if_no_server_has_a_cell() -> None:
+    # Guards against a keyed request that runs twice, because all servers without a cell were taken to be in cell 0.
+    @virtual
+    async def scenario(clock: VirtualClock) -> None:
+        caches = {f"c{number}": ScriptedCache(respond_crashed) for number in range(4)}
+        addresses = {name: await cache.start() for name, cache in caches.items()}
+        raw = file_with_two_cells({**addresses, "r0": REFUSED})
+        for instance in raw["known"]["notices"][0]["pool"]["instances"]:
+            del instance["cell"]
+        async with running_director(json.dumps(raw).encode()) as (_, client):
+            for sent_to in await ask_with_keys(client, caches, 10):
+                assert len(sent_to) == 1, sent_to
+
+    scenario()
+
+
 @pytest.mark.parametrize("is_null", [False, True], ids=["missing", "null"])
 def test_keyed_requests_stay_in_one_cell_after_a_new_file_that_lacks_the_group(
     tmp_path: Path, is_null: bool
--- a/tests/test_simhost.py
+++ b/tests/test_simhost.py
@@ -1,6 +1,7 @@
 """The simulator's adapter: translation in both directions, malformed lines, the end of the input."""
 
 import json
+import re
 import subprocess
 import sys
 from pathlib import Path
@@ -47,6 +48,22 @@
     assert "PULL_VIA 42 3000.000 1.1.1.1:1 0 - 1.1.1.2:1 1\n" in replies[1]
 
 
+def test_a_keyed_request_is_not_repeated_at_another_store_if_no_store_has_a_cell() -> None:
+    # Guards against a keyed request that runs twice, because an absent cell was read as cell 0.
+    sheet = {"name": "sheet", "effect": "dedup", "group": "cell", "window_ms": 2000.0, "aim_ms": 800.0,
+             "deadline_ms": 3000.0, "value": 3.0}  # fmt: skip
+    start = start_messages(classes=[sheet]).replace(
+        "REGISTER 0 3\n", "REGISTER 0 4\nSTORE 1.1.1.4:1 edge box 0 IN 1 -\n"
+    )
+    request = "CLOCK 1010\nABOUT 3\nINBOUND 42 sheet - 99 4010 640 11 3 1\nYOUR_TURN\n"
+    sent = re.search(r"PULL_VIA 42 \S+ (\S+)", run_simhost(start + request).stdout)
+    assert sent is not None
+    failure = f"CLOCK 1020\nABOUT 3\nENDED 42 301 10 - 0 {sent[1]} - 0 -\nYOUR_TURN\n"
+    assert "PULL_VIA" in run_simhost(start + request + failure).stdout.split("DONE\n")[2]
+    without_cells = start.replace(" box 0 ", " box - ")
+    assert "ERROR 42" in run_simhost(without_cells + request + failure).stdout.split("DONE\n")[2]
+
+
 def test_an_empty_batch_gets_an_empty_reply() -> None:
     assert run_simhost("CLOCK 8412.25\nYOUR_TURN\n").stdout == "DONE\n"
 
