Fake servers wait for their address while a process that is being forked holds it

Cause: fleet.py, _spawn, starts processes by Popen in a thread. Between fork and exec such a process holds a copy of every descriptor, the listener of a fake server among them. fake_server_address.py, listen, closed its listener and bound the address again at once. Shown by force: a start whose program runs 0.4 s after the fork gives the same error at the same line, each time. Ruled out: an outgoing connection (its ports begin at 32768; the port was 26923).

Change: binding waits for up to 2 s while the address is in use, then it raises as before. Laboratory only; no check is changed.

--- a/gladelane/lab/fake_server_address.py
+++ b/gladelane/lab/fake_server_address.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import os
 import socket
 from collections.abc import Awaitable, Callable
@@ -15,6 +16,9 @@
 
 MAX_FILL_DIALS = 64  # a listener without a backlog accepts at most so many connections before it drops
 BACKLOG = 512
+#: For binding an address again. A process that another thread has just forked holds a copy of the closed
+#: listener until it executes its program, which can take long on a busy machine.
+BIND_TRIES, BIND_INTERVAL_S = 200, 0.01
 Serve = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 
 
@@ -63,7 +67,7 @@
         if fault is Fault.NOT_A_SOCKET:
             path.write_text("no socket")
             return
-        sock = _bound(self.address)
+        sock = await _bind(self.address)
         if self.receive_buffer:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.receive_buffer)
         if fault is Fault.REFUSED:
@@ -91,11 +95,27 @@
                 os.unlink(self.address.host)
 
 
+async def _bind(address: Address) -> socket.socket:
+    """Returns a bound socket. Waits while the address is in use, and raises OSError if it stays so."""
+    for _ in range(BIND_TRIES - 1):
+        try:
+            return _bound(address)
+        except OSError as error:
+            if error.errno != errno.EADDRINUSE:
+                raise
+        await asyncio.sleep(BIND_INTERVAL_S)
+    return _bound(address)
+
+
 def _bound(address: Address) -> socket.socket:
     kind = {Family.V4: socket.AF_INET, Family.V6: socket.AF_INET6, Family.UNIX: socket.AF_UNIX}
     sock = socket.socket(kind[address.family], socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    sock.bind(address.host if address.family is Family.UNIX else (address.host, address.port))
+    try:
+        sock.bind(address.host if address.family is Family.UNIX else (address.host, address.port))
+    except OSError:
+        sock.close()
+        raise
     return sock
 
 
--- a/tests/lab/test_fake_server_ports.py
+++ b/tests/lab/test_fake_server_ports.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import random
+import subprocess
+import time
 from pathlib import Path
 
 import pytest
@@ -39,6 +41,26 @@
     asyncio.run(scene())
 
 
+def test_a_server_refuses_while_a_process_that_is_being_started_holds_its_listener() -> None:
+    # Guards against a fleet run that ends with EADDRINUSE: a forked process has the listener until its program runs.
+    async def scenario() -> None:
+        server = FakeServer("s", answer)
+        address = await server.listen(Family.V4)
+        start = asyncio.create_task(asyncio.to_thread(start_slowly))
+        await asyncio.sleep(0.1)  # the process is forked, and its program does not run yet
+        await server.set(address, Fault.REFUSED)
+        await server.set(address, Fault.NONE)
+        (await start).wait()
+        await server.close()
+
+    asyncio.run(scenario())
+
+
+def start_slowly() -> subprocess.Popen[bytes]:
+    """Starts a process whose program runs 0.4 s after the fork."""
+    return subprocess.Popen(["true"], preexec_fn=lambda: time.sleep(0.4))
+
+
 def test_a_reserved_port_is_not_free(monkeypatch: pytest.MonkeyPatch) -> None:
     """A fake server took the port of a director that did not listen yet, and the director's clients asked there."""
     port = reserve_port(random.Random())
