Remember used stream numbers as ranges, so that a bound takes no new one for used

Hypotheses: (a) a number was really used twice, (b) the bound of the memory of used numbers was reached, (c) the question (type 32) itself closed something. The log line said "reused or out of range" for both (a) and (b), so its two values were added to it first (a trial in the work tree, not committed): used_until=0 out_of_order=1024 at stream 1082, a number that had not been used. So (b); (a) is ruled out by the record of the case, (c) by a run of the new test in which numbers are only left out, without any question.

Lines at fault: StreamNumbers.use in net/client_requests.py. Only requests mark their numbers. A number that a question takes, or that a client leaves out, keeps `_used_until` below it for good; all later numbers are collected in a set, and once it holds 1,024 each new number is reported as used.

Change: used numbers are kept as ranges in a module of its own (net/stream_numbers.py), two arrays of integers, at most 1,024 ranges (16 KB; the set took some 60 KB). Beyond that the range that is farthest from the latest number is forgotten. A bounded memory of any set has to err on one side: now a number that was used long ago may count as new, but a new one never as used. A client that counts up by one still has each reuse found, however old.

--- a/gladelane/net/client_requests.py
+++ b/gladelane/net/client_requests.py
@@ -18,11 +18,11 @@
 )
 from .director import Director
 from .exchange import AnswerCode, ClientRequest, Exchange, FinalAnswer
+from .stream_numbers import StreamNumbers
 
 log = logging.getLogger(__name__)
 
 MAX_OPEN_REQUESTS = 32  # on one connection, by the protocol
-MAX_OUT_OF_ORDER_STREAMS = 1024  # stream numbers used on one connection before a lower one was used
 
 FAILED = FinalAnswer(AnswerCode.FAILED)
 REFUSED = FinalAnswer(AnswerCode.REFUSED)
@@ -59,28 +59,6 @@
         """Called after a request was answered."""
 
 
-class StreamNumbers:
-    """The stream numbers that were used on a connection: all numbers up to a limit, and a few above it."""
-
-    def __init__(self) -> None:
-        self._used_until = 0
-        self._used_out_of_order: set[int] = set()
-
-    def use(self, stream: int) -> bool:
-        """Marks a stream number as used. Returns False if it was used before or is too far out of order."""
-        if (
-            stream <= self._used_until
-            or stream in self._used_out_of_order
-            or len(self._used_out_of_order) >= MAX_OUT_OF_ORDER_STREAMS
-        ):
-            return False
-        self._used_out_of_order.add(stream)
-        while self._used_until + 1 in self._used_out_of_order:
-            self._used_until += 1
-            self._used_out_of_order.remove(self._used_until)
-        return True
-
-
 class ClientRequests:
     """The open requests of one connection by stream number."""
 
@@ -120,7 +98,7 @@
         """Checks a request that arrived at `received_ms`, and admits, rejects or fails it. `is_slow` means
         that the client does not read its answers."""
         if not self._streams.use(frame.stream):
-            log.warning("stream number reused or out of range stream=%d", frame.stream)
+            log.warning("stream number reused stream=%d", frame.stream)
             self._owner.send(encode_answer(0, FAILED))
             return
         if len(self.open) >= MAX_OPEN_REQUESTS:
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -31,6 +31,7 @@
 FAMILY = {**WIRE["family_info"], "pass_on": [False, True], "good_for_ms": [0.0, 0.0], "segmented": [False, False],
           "straight": True, "notes_given": "hit"}  # fmt: skip
 LIMITS = {**WIRE["limits"], "max_streams": 100, "conn_idle_ms": 15000.0, "may_duplicate": True}
+REFUSED_ADDRESS = "127.0.0.1:1"  # no process listens there
 Command = tuple[str, dict[str, str], bytes]  #: id, fields and body of a fetch
 
 
