Let a cancellation end only requests that came before it on its connection

Seen: while the tests for reused streams were written, a request got no answer on an open connection, which the director then closed as idle after 4.2 s. A cancellation (type 18) of the same stream stood before it in the same read. In a read of its own, a moment earlier, the same cancellation did nothing and the request was served: the answer depended on how the bytes were cut into reads.

Checked: the new test fails with one read and passes with two on the text before.

Line at fault: ClientConnection._handle_all in net/client_connection.py collected the cancelled streams of all frames of a read, without their order. The search in unread bytes (find_cancelled_streams) is not affected: all of them come after the request.

Change: the position of the last cancellation of each stream counts, and cancels only requests before it.

--- a/gladelane/net/client_connection.py
+++ b/gladelane/net/client_connection.py
@@ -210,14 +210,15 @@
         return self._received_ms if self._has_backlog else now
 
     def _handle_all(self, frames: list[Frame]) -> None:
-        """Handles frames in order. A request that is cancelled by another of these frames gets no answer. A
+        """Handles frames in order. A request that a later one of these frames cancels gets no answer. A
         request that was followed by the client's close is rejected, since the client may still read (see
         `ClientRequests.end_open_requests`)."""
         has_closed = has_ended(self.sock)
-        cancelled = {frame.stream for frame in frames if frame.type == FrameType.GONE}
-        for frame in frames:
-            if frame.type == FrameType.REQUEST and (has_closed or frame.stream in cancelled):
-                self.requests.reject_unless_cancelled(frame.stream, frame.stream in cancelled)
+        cancelled_at = {frame.stream: at for at, frame in enumerate(frames) if frame.type == FrameType.GONE}
+        for at, frame in enumerate(frames):
+            is_cancelled = cancelled_at.get(frame.stream, -1) > at
+            if frame.type == FrameType.REQUEST and (has_closed or is_cancelled):
+                self.requests.reject_unless_cancelled(frame.stream, is_cancelled)
             elif not self.discards_input:
                 self._handle(frame)
         frames.clear()
--- a/tests/net/test_stream_numbers.py
+++ b/tests/net/test_stream_numbers.py
@@ -125,3 +125,24 @@
             assert await client.receives_nothing()
 
     scenario()
+
+
+@pytest.mark.parametrize("reads", [1, 2])
+def test_a_cancellation_ahead_of_a_request_does_not_cancel_it(reads: int) -> None:
+    """The fault: a cancellation of an unused stream silenced a later request there, if both were read together."""
+
+    @async_test
+    async def scenario() -> None:
+        cache = ScriptedCache(hit)
+        async with running_director(config({"c0": await cache.start(), "r0": REFUSED_ADDRESS})) as (_, client):
+            client.send(FrameType.GONE, 7)
+            if reads == 2:
+                client.ask(6)
+                assert (await client.next())[:3] == (FrameType.ANSWER, 6, AnswerCode.SERVED)
+            client.ask(7)
+            assert (await client.next())[:3] == (FrameType.ANSWER, 7, AnswerCode.SERVED)
+            client.ask(8)
+            client.send(FrameType.GONE, 8)
+            assert await client.receives_nothing()
+
+    scenario()
