Answer a request that reuses a stream on that stream, after the open request there

To a client that had shut down its sending side the second request of a stream got no word at all.

Lines at fault: ClientRequests.handle and reject_unless_cancelled in net/client_requests.py.

Change: a request on the stream of an answered or cancelled one fails on its own stream. On the stream of an open one an immediate error would be taken for the answer of that one, so it fails right after that one was answered. Such requests count against the 32 that may be open; beyond these the connection is closed after its open answers. A cancellation ends all requests of its stream.

--- a/gladelane/net/client_connection.py
+++ b/gladelane/net/client_connection.py
@@ -216,9 +216,11 @@
         has_closed = has_ended(self.sock)
         cancelled_at = {frame.stream: at for at, frame in enumerate(frames) if frame.type == FrameType.GONE}
         for at, frame in enumerate(frames):
-            is_cancelled = cancelled_at.get(frame.stream, -1) > at
-            if frame.type == FrameType.REQUEST and (has_closed or is_cancelled):
-                self.requests.reject_unless_cancelled(frame.stream, is_cancelled)
+            is_request = frame.type == FrameType.REQUEST and frame.stream
+            if is_request and cancelled_at.get(frame.stream, -1) > at:
+                self.requests.skip_cancelled(frame.stream)
+            elif is_request and has_closed:
+                self.requests.reject(frame)
             elif not self.discards_input:
                 self._handle(frame)
         frames.clear()
--- a/gladelane/net/client_requests.py
+++ b/gladelane/net/client_requests.py
@@ -58,6 +58,9 @@
     def answered(self) -> None:
         """Called after a request was answered."""
 
+    def close_gracefully(self) -> None:
+        """Starts to close the connection; open requests are answered before."""
+
 
 class ClientRequests:
     """The open requests of one connection by stream number."""
@@ -67,6 +70,7 @@
         self._context = context
         self._owner = owner
         self._streams = StreamNumbers()
+        self._duplicates: dict[int, int] = {}  # stream of an open request -> later requests on it
 
     def buffered_bytes(self) -> int:
         """The total size of the bodies of open requests."""
@@ -74,6 +78,7 @@
 
     def cancel(self, stream: int) -> None:
         """Ends a request that the client has cancelled."""
+        self._duplicates.pop(stream, None)
         exchange = self.open.pop(stream, None)
         if exchange is not None:
             self._context.director.handle_disconnect(exchange)
@@ -86,20 +91,21 @@
             stream, exchange = self.open.popitem()
             final = FAILED if exchange.may_have_run() else REFUSED
             self._context.director.handle_disconnect(exchange)
-            self._owner.send(encode_answer(stream, final))
+            self._send_answer(stream, final)
+
+    def reject(self, frame: Frame) -> None:
+        """Rejects a request whose client has closed its sending side."""
+        if self._use_stream(frame):
+            self._owner.send(encode_answer(frame.stream, REFUSED))
 
-    def reject_unless_cancelled(self, stream: int, is_cancelled: bool) -> None:
-        """Rejects a request whose client has closed its sending side. A request that the client has cancelled
-        gets no answer."""
-        if self._streams.use(stream) and not is_cancelled:
-            self._owner.send(encode_answer(stream, REFUSED))
+    def skip_cancelled(self, stream: int) -> None:
+        """Takes note of a request that its client has already cancelled, and which gets no answer."""
+        self._streams.use(stream)
 
     def handle(self, frame: Frame, is_slow: bool, received_ms: float) -> None:
         """Checks a request that arrived at `received_ms`, and admits, rejects or fails it. `is_slow` means
         that the client does not read its answers."""
-        if not self._streams.use(frame.stream):
-            log.warning("stream number reused stream=%d", frame.stream)
-            self._owner.send(encode_answer(0, FAILED))
+        if not self._use_stream(frame):
             return
         if len(self.open) >= MAX_OPEN_REQUESTS:
             log.warning("more than %d requests open", MAX_OPEN_REQUESTS)
@@ -122,6 +128,27 @@
             )
         self._admit(frame.stream, client_request)
 
+    def _use_stream(self, frame: Frame) -> bool:
+        """Marks the stream of a request as used. Returns False if it was used before; the request then fails
+        on its own stream, after the open request there, if there is one, was answered."""
+        if frame.stream in self.open:
+            self._add_duplicate(frame)
+            return False
+        if not self._streams.use(frame.stream):
+            log.warning("stream number reused stream=%d", frame.stream)
+            self._answer_undecoded(frame, FAILED)
+            return False
+        return True
+
+    def _add_duplicate(self, frame: Frame) -> None:
+        log.warning("stream number of an open request reused stream=%d", frame.stream)
+        if len(self.open) + sum(self._duplicates.values()) >= MAX_OPEN_REQUESTS:
+            self._owner.send(encode_answer(0, FAILED))
+            self._owner.close_gracefully()
+            return
+        self._count_answer(frame, FAILED)
+        self._duplicates[frame.stream] = self._duplicates.get(frame.stream, 0) + 1
+
     def _is_rejected(self) -> bool:
         owner = self._owner
         return self._context.rejects_requests() or self._context.drain.rejects(
@@ -167,11 +194,20 @@
             return
         answered.append(final)
         self.open.pop(stream, None)
-        self._owner.send(encode_answer(stream, final))
+        self._send_answer(stream, final)
         self._owner.answered()
 
+    def _send_answer(self, stream: int, final: FinalAnswer) -> None:
+        """Sends the answer of an open request, and fails the later requests that used its stream."""
+        self._owner.send(encode_answer(stream, final))
+        for _ in range(self._duplicates.pop(stream, 0)):
+            self._owner.send(encode_answer(stream, FAILED))
+
     def _answer_undecoded(self, frame: Frame, final: FinalAnswer) -> None:
         """Answers a request that was not passed to the director."""
+        self._count_answer(frame, final)
+        self._owner.send(encode_answer(frame.stream, final))
+
+    def _count_answer(self, frame: Frame, final: FinalAnswer) -> None:
         director = self._context.director
         director.metrics.answered(peek_class(frame.payload, director.settings), final.code)
-        self._owner.send(encode_answer(frame.stream, final))
