Refuse purges of more epochs than a server can record, before they are stored

No caller has reported it; it takes 4,096 such starts in the life of a folder.

By reading, and covered by the new tests: the replay of the stored purge raises the same error, so no later start can succeed; of a peer's purge a server logged `invalid purge` and then adopted the position that covers it, so the issuer counted a copy that was not there.

Lines at fault: Positions.add raises in Committer._apply_purge, after the batch was stored; the waiting request is answered all the same.

Change: Positions.open_stream makes room for an epoch before a purge is stored. PurgeLog.submit answers 507 with the reason; PurgeLog.receive ends the peer's stream, which is resumed with backoff and claims nothing. The bound is as before.

Not changed: epochs are still not forgotten once their purges have expired (the detection of lost purges compares them), and the bound of 200,000 entries beyond a gap is still checked after storing.

--- a/gladelane/control_plane/positions.py
+++ b/gladelane/control_plane/positions.py
@@ -52,17 +52,26 @@
         stream = issuer, epoch
         return seq <= self._received.get(stream, 0) or seq in self._ahead.get(stream, ())
 
+    def open_stream(self, issuer: str, epoch: int) -> int:
+        """Makes room for the entries of a stream; returns the number up to which all were received.
+
+        To be called before an entry is stored, since one that is stored has to be added.
+        Raises InvalidPositionError if there are too many streams.
+        """
+        stream = issuer, epoch
+        if stream not in self._received:
+            if len(self._received) >= MAX_STREAMS:
+                raise InvalidPositionError(f"more than {MAX_STREAMS} epochs")
+            self._received[stream] = 0
+        return self._received[stream]
+
     def add(self, issuer: str, epoch: int, seq: int) -> bool:
         """Records a received entry; returns whether it is new.
 
         Raises InvalidPositionError if there are too many streams or too many entries beyond a gap.
         """
         stream = issuer, epoch
-        received = self._received.get(stream)
-        if received is None:
-            if len(self._received) >= MAX_STREAMS:
-                raise InvalidPositionError(f"more than {MAX_STREAMS} epochs")
-            received = self._received[stream] = 0
+        received = self.open_stream(issuer, epoch)
         ahead = self._ahead.get(stream)
         if seq == received + 1 and not ahead:  # the usual case
             self._received[stream] = seq
--- a/gladelane/purges/purge_log.py
+++ b/gladelane/purges/purge_log.py
@@ -19,7 +19,7 @@
 from typing import Protocol
 
 from ..control_plane.http import HttpStatusError
-from ..control_plane.positions import Vector, format_vector, parse_vector
+from ..control_plane.positions import InvalidPositionError, Vector, format_vector, parse_vector
 from ..control_plane.replication import Replication
 from ..control_plane.tokens import Tokens
 from ..storage.files import Disk
@@ -157,6 +157,7 @@
         canonical = parsed.text()
         if key and (first := await self._keys.find(key, canonical)) is not None:
             return first
+        self._open_own_stream()
         response: asyncio.Future[Accepted] = asyncio.get_running_loop().create_future()
         try:
             self.committer.put(NewPurge(canonical, key, response))
@@ -168,12 +169,21 @@
         # shielded, because other requests with the same key may wait for this response after the client left
         return await asyncio.shield(response)
 
+    def _open_own_stream(self) -> None:
+        """Raises HttpStatusError if no purge of this start can be recorded."""
+        try:
+            self.active.positions.open_stream(self.name, self.epoch)
+        except InvalidPositionError as error:
+            reason = f"not stored: {error} of servers are known here; expected a purge at another server"
+            raise HttpStatusError(HTTPStatus.INSUFFICIENT_STORAGE, reason) from None
+
     def known_vector(self) -> Vector:
         """Returns the position reached."""
         return self.active.positions.vector()
 
     def receive(self, purges: list[Purge]) -> None:
-        """Receives purges from a peer or a director. Raises OSError if the queue is full."""
+        """Receives purges from a peer or a director. Raises OSError if the queue is full, and
+        InvalidPositionError if no purge of an issuer's epoch can be recorded."""
         self.losses.check_reported(((purge.issuer, purge.epoch), purge.seq) for purge in purges)
         for purge in purges:
             if self.active.positions.contains(purge.issuer, purge.epoch, purge.seq):
@@ -184,6 +194,7 @@
             except (InvalidPurgeError, InvalidScopeError) as error:
                 log_invalid_purge(log, purge, error)
                 continue
+            self.active.positions.open_stream(purge.issuer, purge.epoch)
             self._put(ReceivedPurge(purge))
 
     def receive_losses(self, losses: list[Loss]) -> None:
--- a/tests/purges/test_purge_log.py
+++ b/tests/purges/test_purge_log.py
@@ -20,7 +20,7 @@
 import pytest
 from harness import wait_until
 
-from gladelane.control_plane import event_stream, server
+from gladelane.control_plane import event_stream, positions, server
 from gladelane.control_plane.http import HttpStatusError, fetch
 from gladelane.control_plane.positions import Vector
 from gladelane.control_plane.server import ControlServer
@@ -424,3 +424,48 @@
         ] == [2]
 
     run(scenario())
+
+
+def test_a_purge_beyond_the_limit_of_epochs_is_refused_and_the_server_starts_again(tmp_path: Path) -> None:
+    """The fault: such a purge was stored and acknowledged, but sent to no subscriber, and no later start succeeded."""
+
+    async def scenario() -> None:
+        disk = SimDisk()
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(positions, "MAX_STREAMS", 3)
+            for number in range(3):
+                async with running_server(tmp_path, disk=disk) as purge_server:
+                    await send(purge_server.port, f"group:{number}")
+                disk = disk.after_kill()
+            for _ in range(2):
+                async with running_server(tmp_path, disk=disk) as purge_server:
+                    assert len(purge_server.active) == 3
+                    with pytest.raises(HttpStatusError, match="more than 3 epochs") as caught:
+                        await send(purge_server.port, "group:4")
+                    assert caught.value.status == 507
+                disk = disk.after_kill()
+
+    run(scenario())
+
+
+def test_a_purge_of_a_peer_beyond_the_limit_of_epochs_is_not_claimed_as_received(tmp_path: Path) -> None:
+    """Otherwise the issuer would count a copy that does not exist, and a later start would fail."""
+
+    async def scenario() -> None:
+        disk = SimDisk()
+        with pytest.MonkeyPatch.context() as patch:
+            async with running_server(tmp_path, name="b") as issuer:
+                await send(issuer.port, "group:1")
+                patch.setattr(positions, "MAX_STREAMS", 0)
+                async with running_server(tmp_path, disk=disk) as purge_server:
+                    follower = purge_server.subscribe_to_peer("127.0.0.1", issuer.port)
+                    await wait_until(lambda: "epochs" in follower.state, WAIT_S)
+                    assert not purge_server.known_vector() and not follower.is_live
+                disk = disk.after_kill()
+                patch.undo()
+                async with running_server(tmp_path, disk=disk) as purge_server:
+                    assert not purge_server.known_vector()
+                    follower = purge_server.subscribe_to_peer("127.0.0.1", issuer.port)
+                    await wait_until(lambda: len(purge_server.active) == 1, WAIT_S)
+
+    run(scenario())
