--- a/tests/admin/test_admin_actions.py
+++ b/tests/admin/test_admin_actions.py
@@ -11,6 +11,7 @@
 
 import pytest
 from harness import (
+    REFUSED_ADDRESS,
     Client,
     Command,
     ScriptedCache,
@@ -26,8 +27,6 @@
 from gladelane.admin.requests import AdminAction, AdminRequest, AdminResponse
 from gladelane.discovery.events import watch_event_decoder
 
-REFUSED = "127.0.0.1:1"
-
 
 def run_action(node: Any, action: AdminAction, store: str = "") -> AdminResponse:
     return node.admin_handler.accept(AdminRequest(action, store)) or node.admin_handler.complete(
@@ -63,7 +62,12 @@
     """The endpoint list may remove and list the cache again meanwhile. After it is put back, it counts as
     cold."""
     first, second = ScriptedCache(hit), ScriptedCache(hit)
-    addresses = {"c0": await first.start(), "c1": await second.start(), "p0": REFUSED, "r0": REFUSED}
+    addresses = {
+        "c0": await first.start(),
+        "c1": await second.start(),
+        "p0": REFUSED_ADDRESS,
+        "r0": REFUSED_ADDRESS,
+    }
     async with running_director(config(addresses)) as (node, client):
         for stream in range(1, 21):
             assert await ask(client, stream) == 0
@@ -103,7 +107,9 @@
     """The action takes effect before the serving loop applies it to routing. A request that is routed in
     between must not name the parent when it is sent."""
     cache = ScriptedCache(hit)
-    async with running_director(config({"c0": await cache.start(), "p0": REFUSED, "r0": REFUSED})) as (
+    async with running_director(
+        config({"c0": await cache.start(), "p0": REFUSED_ADDRESS, "r0": REFUSED_ADDRESS})
+    ) as (
         node,
         client,
     ):
@@ -122,7 +128,7 @@
     """New clients are told to leave after their first request, and pending requests get their answers before
     their connection closes."""
     slow = ScriptedCache(lambda command: None if command[1]["thing"].endswith("f") else hit(command))
-    async with running_director(config({"c0": await slow.start(), "r0": REFUSED})) as (node, client):
+    async with running_director(config({"c0": await slow.start(), "r0": REFUSED_ADDRESS})) as (node, client):
         idle, busy = await Client.connect(node.port), await Client.connect(node.port)
         assert await ask(client, 1) == await ask(idle, 1) == 0
         busy.ask(1, o="00000000000000ff", d="1200", m="1")
@@ -154,7 +160,7 @@
 @async_test
 async def test_client_that_keeps_sending_requests_during_a_drain_is_rejected() -> None:
     """A client that ignores the notification must not keep the director busy for ever."""
-    async with running_director(config({"c0": await ScriptedCache(hit).start(), "r0": REFUSED})) as (
+    async with running_director(config({"c0": await ScriptedCache(hit).start(), "r0": REFUSED_ADDRESS})) as (
         node,
         client,
     ):
@@ -218,7 +224,7 @@
 @async_test
 async def test_metrics_count_pending_cancelled_and_rejected_requests() -> None:
     cache = ScriptedCache(never_respond)
-    async with running_director(config({"c0": await cache.start(), "r0": REFUSED})) as (node, client):
+    async with running_director(config({"c0": await cache.start(), "r0": REFUSED_ADDRESS})) as (node, client):
         client.ask(1)
         client.ask(2)
         await wait_until(lambda: len(cache.received) == 2)
@@ -247,7 +253,7 @@
         config(
             {
                 "c0": await ScriptedCache(lambda _: ("served digest=aa,dated=1,remark=h", body)).start(),
-                "r0": REFUSED,
+                "r0": REFUSED_ADDRESS,
             }
         )
     ) as (node, client):
--- a/tests/admin/test_idempotency_windows.py
+++ b/tests/admin/test_idempotency_windows.py
@@ -7,14 +7,13 @@
 
 import pytest
 from conftest import Driver, actions_of
-from harness import ScriptedCache, async_test, config, hit, never_respond, running_director
+from harness import REFUSED_ADDRESS, ScriptedCache, async_test, config, hit, never_respond, running_director
 from hypothesis import given
 from hypothesis import strategies as st
 
 from gladelane.routing.events import Fail, Fetch, Refuse
 from gladelane.routing.idempotency import KeyWindows, is_past_window, retention_for
 
-REFUSED = "127.0.0.1:1"
 RETENTION_MS, MAX_KEYS = 10_000.0, 40
 STEPS = st.lists(
     st.tuples(
@@ -91,7 +90,10 @@
 async def test_attempts_of_a_key_share_a_window_that_ends_when_none_has_run() -> None:
     scripts = {"0000000000000001": lambda _: ("overload -", b""), "0000000000000004": hit}
     origin = ScriptedCache(lambda command: scripts.get(command[0], never_respond)(command))
-    async with running_director(config({"c0": REFUSED, "r0": await origin.start()})) as (node, client):
+    async with running_director(config({"c0": REFUSED_ADDRESS, "r0": await origin.start()})) as (
+        node,
+        client,
+    ):
         client.ask(1, c="sheet", k="aa", d="200")
         assert (await client.next())[2] == 1 and node.director.keys.first_attempt("aa", node.clock.now()) == (
             0.0,
--- a/tests/admin/test_live_settings.py
+++ b/tests/admin/test_live_settings.py
@@ -7,7 +7,16 @@
 from typing import Any
 
 import pytest
-from harness import ScriptedCache, async_test, config, hit, running_director, settings, wait_until
+from harness import (
+    REFUSED_ADDRESS,
+    ScriptedCache,
+    async_test,
+    config,
+    hit,
+    running_director,
+    settings,
+    wait_until,
+)
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -22,8 +31,7 @@
 from gladelane.net.config import ConfigError, read_config
 from gladelane.routing.events import ClassSpec, Effect
 
-REFUSED = "127.0.0.1:1"
-VALID = json.loads(config({"c0": REFUSED, "r0": REFUSED}))
+VALID = json.loads(config({"c0": REFUSED_ADDRESS, "r0": REFUSED_ADDRESS}))
 MISSING = object()
 
 
@@ -156,7 +164,7 @@
     effect that the new file gives it."""
     film, sheet = settings()["classes"]
     cache = ScriptedCache(lambda command: None if command[1]["thing"].endswith("f") else hit(command))
-    addresses = {"c0": await cache.start(), "r0": REFUSED}
+    addresses = {"c0": await cache.start(), "r0": REFUSED_ADDRESS}
     async with running_director(config(addresses)) as (node, client):
         client.ask(1, o="00000000000000ff", d="900", m="1")
         await wait_until(lambda: len(cache.received) == 1)
@@ -201,7 +209,7 @@
     film, sheet = settings()["classes"]
     answers = iter(["overload -", "served digest=aa,dated=1,remark=h"])
     origin = ScriptedCache(lambda command: (next(answers), b""))
-    addresses = {"c0": REFUSED, "r0": await origin.start()}
+    addresses = {"c0": REFUSED_ADDRESS, "r0": await origin.start()}
     async with running_director(config(addresses)) as (node, client):
         client.ask(1, c="sheet", k="aa")
         await wait_until(lambda: len(origin.received) == 1)
@@ -213,7 +221,7 @@
 async def test_class_that_becomes_keyed_requires_keys_only_after_the_transition() -> None:
     """Clients that still use the old file send no key, and must not fail."""
     film, _ = settings()["classes"]
-    addresses = {"c0": await ScriptedCache(hit).start(), "r0": REFUSED}
+    addresses = {"c0": await ScriptedCache(hit).start(), "r0": REFUSED_ADDRESS}
     async with running_director(config(addresses)) as (node, client):
         node.reload(
             make_config(addresses, [{**film, "effect": "dedup", "group": "all", "window_ms": 2000.0}])
--- a/tests/net/test_answers_before_close.py
+++ b/tests/net/test_answers_before_close.py
@@ -16,6 +16,7 @@
 import pytest
 import uvloop
 from harness import (
+    REFUSED_ADDRESS,
     Command,
     ScriptedCache,
     async_test,
@@ -42,7 +43,6 @@
 from gladelane.net.exchange import AnswerCode, Attempt, FinalAnswer
 from gladelane.server import Server
 
-REFUSED_ADDRESS = "127.0.0.1:1"
 BIG_BODY_BYTES = 240_000
 
 
--- a/tests/net/test_cache_connection_races.py
+++ b/tests/net/test_cache_connection_races.py
@@ -8,6 +8,7 @@
 
 import pytest
 from harness import (
+    REFUSED_ADDRESS,
     Client,
     ScriptedCache,
     async_test,
@@ -30,15 +31,13 @@
 from gladelane.net.attempt_outcomes import AttemptOutcome
 from gladelane.net.exchange import Attempt, FinalAnswer
 
-REFUSED = "127.0.0.1:1"
-
 
 @async_test
 async def test_a_request_is_not_written_to_a_connection_whose_close_by_the_cache_is_still_unread() -> None:
     # Earlier the request was written and counted as possibly executed, so one with a key could only be answered by a
     # failure.
     cache = RawCache()
-    async with running_director(config({"c0": cache.address, "r0": REFUSED})) as (node, client):
+    async with running_director(config({"c0": cache.address, "r0": REFUSED_ADDRESS})) as (node, client):
         client.ask(1)
         first = await cache.accept_connection()
         await receive_until(first, b"\r\n")
@@ -59,7 +58,7 @@
 async def test_an_answer_that_has_arrived_is_read_before_its_connection_is_closed() -> None:
     # Earlier the sweep cancelled the reading task, which lost the bytes in its reader and in the receive buffer.
     cache = RawCache()
-    async with running_director(config({"c0": cache.address, "r0": REFUSED})) as (node, client):
+    async with running_director(config({"c0": cache.address, "r0": REFUSED_ADDRESS})) as (node, client):
         sock = await asked(cache, client)
         response = SERVED_RESPONSE % (b"%016x" % 1, 2, b"ok")
         sock.send(response[:20])
@@ -79,7 +78,7 @@
     @async_test
     async def scenario() -> None:
         cache = RawCache()
-        async with running_director(config({"c0": cache.address, "r0": REFUSED})) as (node, client):
+        async with running_director(config({"c0": cache.address, "r0": REFUSED_ADDRESS})) as (node, client):
             sock = await asked(cache, client)
             if incomplete == "answer to an abandoned request":
                 client.send(18, 1)
@@ -106,7 +105,7 @@
 @async_test
 async def test_a_slow_answer_that_will_be_complete_before_its_deadline_is_awaited() -> None:
     cache = RawCache()
-    async with running_director(config({"c0": cache.address, "r0": REFUSED})) as (node, client):
+    async with running_director(config({"c0": cache.address, "r0": REFUSED_ADDRESS})) as (node, client):
         sock = await asked(cache, client)
         conn = get_single_connection(node, "c0")
         sock.send(b"%016x served - 8\r\nxxxx" % 1)
@@ -124,7 +123,10 @@
     @async_test
     async def scenario() -> None:
         origin = ScriptedCache(hit)
-        async with running_director(config({"c0": REFUSED, "r0": await origin.start()})) as (node, client):
+        async with running_director(config({"c0": REFUSED_ADDRESS, "r0": await origin.start()})) as (
+            node,
+            client,
+        ):
             node.director.keys.take_over({"aa": [(node.clock.now() - 1000.0, "r0")]})
             send, clock = node.upstream.send, node.director.clock
 
@@ -144,7 +146,7 @@
 @async_test
 async def test_a_further_attempt_of_the_same_request_is_not_written_after_the_window() -> None:
     # If the client sent no key, only the exchange knows of the first attempt.
-    async with running_director(config({"c0": REFUSED, "r0": REFUSED})) as (node, _):
+    async with running_director(config({"c0": REFUSED_ADDRESS, "r0": REFUSED_ADDRESS})) as (node, _):
         node.director.admit(build_client_request(1, cls="sheet", key="bb"), lambda final: None)
         exchange = next(iter(node.director.live.values()))
         now = node.clock.now()
@@ -159,7 +161,7 @@
 async def test_a_second_copy_that_waits_for_a_dial_is_not_sent_after_the_first_is_answered() -> None:
     # Earlier nothing withdrew the second copy if the settings forbid cancels.
     cache = ScriptedCache(never_respond)
-    async with running_director(config({"c0": await cache.start(), "r0": REFUSED}, cancel=False)) as (
+    async with running_director(config({"c0": await cache.start(), "r0": REFUSED_ADDRESS}, cancel=False)) as (
         node,
         client,
     ):
@@ -180,7 +182,7 @@
 @async_test
 async def test_an_abandoned_request_on_a_connection_whose_cache_stops_reading_is_never_sent() -> None:
     cache = RawCache(receive_buffer_bytes=4096)
-    async with running_director(config({"c0": cache.address, "r0": REFUSED})) as (node, client):
+    async with running_director(config({"c0": cache.address, "r0": REFUSED_ADDRESS})) as (node, client):
         sock = await asked(cache, client)
         conn = get_single_connection(node, "c0")
         assert conn.writer is not None and conn.sock is not None
@@ -199,7 +201,7 @@
 @async_test
 async def test_an_answer_with_an_unknown_id_does_not_affect_other_requests() -> None:
     cache = ScriptedCache(lambda command: hit(command) if command[1]["nth"] == "7" else None)
-    async with running_director(config({"c0": await cache.start(), "r0": REFUSED})) as (_, client):
+    async with running_director(config({"c0": await cache.start(), "r0": REFUSED_ADDRESS})) as (_, client):
         client.ask(1)
         await wait_until(lambda: cache.received)
         cache.connections[0].write(
@@ -215,7 +217,7 @@
 @async_test
 async def test_a_reset_in_the_middle_of_an_answer_ends_the_attempt_once() -> None:
     cache = RawCache()
-    async with running_director(config({"c0": cache.address, "r0": REFUSED}, max_attempts=1)) as (
+    async with running_director(config({"c0": cache.address, "r0": REFUSED_ADDRESS}, max_attempts=1)) as (
         node,
         client,
     ):
@@ -231,7 +233,7 @@
 @async_test
 async def test_a_request_with_a_new_key_is_refused_when_the_key_store_is_full() -> None:
     origin = ScriptedCache(never_respond)
-    async with running_director(config({"c0": REFUSED, "r0": await origin.start()})) as (node, _):
+    async with running_director(config({"c0": REFUSED_ADDRESS, "r0": await origin.start()})) as (node, _):
         node.director.keys.max_keys = 1
         clients = [await Client.connect(node.port) for _ in range(2)]
         clients[0].ask(1, c="sheet", k="aa")
@@ -246,7 +248,7 @@
 async def test_a_connection_is_closed_after_too_many_unexpected_answers() -> None:
     # Earlier each one was parsed and ignored, without any limit.
     cache = RawCache()
-    async with running_director(config({"c0": cache.address, "r0": REFUSED})) as (node, client):
+    async with running_director(config({"c0": cache.address, "r0": REFUSED_ADDRESS})) as (node, client):
         sock = await asked(cache, client)
         conn = get_single_connection(node, "c0")
         answer, unexpected = SERVED_RESPONSE % (b"%016x" % 1, 2, b"ok"), b"%016x served - 0\r\n\r\n" % 1
@@ -267,7 +269,7 @@
     # Earlier the detection needed three waiting attempts, which a connection limited to two streams never has.
     cache = ScriptedCache(lambda command: None if len(cache.connections) == 1 else hit(command))
     async with running_director(
-        config({"c0": await cache.start(), "r0": REFUSED}, max_streams=2, cancel=False)
+        config({"c0": await cache.start(), "r0": REFUSED_ADDRESS}, max_streams=2, cancel=False)
     ) as (
         node,
         client,
--- a/tests/net/test_client_connection_races.py
+++ b/tests/net/test_client_connection_races.py
@@ -15,6 +15,7 @@
 import pytest
 import uvloop
 from harness import (
+    REFUSED_ADDRESS,
     Client,
     ScriptedCache,
     async_test,
@@ -41,7 +42,6 @@
 from gladelane.net.exchange import Attempt
 from gladelane.server import Server
 
-REFUSED = "127.0.0.1:1"
 LARGE_BODY_BYTES = 240_000
 
 
@@ -61,7 +61,7 @@
 async def test_a_request_during_the_close_of_an_idle_connection_is_read_and_not_forwarded() -> None:
     # Earlier both directions were shut down after the last check for unread bytes: a request in between caused a reset.
     cache = ScriptedCache(hit)
-    async with running_director(config({"c0": await cache.start(), "r0": REFUSED})) as (node, _):
+    async with running_director(config({"c0": await cache.start(), "r0": REFUSED_ADDRESS})) as (node, _):
         raw = RawClient(node)
         conn = await wait_for_server_connection(node, raw)
         check = conn.has_unread_bytes
@@ -87,7 +87,7 @@
     cache = ScriptedCache(serve_large_body)
     with pytest.MonkeyPatch.context() as patch:
         patch.setattr(listener_module, "CLOSE_TIMEOUT_S", 5.0)
-        async with running_director(config({"c0": await cache.start(), "r0": REFUSED})) as (node, _):
+        async with running_director(config({"c0": await cache.start(), "r0": REFUSED_ADDRESS})) as (node, _):
             raw = RawClient(node, receive_buffer_bytes=4096)
             raw.send(encode_request(1))
             conn = await wait_for_server_connection(node, raw)
@@ -113,7 +113,10 @@
         cache = ScriptedCache(hit)
         with pytest.MonkeyPatch.context() as patch:
             patch.setattr(shutdown, "ACCEPT_PERIOD_S", 0.0)
-            async with running_director(config({"c0": await cache.start(), "r0": REFUSED})) as (node, _):
+            async with running_director(config({"c0": await cache.start(), "r0": REFUSED_ADDRESS})) as (
+                node,
+                _,
+            ):
                 raw, frame = RawClient(node), encode_request(1)
                 conn = await wait_for_server_connection(node, raw)
                 if is_partial:
@@ -143,7 +146,7 @@
 
 @async_test
 async def test_a_partial_frame_that_is_never_completed_does_not_delay_a_drain() -> None:
-    async with running_director(config({"r0": REFUSED})) as (node, _):
+    async with running_director(config({"r0": REFUSED_ADDRESS})) as (node, _):
         raw = RawClient(node)
         raw.send(encode_request(1)[:20])
         conn = await wait_for_server_connection(node, raw)
@@ -156,7 +159,7 @@
 @async_test
 async def test_a_request_after_the_end_of_a_drain_is_refused_and_not_forwarded() -> None:
     cache = ScriptedCache(hit)
-    async with running_director(config({"c0": await cache.start(), "r0": REFUSED})) as (node, client):
+    async with running_director(config({"c0": await cache.start(), "r0": REFUSED_ADDRESS})) as (node, client):
         node.client_listener.is_closing = True  # as drain() leaves it
         client.ask(1)
         assert (await client.next())[:3] == (17, 1, 1) and not cache.received
@@ -167,7 +170,7 @@
     @async_test
     async def scenario() -> None:
         cache = ScriptedCache(never_respond)
-        async with running_director(config({"c0": await cache.start(), "r0": REFUSED})) as (node, _):
+        async with running_director(config({"c0": await cache.start(), "r0": REFUSED_ADDRESS})) as (node, _):
             raw = RawClient(node)
             raw.send(encode_request(1))
             conn = await wait_for_server_connection(node, raw)
@@ -194,7 +197,9 @@
     @async_test
     async def scenario() -> None:
         cache = ScriptedCache(hit)
-        async with running_director(config({"c0": await cache.start(), "r0": REFUSED}, cancel=cancel)) as (
+        async with running_director(
+            config({"c0": await cache.start(), "r0": REFUSED_ADDRESS}, cancel=cancel)
+        ) as (
             node,
             _,
         ):
@@ -231,7 +236,10 @@
     @async_test
     async def scenario() -> None:
         cache = ScriptedCache(lambda command: hit(command) if command[1]["nth"] == "7" else None)
-        async with running_director(config({"c0": await cache.start(), "r0": REFUSED})) as (node, client):
+        async with running_director(config({"c0": await cache.start(), "r0": REFUSED_ADDRESS})) as (
+            node,
+            client,
+        ):
             client.ask(1)
             await wait_until(lambda: cache.received)
             node.client_listener.cap = 1
@@ -270,7 +278,10 @@
     async def scenario() -> None:
         with pytest.MonkeyPatch.context() as patch:
             patch.setattr(connection_module, "MAX_UNSENT_BYTES", 50_000)
-            async with running_director(config({"c0": await cache.start(), "r0": REFUSED})) as (node, _):
+            async with running_director(config({"c0": await cache.start(), "r0": REFUSED_ADDRESS})) as (
+                node,
+                _,
+            ):
                 raw, conn = await connect_with_small_buffers(node)
                 raw.send(encode_request(1, d="20000"))
                 await wait_until(lambda: cache.received)
@@ -296,7 +307,10 @@
     with pytest.MonkeyPatch.context() as patch:
         patch.setattr(connection_module, "MAX_UNSENT_BYTES", 50_000)
         patch.setattr(connection_module, "MAX_FRAMES_WHILE_BLOCKED", 40)
-        async with running_director(config({"c0": await cache.start(), "r0": REFUSED})) as (node, client):
+        async with running_director(config({"c0": await cache.start(), "r0": REFUSED_ADDRESS})) as (
+            node,
+            client,
+        ):
             raw, conn = await connect_with_small_buffers(node)
             raw.send(encode_request(1))
             await wait_until(lambda: conn.unsent_bytes() > 50_000)
@@ -312,7 +326,7 @@
 @async_test
 async def test_a_flood_of_frames_does_not_block_the_event_loop() -> None:
     # Earlier 64 KB of the smallest frames were handled in one loop iteration, with 7,000 answers and log lines.
-    async with running_director(config({"r0": REFUSED})) as (node, client):
+    async with running_director(config({"r0": REFUSED_ADDRESS})) as (node, client):
         raw, frames_per_iteration = RawClient(node), [0]
         conn = await wait_for_server_connection(node, raw)
         handle = conn._handle
@@ -336,7 +350,10 @@
 async def test_a_keyed_request_whose_client_leaves_before_a_retry_is_not_sent_again() -> None:
     # The origin is overloaded, so the router waits for a retry timer.
     origin = ScriptedCache(lambda _: ("overload -", b""))
-    async with running_director(config({"c0": REFUSED, "r0": await origin.start()})) as (node, client):
+    async with running_director(config({"c0": REFUSED_ADDRESS, "r0": await origin.start()})) as (
+        node,
+        client,
+    ):
         client.ask(1, c="sheet", k="5c")
         await wait_until(lambda: origin.received)
         client.send(18, 1)
@@ -352,7 +369,10 @@
 def test_all_connections_send_small_writes_without_delay(runner: Callable[[Any], None]) -> None:
     async def scenario() -> None:
         cache = ScriptedCache(hit)
-        async with running_director(config({"c0": await cache.start(), "r0": REFUSED})) as (node, client):
+        async with running_director(config({"c0": await cache.start(), "r0": REFUSED_ADDRESS})) as (
+            node,
+            client,
+        ):
             client.ask(1)
             await client.next()
             sockets = [c.sock for c in node.client_listener.connections]
@@ -369,7 +389,10 @@
     cache = ScriptedCache(serve_large_body)
     with pytest.MonkeyPatch.context() as patch:
         patch.setattr(connection_module, "MAX_UNSENT_BYTES", 50_000)
-        async with running_director(config({"c0": await cache.start(), "r0": REFUSED})) as (node, client):
+        async with running_director(config({"c0": await cache.start(), "r0": REFUSED_ADDRESS})) as (
+            node,
+            client,
+        ):
             raw, conn = await connect_with_small_buffers(node)
             raw.send(encode_request(1))
             await wait_until(lambda: conn.unsent_bytes() > 50_000)
@@ -383,7 +406,7 @@
 @async_test
 async def test_a_client_that_was_refused_because_the_loop_was_late_is_not_closed_as_unused() -> None:
     # Earlier its connection was closed 2 s after it was opened, and was the first to be closed at the connection limit.
-    async with running_director(config({"c0": await ScriptedCache(hit).start(), "r0": REFUSED})) as (
+    async with running_director(config({"c0": await ScriptedCache(hit).start(), "r0": REFUSED_ADDRESS})) as (
         node,
         client,
     ):
@@ -399,7 +422,7 @@
 
 @async_test
 async def test_a_client_that_never_sent_a_valid_request_is_closed_as_unused() -> None:
-    async with running_director(config({"c0": await ScriptedCache(hit).start(), "r0": REFUSED})) as (
+    async with running_director(config({"c0": await ScriptedCache(hit).start(), "r0": REFUSED_ADDRESS})) as (
         node,
         client,
     ):
--- a/tests/net/test_client_disconnects.py
+++ b/tests/net/test_client_disconnects.py
@@ -16,6 +16,7 @@
 import pytest
 import uvloop
 from harness import (
+    REFUSED_ADDRESS,
     Command,
     ScriptedCache,
     async_test,
@@ -51,7 +52,6 @@
 from gladelane.sockets import unsent_bytes
 
 BODY_BYTES = 200_000  # more than the buffers between the director and a cache with a small window hold
-REFUSED_ADDRESS = "127.0.0.1:1"
 HALF_FRAME = encode_request(9)[:30]
 OVERLOAD_REPLY = b"%016x overload - 0\r\n\r\n"
 
--- a/tests/net/test_combined_faults.py
+++ b/tests/net/test_combined_faults.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 import pytest
-from harness import Client, config, running_director, wait_until
+from harness import REFUSED_ADDRESS, Client, config, running_director, wait_until
 from test_discovery_outages import Discovery, DiscoveryState
 from test_idle_cache_connections import ConnectionDroppingCache, ConnectionFault, config_with_three_classes
 from virtual_time import VirtualClock, virtual
@@ -21,7 +21,6 @@
 from gladelane.net.config import read_config
 from gladelane.server import Server
 
-REFUSED = "127.0.0.1:1"
 DURATION_S = 10.0
 CLIENTS, CACHES = 8, 4
 SHORT_MS = 60  # caches drop most requests with no more time left than this
@@ -221,6 +220,6 @@
 
 
 def make_config(stores: dict[str, str], discovery: str, max_attempts: int) -> bytes:
-    raw = json.loads(config_with_three_classes(REFUSED, max_attempts=max_attempts))
+    raw = json.loads(config_with_three_classes(REFUSED_ADDRESS, max_attempts=max_attempts))
     raw.update(board=discovery, known=json.loads(config(stores))["known"])
     return json.dumps(raw).encode()
--- a/tests/net/test_configuration_reloads.py
+++ b/tests/net/test_configuration_reloads.py
@@ -9,7 +9,7 @@
 
 import pytest
 from conftest import settings as plain_settings
-from harness import ScriptedCache, config, hit, never_respond, running_director
+from harness import REFUSED_ADDRESS, ScriptedCache, config, hit, never_respond, running_director
 from hypothesis import given
 from hypothesis import strategies as st
 from virtual_time import VirtualClock, virtual
@@ -18,7 +18,6 @@
 from gladelane.net.config import Config, read_config
 from gladelane.routing.events import ClassSpec, Effect, Settings
 
-REFUSED = "127.0.0.1:1"
 EFFECT_KEYS = {Effect.SAFE: "retryable", Effect.KEYED: "dedup", Effect.UNSAFE: "fragile"}
 
 
@@ -71,7 +70,7 @@
     @virtual
     async def scenario(clock: VirtualClock) -> None:
         cache = ScriptedCache(hit)
-        addresses = {"c0": await cache.start(), "r0": REFUSED}
+        addresses = {"c0": await cache.start(), "r0": REFUSED_ADDRESS}
         async with running_director(config(addresses)) as (node, client):
             node.reload(make_config(addresses, Effect.KEYED))
             await asyncio.sleep(gap_s)
@@ -96,7 +95,7 @@
     clock: VirtualClock,
 ) -> None:
     caches = [ScriptedCache(never_respond), ScriptedCache(never_respond)]
-    addresses = {**{f"c{n}": await cache.start() for n, cache in enumerate(caches)}, "r0": REFUSED}
+    addresses = {**{f"c{n}": await cache.start() for n, cache in enumerate(caches)}, "r0": REFUSED_ADDRESS}
     async with running_director(config(addresses, may_duplicate=False)) as (node, client):
         node.reload(read_config(config(addresses, may_duplicate=True)))
         client.ask(1, d="1000")
--- a/tests/net/test_deadlines.py
+++ b/tests/net/test_deadlines.py
@@ -15,6 +15,7 @@
 import uvloop
 from core_wait_time import get_core_wait_s
 from harness import (
+    REFUSED_ADDRESS,
     Command,
     ScriptedCache,
     async_test,
@@ -40,7 +41,6 @@
 from gladelane.net.exchange import AnswerCode, Attempt
 from gladelane.sockets import ms_since_last_data, unsent_bytes
 
-REFUSED_ADDRESS = "127.0.0.1:1"
 DEADLINE_MS, DELAY_MS, SLACK_MS = 1500, 400, 150
 ANSWERED_S = 20.0  # far longer than any answer takes
 MAX_LATENESS_S = 0.5  # a later answer counts as a lost request, an earlier one only as worthless
--- a/tests/net/test_discovery_outages.py
+++ b/tests/net/test_discovery_outages.py
@@ -12,7 +12,17 @@
 from typing import Any
 
 import pytest
-from harness import Client, Command, ScriptedCache, async_test, config, hit, running_director, wait_until
+from harness import (
+    REFUSED_ADDRESS,
+    Client,
+    Command,
+    ScriptedCache,
+    async_test,
+    config,
+    hit,
+    running_director,
+    wait_until,
+)
 from virtual_time import VirtualClock, virtual
 
 import gladelane.discovery.client as discovery_client_module
@@ -20,7 +30,6 @@
 from gladelane.discovery.events import WatchEvent
 from gladelane.net.config import read_config
 
-REFUSED = "127.0.0.1:1"
 HEADERS = b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n"
 OUTAGE_S = 40.0
 #: By the protocol a director knows an event this long after discovery sent it.
@@ -148,7 +157,7 @@
     async def scenario(clock: VirtualClock) -> None:
         cache, other, discovery = ScriptedCache(hit), ScriptedCache(serve_fresh_copy), Discovery()
         address = await cache.start()
-        raw = config({"c0": address, "r0": REFUSED}, await discovery.start())
+        raw = config({"c0": address, "r0": REFUSED_ADDRESS}, await discovery.start())
         async with running_director(raw) as (node, first):
             assert await fetch_code(first, 1) == 0
             await wait_until(lambda: discovery.request_times_s)
@@ -187,7 +196,7 @@
     # Earlier 500 changes of a list of 200 caches were applied in one loop iteration of 150 ms, and of 3,200 caches in one
     # of 1.4 s. A director whose loop is more than 150 ms late refuses every request.
     discovery = Discovery()
-    async with running_director(config({"r0": REFUSED}, await discovery.start())) as (node, _):
+    async with running_director(config({"r0": REFUSED_ADDRESS}, await discovery.start())) as (node, _):
         events_per_iteration = [0]
         apply_watch_event = node.director.apply_watch_event
 
@@ -281,7 +290,7 @@
         discovery = SlowDiscovery(delay)
         for number in range(3):
             last = discovery.publish(flush={"collection": number, "ms": 1})
-        async with running_director(config({"r0": REFUSED}, await discovery.start())) as (node, _):
+        async with running_director(config({"r0": REFUSED_ADDRESS}, await discovery.start())) as (node, _):
             clock.is_network_idle = True  # all waiting is for timers of either side
             await wait_until(lambda: node.director.rev == last, 30.0)
             await discovery.set_state(DiscoveryState.REFUSES)
@@ -294,10 +303,10 @@
     # Earlier pieces of under 1 KB did not count as progress: the watch ended, and the list started over each time.
     discovery = SlowDiscovery(Delay.BYTES)
     stores = {f"c{number}": f"127.1.{number // 250}.{1 + number % 250}:4100" for number in range(400)}
-    pool = json.loads(config({**stores, "r0": REFUSED}))["known"]["notices"][0]["pool"]
+    pool = json.loads(config({**stores, "r0": REFUSED_ADDRESS}))["known"]["notices"][0]["pool"]
     last = discovery.publish(pool=pool)
     assert len(discovery.events[0]) > 50_000  # in 80 pieces within 4 s
-    async with running_director(config({"r0": REFUSED}, await discovery.start())) as (node, _):
+    async with running_director(config({"r0": REFUSED_ADDRESS}, await discovery.start())) as (node, _):
         clock.is_network_idle = True
         await wait_until(lambda: node.director.rev == last, 30.0)
         assert len(discovery.request_times_s) == 1 and len(node.director.known_endpoints()) == 401
@@ -308,7 +317,7 @@
 async def test_changes_of_the_discovery_address_during_a_burst_lose_and_repeat_no_event() -> None:
     first, second = Discovery(), Discovery()
     addresses = [await first.start(), await second.start()]
-    async with running_director(config({"r0": REFUSED}, addresses[0])) as (node, _):
+    async with running_director(config({"r0": REFUSED_ADDRESS}, addresses[0])) as (node, _):
         applied: list[int] = []
         apply_watch_event = node.director.apply_watch_event
 
@@ -328,11 +337,11 @@
             if applied and applied[-1] > 20 * (address_changes + 1) and address_changes < 5:
                 address_changes += 1
                 host, _, port = addresses[address_changes % 2].rpartition(":")
-                changed_config = read_config(config({"r0": REFUSED}, f"{host}:{port}"))
+                changed_config = read_config(config({"r0": REFUSED_ADDRESS}, f"{host}:{port}"))
                 node.reload(changed_config)
                 if address_changes % 2:  # two more changes in the same loop iteration
-                    node.reload(read_config(config({"r0": REFUSED}, addresses[0])))
-                    node.reload(read_config(config({"r0": REFUSED}, f"{host}:{port}")))
+                    node.reload(read_config(config({"r0": REFUSED_ADDRESS}, addresses[0])))
+                    node.reload(read_config(config({"r0": REFUSED_ADDRESS}, f"{host}:{port}")))
             await asyncio.sleep(0)
         assert applied == list(range(2, last + 1)) and address_changes == 5
         for discovery in (first, second):
--- a/tests/net/test_discovery_watch_races.py
+++ b/tests/net/test_discovery_watch_races.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 import pytest
-from harness import async_test, config, running_director, wait_until
+from harness import REFUSED_ADDRESS, async_test, config, running_director, wait_until
 
 import gladelane.discovery.client as discovery_client_module
 import gladelane.sse as sse_module
@@ -19,7 +19,6 @@
 from gladelane.server import Server
 from gladelane.sse import EventStream
 
-REFUSED = "127.0.0.1:1"
 HEADERS = b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n"
 Response = Callable[[asyncio.StreamWriter], Coroutine[Any, Any, None]]
 
@@ -85,7 +84,7 @@
         with pytest.MonkeyPatch.context() as patch:
             patch.setattr(discovery_client_module, "IDLE_TIMEOUT_S", 0.3)
             patch.setattr(discovery_client_module, "HEADER_TIMEOUT_S", 0.3)
-            async with running_director(config({"r0": REFUSED})) as (node, _):
+            async with running_director(config({"r0": REFUSED_ADDRESS})) as (node, _):
                 client = DiscoveryClient(
                     *await discovery.start(),
                     lambda: node.director.rev,
@@ -130,7 +129,7 @@
         await asyncio.sleep(5.0)
 
     first, second = FakeDiscovery(send_partly), FakeDiscovery(send_events)
-    async with running_director(config({"r0": REFUSED})) as (node, _):
+    async with running_director(config({"r0": REFUSED_ADDRESS})) as (node, _):
         await follow_discovery_at(node, await first.start())
         await wait_until(lambda: node.director.rev == 2)
         await follow_discovery_at(node, await second.start())
@@ -152,7 +151,7 @@
         filler.connect_ex(full_listener.getsockname())
         fillers.append(filler)
     discovery = FakeDiscovery(send_event_2)
-    async with running_director(config({"r0": REFUSED})) as (node, _):
+    async with running_director(config({"r0": REFUSED_ADDRESS})) as (node, _):
         await follow_discovery_at(node, full_listener.getsockname())
         await asyncio.sleep(0)
         await follow_discovery_at(node, await discovery.start())
@@ -163,7 +162,7 @@
 
 
 def encode_pool_event(rev: int, *stores: str, reset: bool = True) -> bytes:
-    known = json.loads(config(dict.fromkeys(stores, REFUSED)))["known"]["notices"][0]
+    known = json.loads(config(dict.fromkeys(stores, REFUSED_ADDRESS)))["known"]["notices"][0]
     known["rev"], known["pool"]["reset"] = rev, reset
     return b"id: %d\ndata: %s\n\n" % (rev, json.dumps(known).encode())
 
@@ -188,7 +187,9 @@
         await asyncio.sleep(5.0)
 
     discovery = FakeDiscovery(respond)
-    async with running_director(config({"c0": REFUSED, "c1": REFUSED, "r0": REFUSED})) as (node, _):
+    async with running_director(
+        config({"c0": REFUSED_ADDRESS, "c1": REFUSED_ADDRESS, "r0": REFUSED_ADDRESS})
+    ) as (node, _):
         await follow_discovery_at(node, await discovery.start())
         await wait_until(lambda: discovery.requested_revisions)
         await asyncio.sleep(0.1)
@@ -214,7 +215,7 @@
         discovery = FakeDiscovery(send_partly, send_events)
         with pytest.MonkeyPatch.context() as patch:
             patch.setattr(discovery_client_module, "IDLE_TIMEOUT_S", 0.3)
-            async with running_director(config({"c0": REFUSED, "r0": REFUSED})) as (node, _):
+            async with running_director(config({"c0": REFUSED_ADDRESS, "r0": REFUSED_ADDRESS})) as (node, _):
                 await follow_discovery_at(node, await discovery.start())
                 await wait_until(lambda: node.director.rev == 3)
                 assert discovery.requested_revisions[:2] == [1, 1]
--- a/tests/net/test_failures_after_idle_time.py
+++ b/tests/net/test_failures_after_idle_time.py
@@ -8,14 +8,22 @@
 
 import pytest
 from conftest import BASE_SETTINGS
-from harness import Client, ScriptedCache, config, hit, never_respond, running_director, wait_until
+from harness import (
+    REFUSED_ADDRESS,
+    Client,
+    ScriptedCache,
+    config,
+    hit,
+    never_respond,
+    running_director,
+    wait_until,
+)
 from test_discovery_outages import Discovery, DiscoveryState
 from virtual_time import VirtualClock, virtual
 
 from gladelane.lab.virtual import Fleet, Plan
 from gladelane.routing.events import Settings
 
-REFUSED = "127.0.0.1:1"
 IDLE_S = 660.0
 
 
@@ -34,7 +42,7 @@
     addresses = [await cache.start() for cache in caches]
     discovery = Discovery()
     discovery_address = await discovery.start()
-    raw = config({"c0": addresses[0], "c1": addresses[1], "r0": REFUSED}, discovery_address)
+    raw = config({"c0": addresses[0], "c1": addresses[1], "r0": REFUSED_ADDRESS}, discovery_address)
     async with running_director(raw) as (node, client):
         for stream in range(1, 31):
             client.ask(stream, o=f"{stream:016x}")
--- a/tests/net/test_idle_cache_connections.py
+++ b/tests/net/test_idle_cache_connections.py
@@ -9,12 +9,20 @@
 from typing import Any
 
 import pytest
-from harness import Client, ScriptedCache, config, hit, never_respond, running_director, wait_until
+from harness import (
+    REFUSED_ADDRESS,
+    Client,
+    ScriptedCache,
+    config,
+    hit,
+    never_respond,
+    running_director,
+    wait_until,
+)
 from virtual_time import VirtualClock, virtual
 
 from gladelane.lab.fleet.relay import reset
 
-REFUSED = "127.0.0.1:1"
 IDLE_S = 6.0  # less than the idle limit of a connection in the settings
 SERVED, REFUSED_CODE, FAILED = 0, 1, 2  # result codes of a client's request
 
@@ -153,7 +161,7 @@
     clock: VirtualClock,
 ) -> None:
     cache = ScriptedCache(never_respond)
-    async with running_director(config({"c0": await cache.start(), "r0": REFUSED})) as (node, client):
+    async with running_director(config({"c0": await cache.start(), "r0": REFUSED_ADDRESS})) as (node, client):
         client.ask(1)
         await wait_until(lambda: cache.received)
         request_id = cache.received[0][0]
@@ -175,7 +183,7 @@
         cache = ConnectionDroppingCache() if failure == "reset" else ScriptedCache(respond_overloaded)
         address = await cache.start()
         async with running_director(
-            config_with_three_classes(REFUSED if failure == "refused" else address)
+            config_with_three_classes(REFUSED_ADDRESS if failure == "refused" else address)
         ) as (
             node,
             client,
@@ -218,7 +226,7 @@
     async def scenario(clock: VirtualClock) -> None:
         caches = [ConnectionDroppingCache() for _ in range(6)]
         addresses = {f"c{number}": await cache.start() for number, cache in enumerate(caches)}
-        raw = config({**addresses, "r0": REFUSED}, may_duplicate=second_copies)
+        raw = config({**addresses, "r0": REFUSED_ADDRESS}, may_duplicate=second_copies)
         async with running_director(raw) as (node, _):
             first = [request_once(node.port, number, "film") for number in range(40)]
             assert set(await asyncio.gather(*first)) == {SERVED}
@@ -273,7 +281,9 @@
 async def test_a_dropped_connection_does_not_mark_its_address_as_stalled(clock: VirtualClock) -> None:
     # Otherwise a store with several addresses would stop using this one.
     cache = ConnectionDroppingCache()
-    async with running_director(config({"c0": await cache.start(), "r0": REFUSED}, may_duplicate=False)) as (
+    async with running_director(
+        config({"c0": await cache.start(), "r0": REFUSED_ADDRESS}, may_duplicate=False)
+    ) as (
         node,
         _,
     ):
--- a/tests/net/test_missing_keys.py
+++ b/tests/net/test_missing_keys.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 import pytest
-from harness import Client, Command, ScriptedCache, config, running_director
+from harness import REFUSED_ADDRESS, Client, Command, ScriptedCache, config, running_director
 from virtual_time import VirtualClock, virtual
 
 from gladelane.__main__ import reload_files
@@ -21,7 +21,6 @@
 
 ROOT = Path(__file__).parents[2]
 KeyPath = tuple[str | int, ...]
-REFUSED = "127.0.0.1:1"
 #: Keys that a file may lack, by the pages: GW_OPS may name the admin endpoint, and a class need not have `aim_stretch`.
 OPTIONAL_KEYS = {"ops", "aim_stretch"}
 
@@ -211,7 +210,7 @@
     async def scenario(clock: VirtualClock) -> None:
         caches = {f"c{number}": ScriptedCache(respond_crashed) for number in range(4)}
         addresses = {name: await cache.start() for name, cache in caches.items()}
-        raw = file_with_two_cells({**addresses, "r0": REFUSED})
+        raw = file_with_two_cells({**addresses, "r0": REFUSED_ADDRESS})
         for instance in raw["known"]["notices"][0]["pool"]["instances"]:
             del instance["cell"]
         async with running_director(json.dumps(raw).encode()) as (_, client):
@@ -230,7 +229,7 @@
     async def scenario(clock: VirtualClock) -> None:
         caches = {f"c{number}": ScriptedCache(respond_crashed) for number in range(4)}
         addresses = {name: await cache.start() for name, cache in caches.items()}
-        raw = file_with_two_cells({**addresses, "r0": REFUSED})
+        raw = file_with_two_cells({**addresses, "r0": REFUSED_ADDRESS})
         path = tmp_path / "config.json"
         path.write_text(json.dumps(raw))
         files = ConfigurationFiles(str(path), "")
--- a/tests/net/test_process_signals.py
+++ b/tests/net/test_process_signals.py
@@ -16,14 +16,13 @@
 from typing import Any
 
 import pytest
-from harness import Client, ScriptedCache, config, hit, never_respond, wait_until
+from harness import REFUSED_ADDRESS, Client, ScriptedCache, config, hit, never_respond, wait_until
 from test_discovery_outages import Discovery, DiscoveryState
 
 from gladelane.lab.free_ports import free_port
 from gladelane.net.client_protocol import FrameType
 
 ROOT = Path(__file__).parent.parent.parent
-REFUSED = "127.0.0.1:1"
 DEADLINE_S = 1.0
 #: By the protocol SIGKILL comes at least this long after SIGTERM.
 KILL_DELAY_S = DEADLINE_S + 0.7
@@ -31,7 +30,7 @@
 
 
 def config_with_short_deadlines(
-    caches: dict[str, str], discovery: str = REFUSED, **changes: Any
+    caches: dict[str, str], discovery: str = REFUSED_ADDRESS, **changes: Any
 ) -> dict[str, Any]:
     """A configuration whose shutdown is short, since a director waits for open requests up to the longest deadline."""
     raw: dict[str, Any] = json.loads(config(caches, discovery))
@@ -110,7 +109,7 @@
     async def scenario() -> None:
         cache, loop = ScriptedCache(never_respond), asyncio.get_running_loop()
         async with start_director(
-            config_with_short_deadlines({"c0": await cache.start(), "r0": REFUSED}), tmp_path
+            config_with_short_deadlines({"c0": await cache.start(), "r0": REFUSED_ADDRESS}), tmp_path
         ) as director:
             await director.wait_until_ready()
             clients = [await Client.connect(director.port) for _ in range(4)]
@@ -154,7 +153,7 @@
     after_s: float, tmp_path: Path
 ) -> None:
     async def scenario() -> None:
-        async with start_director(config_with_short_deadlines({"r0": REFUSED}), tmp_path) as director:
+        async with start_director(config_with_short_deadlines({"r0": REFUSED_ADDRESS}), tmp_path) as director:
             await asyncio.sleep(after_s)
             director.signal(signal.SIGTERM)
             code = await director.wait_until_exit()
@@ -178,7 +177,7 @@
         addresses = [await discovery.start() for discovery in discoveries]
         command = "/bin/sh", "-c", run.replace(".venv/bin/python", sys.executable)
         async with start_director(
-            config_with_short_deadlines({"r0": REFUSED}, addresses[0]), tmp_path, command
+            config_with_short_deadlines({"r0": REFUSED_ADDRESS}, addresses[0]), tmp_path, command
         ) as director:
             program = Path(f"/proc/{director.process.pid}/cmdline")
             # wait until the shell has replaced itself by Python
@@ -187,7 +186,7 @@
             director.configure(
                 json.dumps(
                     config_with_short_deadlines(
-                        {"r0": REFUSED}, addresses[1], listen=f"127.0.0.1:{director.port}"
+                        {"r0": REFUSED_ADDRESS}, addresses[1], listen=f"127.0.0.1:{director.port}"
                     )
                 ).encode()
             )
@@ -207,7 +206,7 @@
     async def scenario() -> None:
         cache = ScriptedCache(hit)
         async with start_director(
-            config_with_short_deadlines({"c0": await cache.start(), "r0": REFUSED}), tmp_path
+            config_with_short_deadlines({"c0": await cache.start(), "r0": REFUSED_ADDRESS}), tmp_path
         ) as director:
             await director.wait_until_ready()
             client = await Client.connect(director.port)
@@ -260,7 +259,7 @@
         cache = ScriptedCache(hit)
         discoveries = [Discovery() for _ in range(4)]
         addresses = [await discovery.start() for discovery in discoveries]
-        stores = {"c0": await cache.start(), "r0": REFUSED}
+        stores = {"c0": await cache.start(), "r0": REFUSED_ADDRESS}
         async with start_director(config_with_short_deadlines(stores, addresses[0]), tmp_path) as director:
             await director.wait_until_ready()
 
--- a/tests/net/test_requests_at_connection_end.py
+++ b/tests/net/test_requests_at_connection_end.py
@@ -9,7 +9,7 @@
 from enum import Enum, auto
 
 import pytest
-from harness import ScriptedCache, async_test, config, hit, running_director, wait_until
+from harness import REFUSED_ADDRESS, ScriptedCache, async_test, config, hit, running_director, wait_until
 from raw_client import RawClient, encode_request, wait_for_server_connection
 
 import gladelane.net.client_listener as listener_module
@@ -17,8 +17,6 @@
 from gladelane.net.client_protocol import FrameType
 from gladelane.server import Server
 
-REFUSED = "127.0.0.1:1"
-
 
 class CloseReason(Enum):
     """Why the director closes the connection."""
@@ -72,7 +70,10 @@
         cache = ScriptedCache(hit)
         with pytest.MonkeyPatch.context() as patch:
             patch.setattr(listener_module, "CLOSE_TIMEOUT_S", 1.0)
-            async with running_director(config({"c0": await cache.start(), "r0": REFUSED})) as (node, other):
+            async with running_director(config({"c0": await cache.start(), "r0": REFUSED_ADDRESS})) as (
+                node,
+                other,
+            ):
                 raw = RawClient(node)
                 conn = await wait_for_server_connection(node, raw)
                 if reason is not CloseReason.NEVER_USED:
--- a/tests/net/test_short_deadlines.py
+++ b/tests/net/test_short_deadlines.py
@@ -5,12 +5,11 @@
 import asyncio
 
 import pytest
-from harness import Client, Command, ScriptedCache, config, hit, running_director
+from harness import REFUSED_ADDRESS, Client, Command, ScriptedCache, config, hit, running_director
 from virtual_time import VirtualClock, virtual
 
 from gladelane.net.client_protocol import FrameType
 
-REFUSED = "127.0.0.1:1"
 SHORT_MS = 60
 #: An answer up to this long after the deadline is late; after that the request is lost.
 LATE_S = 0.5
@@ -43,7 +42,7 @@
     clock: VirtualClock,
 ) -> None:
     cache = ScriptedCache(drop_short_requests)
-    async with running_director(config({"c0": await cache.start(), "r0": REFUSED})) as (node, client):
+    async with running_director(config({"c0": await cache.start(), "r0": REFUSED_ADDRESS})) as (node, client):
         client.ask(1)
         assert (await client.next())[2] == 0
         for stream in range(2, 12):
@@ -61,7 +60,7 @@
     clock: VirtualClock,
 ) -> None:
     cache = ScriptedCache(lambda command: hit(command) if len(cache.received) < 2 else None)
-    async with running_director(config({"c0": await cache.start(), "r0": REFUSED})) as (node, client):
+    async with running_director(config({"c0": await cache.start(), "r0": REFUSED_ADDRESS})) as (node, client):
         client.ask(1)
         assert (await client.next())[2] == 0
         clients = [await Client.connect(node.port) for _ in range(3)]
--- a/tests/test_net_rules.py
+++ b/tests/test_net_rules.py
@@ -19,6 +19,7 @@
 
 import pytest
 from harness import (
+    REFUSED_ADDRESS,
     Client,
     Command,
     ScriptedCache,
@@ -47,7 +48,6 @@
 from gladelane.timer_wheel import TimerWheel
 
 ROOT = Path(__file__).parent.parent
-REFUSED_ADDRESS = "127.0.0.1:1"  # no process listens there
 CLASS_SPEC = read_config(config({"r0": REFUSED_ADDRESS})).settings.classes["film"]
 SERVED_FRAME = (17, 1, 0, {}, b"\x00bytes of 7f3a9c21e0b4d655")
 
--- a/tests/test_second_deployment.py
+++ b/tests/test_second_deployment.py
@@ -10,7 +10,7 @@
 
 import pytest
 from conftest import Driver, members, only_action, settings
-from harness import Command, ScriptedCache, async_test, config, hit, running_director
+from harness import REFUSED_ADDRESS, Command, ScriptedCache, async_test, config, hit, running_director
 from hypothesis import given
 from hypothesis import strategies as st
 from test_net_rules import make_pool_event, run_during_dial
@@ -32,7 +32,6 @@
 from gladelane.routing.server_credit import Tokens
 from gladelane.routing.slow_start import ColdBudgets
 
-REFUSED = "127.0.0.1:1"
 CLASSES = [
     {"name": "film", "effect": "safe", "aim_ms": 600.0, "aim_stretch": 1.6, "deadline_ms": 6000.0, "worth": 2.0,
      "late_worth": 0.15, "parts": True},
@@ -191,7 +190,7 @@
     @async_test
     async def send_write() -> None:
         async with running_director(
-            second_deployment_config({"c0": REFUSED, "r0": await origin.start()})
+            second_deployment_config({"c0": REFUSED_ADDRESS, "r0": await origin.start()})
         ) as (
             _,
             client,
@@ -211,7 +210,9 @@
         lambda command: (f"served digest=aa,dated=1,{heads[len(cache.received) % 2]}", hit(command)[1])
     )  # type: ignore[index]
     reported: list[tuple[Note, object]] = []
-    async with running_director(second_deployment_config({"c0": await cache.start(), "r0": REFUSED})) as (
+    async with running_director(
+        second_deployment_config({"c0": await cache.start(), "r0": REFUSED_ADDRESS})
+    ) as (
         node,
         client,
     ):
@@ -237,7 +238,7 @@
 @async_test
 async def test_a_parent_that_starts_to_drain_while_the_cache_is_dialled_is_no_longer_the_source() -> None:
     cache = ScriptedCache(hit)
-    addresses = {"c0": await cache.start(), "p0": "127.0.0.1:9", "r0": REFUSED}
+    addresses = {"c0": await cache.start(), "p0": "127.0.0.1:9", "r0": REFUSED_ADDRESS}
     async with running_director(second_deployment_config(addresses)) as (node, client):
         draining = make_pool_event(2, {"instanceId": "p0", "hostPort": addresses["p0"], "zone": "hub", "machineType": "mid",
                               "lifecycle": "terminating"})  # fmt: skip
