--- a/tests/net/test_reused_streams.py
+++ b/tests/net/test_reused_streams.py
@@ -53,6 +53,7 @@
 
 @async_test
 async def test_a_request_on_the_stream_of_a_cancelled_one_fails_on_its_own_stream() -> None:
+    """Guards against silence on a stream whose earlier request the client has given up."""
     cache = ScriptedCache(never_respond)
     async with director_with(cache) as (_, client):
         client.ask(1)
@@ -81,6 +82,7 @@
 
 @async_test
 async def test_the_cancellation_of_a_stream_also_ends_the_requests_that_reused_it() -> None:
+    """Guards against an answer on a stream for which nobody waits any more."""
     cache = ScriptedCache(never_respond)
     async with director_with(cache) as (_, client):
         client.ask(1, d=SHORT_MS)
@@ -101,6 +103,7 @@
             client.ask(1)
         received = [(await client.next())[1:3] for _ in range(MAX_OPEN_REQUESTS + 1)]
         assert received[0] == (0, AnswerCode.FAILED)
+        assert received[1][0] == 1
         assert received[2:] == [(1, AnswerCode.FAILED)] * (MAX_OPEN_REQUESTS - 1)
         with pytest.raises(EOFError):
             await client.next()
@@ -126,6 +129,7 @@
 
 @pytest.mark.parametrize("seed", range(4))
 def test_each_request_of_any_mix_of_new_and_reused_streams_gets_one_answer_on_its_stream(seed: int) -> None:
+    """Guards against a request without an answer, or with two, where numbers are used at random."""
     rng = random.Random(seed)
 
     def respond_sometimes(command: Command) -> tuple[str, bytes] | None:
