Count and log what becomes of connections to the admin endpoint, and the end of accepting

Changed: seven counters in `GET /stats` (admin_connections to admin_answered), a line for a connection without a request in time and one for a connection that is closed for another, and a critical line with the traceback if the accepting task ends. The golden test of the statistics compares all bytes as before, the new lines with the exact counts of its requests included.

--- a/gladelane/admin/endpoint.py
+++ b/gladelane/admin/endpoint.py
@@ -19,6 +19,7 @@
 import msgspec
 
 from ..sockets import close_socket, has_unread, open_listening_socket
+from .endpoint_metrics import EndpointMetrics
 from .requests import AdminAction, AdminRequest, AdminResponse, InvalidAdminRequestError, parse_request
 
 log = logging.getLogger(__name__)
@@ -60,7 +61,9 @@
 
 class AdminEndpoint:
     """Listens and serves in its own thread. `close` may be called from the serving loop, and waits until the
-    thread has ended."""
+    thread has ended.
+
+    Attributes: port; metrics."""
 
     def __init__(
         self,
@@ -75,6 +78,7 @@
         self._connections: dict[asyncio.Task[None], _Connection] = {}  # oldest first
         self._thread = threading.Thread(target=self._run, name="admin", daemon=True)
         self.port = 0
+        self.metrics = EndpointMetrics()
 
     def open(self, host: str, port: int) -> int:
         """Starts the thread and returns the port it listens on. Raises OSError if the address is in use."""
@@ -93,6 +97,7 @@
     def _run(self) -> None:
         asyncio.set_event_loop(self._loop)
         accepting = self._loop.create_task(self._accept_all())
+        accepting.add_done_callback(_log_end_of_accepting)
         try:
             self._loop.run_forever()
         finally:
@@ -110,8 +115,10 @@
                 accepted, _ = await self._loop.sock_accept(self._listener)
             except OSError as error:  # the client disconnected, or the process has no descriptors left
                 log.warning("admin: accept failed: %s", error)
+                self.metrics.accept_errors += 1
                 await asyncio.sleep(ACCEPT_RETRY_S)
                 continue
+            self.metrics.connections += 1
             task = self._loop.create_task(self._serve(accepted))
             self._connections[task] = _Connection(accepted, self._loop.time())
             task.add_done_callback(lambda done: self._connections.pop(done, None))
@@ -129,6 +136,8 @@
             if remaining_s > 0.0:
                 await asyncio.wait([chosen], timeout=remaining_s)
             else:
+                log.info("admin: closed a connection for a new one open=%d", len(self._connections))
+                self.metrics.replaced += 1
                 chosen.cancel()
                 await asyncio.wait([chosen])
 
@@ -155,6 +164,7 @@
         response = await self._read_and_handle(http, accepted)
         async with asyncio.timeout(LINGER_S):
             await self._loop.sock_sendall(accepted, _encode(http, response))
+            self.metrics.answered += 1
             accepted.shutdown(socket.SHUT_WR)
             # Closing a socket with unread bytes would send a reset, which could discard the response.
             while await self._loop.sock_recv(accepted, READ_BYTES):
@@ -171,6 +181,8 @@
         except h11.RemoteProtocolError as error:
             return AdminResponse(error.error_status_hint, f"{error}\n")
         except TimeoutError:
+            log.info("admin: no complete request in time open=%d", len(self._connections))
+            self.metrics.timed_out += 1
             return AdminResponse(408, f"no whole call in {REQUEST_TIMEOUT_S} s\n")
         except OSError:
             raise
@@ -201,6 +213,7 @@
                 raise OSError("the client disconnected before its request was complete")
 
     async def _handle(self, request: AdminRequest) -> AdminResponse:
+        self.metrics.requests += 1
         immediate = self._handler.accept(request)
         if immediate is not None:
             return immediate
@@ -226,12 +239,19 @@
             async with asyncio.timeout(COMPLETE_TIMEOUT_S):
                 response = await asyncio.shield(asyncio.wrap_future(done, loop=self._loop))
         except TimeoutError:
+            self.metrics.late += 1
             response = self._handler.respond_late(request)
         if request.action not in (AdminAction.HEALTH, AdminAction.STATS):
             log.info("admin: %s %s: %d", request.action.value, request.store or "director", response.status)
         return response
 
 
+def _log_end_of_accepting(accepting: asyncio.Task[None]) -> None:
+    """Logs an error that ended the task which accepts connections."""
+    if not accepting.cancelled() and (error := accepting.exception()) is not None:
+        log.critical("admin: no more connections are accepted", exc_info=error)
+
+
 async def _wait_readable(loop: asyncio.AbstractEventLoop, listener: socket.socket) -> None:
     """Returns once a new connection can be accepted."""
     readable = asyncio.Event()
--- a/gladelane/server.py
+++ b/gladelane/server.py
@@ -68,6 +68,7 @@
         self.endpoints = Endpoints(rng, log_warning=endpoints_log.warning)
         memory_bytes = config.limits.memory_mb * BYTES_PER_MB
         self.director = self._make_director(int(memory_bytes * KEY_MEMORY_SHARE / BYTES_PER_KEY))
+        self.director.extra_metrics = self._part_metrics
         descriptors = descriptor_limit(config.limits.sockets)
         self.shares = share_descriptors(descriptors, inherited_descriptors, _count_purge_servers(operator))
         self.upstream = ConnectionPool(
@@ -115,7 +116,6 @@
             self.recovery = parts.open_recovery(
                 operator.recovery, self.config, self.director, self.purges, self.clock, self.admin_handler
             )
-            self.director.extra_metrics = self.recovery.lines
         if self.purges is None:
             return
         if operator.fleet is not None:
@@ -129,13 +129,13 @@
                 self.follow_discovery,
             )
             self.purges.on_change = self.audit.refresh_view
-            self.director.extra_metrics = self._operator_metrics
         if operator.owners is not None:
             self.lease_client = parts.open_leases(operator.owners, self.purges, self.config)
 
-    def _operator_metrics(self) -> list[tuple[str, int]]:
-        """Metrics of the parts that the operator's file enables."""
-        metrics = self.recovery.lines() if self.recovery is not None else []
+    def _part_metrics(self) -> list[tuple[str, int]]:
+        """Metrics of the admin endpoint and of the parts that the operator's file enables."""
+        metrics = self.admin_endpoint.metrics.lines() if self.admin_endpoint is not None else []
+        metrics += self.recovery.lines() if self.recovery is not None else []
         return metrics + (self.audit.lines() if self.audit is not None else [])
 
     # --- start
--- a/tests/golden/test_admin_endpoint.py
+++ b/tests/golden/test_admin_endpoint.py
@@ -20,11 +20,23 @@
     "director.inflight=0\ndirector.backend_calls=0\ndirector.hosts_listed=2\ndirector.hosts_down=0\n"
     "director.reconfig_ok=0\ndirector.reconfig_failed=0\ndirector.withdrawn=0\ndirector.unusable=0\n"
 )
+
+
+def stats(number: int, hosts_down: int = 0) -> str:
+    """The statistics in the response to the `number`th request that the endpoint received."""
+    return (
+        STATS.replace("hosts_down=0", f"hosts_down={hosts_down}")
+        + f"director.admin_connections={number}\ndirector.admin_accept_errors=0\ndirector.admin_replaced=0\n"
+        f"director.admin_timed_out=0\ndirector.admin_requests={number}\ndirector.admin_late=0\n"
+        f"director.admin_answered={number - 1}\n"
+    )
+
+
 #: method and target -> status and text of the response; one director receives the requests in this order
 REQUESTS: dict[tuple[str, str], tuple[int, str]] = {
     ("GET", "/healthcheck"): (200, "takes clients\n"),
-    ("GET", "/stats"): (200, STATS),
-    ("GET", "/stats?format=text"): (200, STATS),
+    ("GET", "/stats"): (200, stats(2)),
+    ("GET", "/stats?format=text"): (200, stats(3)),
     ("GET", "http://127.0.0.1/healthcheck"): (200, "takes clients\n"),
     ("POST", "/caches/c%2F1%20%C3%A4/maint"): (200, "done\n"),
     ("POST", "/caches/c%2F1%20%C3%A4/ready"): (200, "done\n"),
@@ -97,9 +109,9 @@
     requests = [encode_request("GET" if target == "/stats" else "POST", target) for target in targets]
     assert collect_responses(requests) == [
         encode_response(200, "done\n"),
-        encode_response(200, STATS.replace("hosts_down=0", "hosts_down=1")),
+        encode_response(200, stats(2, hosts_down=1)),
         encode_response(200, "done\n"),
-        encode_response(200, STATS),
+        encode_response(200, stats(4)),
     ]
 
 
