Look at the admin endpoint's connections again after waiting for a new one

Servers that were taken out by later calls went on getting new work.

Cause: `_wait_for_capacity` reads that the limit is reached, waits for the next connection, and then believes it: `_choose_to_close` takes the first of no connections. The StopIteration ends `_accept_all` as a RuntimeError that nobody read.

Why this works: the state is read again after the wait. With no connection left there is none to close, the loop's condition is false, and the new connection is accepted.

--- a/gladelane/admin/endpoint.py
+++ b/gladelane/admin/endpoint.py
@@ -132,6 +132,8 @@
         while len(self._connections) >= self._max_connections:
             await _wait_readable(self._loop, self._listener)
             chosen = self._choose_to_close()
+            if chosen is None:  # all connections ended during the wait
+                continue
             remaining_s = self._connections[chosen].opened_s + MIN_AGE_S - self._loop.time()
             if remaining_s > 0.0:
                 await asyncio.wait([chosen], timeout=remaining_s)
@@ -141,14 +143,13 @@
                 chosen.cancel()
                 await asyncio.wait([chosen])
 
-    def _choose_to_close(self) -> asyncio.Task[None]:
+    def _choose_to_close(self) -> asyncio.Task[None] | None:
         """Returns the oldest connection that has neither a complete request nor unread bytes, or else the
-        oldest one."""
-        oldest = next(iter(self._connections))
+        oldest one. Returns None if there is no connection."""
         for task, connection in self._connections.items():
             if not (task.done() or connection.is_complete or has_unread(connection.sock)):
                 return task
-        return oldest
+        return next(iter(self._connections), None)
 
     async def _serve(self, accepted: socket.socket) -> None:
         try:
