Supervise the admin endpoint's thread and its accepting, the timers and discovery

`Supervisor` runs the tasks of one owner, and `SupervisedThread` a thread: an end by an exception, by a return or by a cancellation from inside is logged with its traceback, counted (`task_failures` in `GET /stats`) and followed by a restart after 20 ms to 1 s. A cancellation of the task itself still ends it. The endpoint's listener outlives its thread's event loop, so callers wait in its queue meanwhile. A thread that the system does not start is an OSError, so that a start fails with one line.

Ruled out as a way: a try in each loop, which five loops had, each with another set of exceptions, and none with a count.

The golden statistics have the new line; LAYERS has the new module.

--- a/gladelane/admin/endpoint.py
+++ b/gladelane/admin/endpoint.py
@@ -10,7 +10,6 @@
 import asyncio
 import logging
 import socket
-import threading
 from concurrent.futures import Future
 from contextlib import suppress
 from typing import Protocol
@@ -19,6 +18,7 @@
 import msgspec
 
 from ..sockets import close_socket, has_unread, open_listening_socket
+from ..supervision import SupervisedThread, Supervisor
 from .endpoint_metrics import EndpointMetrics
 from .requests import AdminAction, AdminRequest, AdminResponse, InvalidAdminRequestError, parse_request
 
@@ -61,7 +61,7 @@
 
 class AdminEndpoint:
     """Listens and serves in its own thread. `close` may be called from the serving loop, and waits until the
-    thread has ended.
+    thread has ended. An error in the thread ends its connections, but neither the listener nor the thread.
 
     Attributes: port; metrics."""
 
@@ -73,15 +73,22 @@
     ) -> None:
         self._handler, self._serving_loop = handler, serving_loop
         self._max_connections = min(max_connections, MAX_CONNECTIONS)
-        self._loop = asyncio.new_event_loop()
+        self._loop = asyncio.new_event_loop()  # after an error the thread replaces it
         self._listener: socket.socket
         self._connections: dict[asyncio.Task[None], _Connection] = {}  # oldest first
-        self._thread = threading.Thread(target=self._run, name="admin", daemon=True)
+        self._supervisor = Supervisor()
+        self._thread = SupervisedThread("admin", self._run_event_loop)
         self.port = 0
         self.metrics = EndpointMetrics()
 
+    @property
+    def failures(self) -> int:
+        """How often the thread or its accepting task was restarted after an error."""
+        return self._thread.failures + self._supervisor.failures
+
     def open(self, host: str, port: int) -> int:
-        """Starts the thread and returns the port it listens on. Raises OSError if the address is in use."""
+        """Starts the thread and returns the port it listens on. Raises OSError if the address is in use or
+        the system starts no thread."""
         self._listener = open_listening_socket(host, port, BACKLOG)
         self._listener.setblocking(False)
         self.port = int(self._listener.getsockname()[1])
@@ -90,24 +97,41 @@
 
     def close(self) -> None:
         """Closes all connections and ends the thread."""
-        if self._thread.is_alive():
+        self._thread.stop(self._stop_event_loop, LINGER_S * 2)
+        if self.port:
+            close_socket(self._listener)
+
+    def _stop_event_loop(self) -> None:
+        with suppress(RuntimeError):  # it is closed
             self._loop.call_soon_threadsafe(self._loop.stop)
-            self._thread.join(LINGER_S * 2)
 
-    def _run(self) -> None:
-        asyncio.set_event_loop(self._loop)
-        accepting = self._loop.create_task(self._accept_all())
-        accepting.add_done_callback(_log_end_of_accepting)
+    def _run_event_loop(self) -> None:
+        """Serves until the event loop is stopped."""
+        if self._loop.is_closed():
+            self._loop = asyncio.new_event_loop()
+        self._supervisor = Supervisor(self._supervisor.failures)
         try:
-            self._loop.run_forever()
+            if not self._thread.is_stopping:
+                self._loop.call_soon(self._start_accepting)
+                self._loop.run_forever()
         finally:
-            tasks = [accepting, *self._connections]
-            for task in tasks:
-                task.cancel()
-            self._loop.run_until_complete(asyncio.gather(*tasks, return_exceptions=True))
-            close_socket(self._listener)
+            with suppress(Exception):  # after an error of the event loop itself
+                self._loop.run_until_complete(self._end_tasks())
+            for connection in self._connections.values():
+                close_socket(connection.sock)
+            self._connections.clear()
             self._loop.close()
 
+    def _start_accepting(self) -> None:
+        self._supervisor.start("admin endpoint", self._accept_all)
+
+    async def _end_tasks(self) -> None:
+        await self._supervisor.close()
+        tasks = list(self._connections)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
     async def _accept_all(self) -> None:
         while True:
             await self._wait_for_capacity()
@@ -247,12 +271,6 @@
         return response
 
 
-def _log_end_of_accepting(accepting: asyncio.Task[None]) -> None:
-    """Logs an error that ended the task which accepts connections."""
-    if not accepting.cancelled() and (error := accepting.exception()) is not None:
-        log.critical("admin: no more connections are accepted", exc_info=error)
-
-
 async def _wait_readable(loop: asyncio.AbstractEventLoop, listener: socket.socket) -> None:
     """Returns once a new connection can be accepted."""
     readable = asyncio.Event()
--- a/gladelane/server.py
+++ b/gladelane/server.py
@@ -29,6 +29,7 @@
 from .process import STANDARD_DESCRIPTORS, descriptor_limit
 from .routing.events import Settings
 from .routing.idempotency import BYTES_PER_KEY
+from .supervision import Supervisor
 from .timer_wheel import TimerWheel
 
 if TYPE_CHECKING:
@@ -91,7 +92,7 @@
         self.folder = os.environ.get("TMPDIR", "")
         self.admin_endpoint: AdminEndpoint | None = None
         self.restart_coordinator: RestartCoordinator | None = None
-        self._timer_task: asyncio.Task[None] | None = None
+        self._supervisor = Supervisor()
         self._discovery_task: asyncio.Task[None] | None = None
 
     def _make_director(self, max_keys: int) -> Director:
@@ -133,11 +134,18 @@
             self.lease_client = parts.open_leases(operator.owners, self.purges, self.config)
 
     def _part_metrics(self) -> list[tuple[str, int]]:
-        """Metrics of the admin endpoint and of the parts that the operator's file enables."""
-        metrics = self.admin_endpoint.metrics.lines() if self.admin_endpoint is not None else []
+        """Metrics of the admin endpoint, of restarted tasks, and of the parts that the operator's file
+        enables."""
+        metrics = [("task_failures", self._count_task_failures())]
+        metrics += self.admin_endpoint.metrics.lines() if self.admin_endpoint is not None else []
         metrics += self.recovery.lines() if self.recovery is not None else []
         return metrics + (self.audit.lines() if self.audit is not None else [])
 
+    def _count_task_failures(self) -> int:
+        """The number of long-lived tasks and threads that had to be restarted."""
+        failures = self._supervisor.failures
+        return failures + (self.admin_endpoint.failures if self.admin_endpoint is not None else 0)
+
     # --- start
 
     async def start(self) -> int:
@@ -149,7 +157,7 @@
         self._restore_state()
         if self.config.ops is not None:
             self._open_admin_endpoint(*self.config.ops)
-        self._timer_task = asyncio.create_task(self.timers.run())
+        self._supervisor.start("timers", self.timers.run)
         self.follow_discovery()
         if self.purges is not None:
             await self._start_purges(self.purges)
@@ -221,7 +229,7 @@
         )
         if self.audit is not None:
             client.on_received, client.steady_clock = self.audit.lease.renew_list, self.audit.steady_ms
-        self._discovery_task = asyncio.create_task(client.run())
+        self._discovery_task = self._supervisor.start("discovery", client.run)
 
     def _share_admin_request(self, request: AdminRequest) -> Future[None] | None:
         """Passes an admin request that this process has applied to the other process of a hot restart.
@@ -292,9 +300,7 @@
         for part in (self.audit, self.recovery, self.lease_client, self.purges):
             if part is not None:
                 await part.close()
-        for task in (self._timer_task, self._discovery_task):
-            if task is not None:
-                task.cancel()
+        await self._supervisor.close()
 
 
 def _count_purge_servers(operator: Operator | None) -> int:
--- a/tests/admin/test_endpoint.py
+++ b/tests/admin/test_endpoint.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterator
 from concurrent.futures import Future
 from contextlib import contextmanager, suppress
+from typing import Any
 
 import pytest
 from harness import async_test
@@ -170,3 +171,34 @@
         is_over.set()
         await asyncio.gather(*reconnecting)
         assert statuses == [200] * 4
+
+
+def fail_once(patch: pytest.MonkeyPatch, owner: object, name: str) -> None:
+    """Makes the next call of a method raise an error; later calls are as before."""
+
+    def fail(*args: Any, **kwargs: Any) -> Any:
+        patch.undo()
+        raise RuntimeError("planted")
+
+    patch.setattr(owner, name, fail)
+
+
+@async_test
+async def test_error_in_the_accepting_task_does_not_end_accepting() -> None:
+    with pytest.MonkeyPatch.context() as patch, open_endpoint(RecordingHandler()) as (endpoint, port):
+        fail_once(patch, endpoint, "_wait_for_capacity")
+        assert await request_status(port, encode_request("GET", "/healthcheck")) == 200  # accepted before
+        assert await request_status(port, encode_request("GET", "/healthcheck"), 1.0) == 200
+        assert endpoint.failures == 1
+
+
+@async_test
+async def test_error_of_the_event_loop_does_not_end_the_thread_of_the_endpoint() -> None:
+    with pytest.MonkeyPatch.context() as patch, open_endpoint(RecordingHandler()) as (endpoint, port):
+        idle_connection = socket.create_connection(("127.0.0.1", port))
+        await asyncio.sleep(0.1)
+        fail_once(patch, endpoint._loop._selector, "select")  # type: ignore[attr-defined]
+        endpoint._loop.call_soon_threadsafe(lambda: None)  # ends the wait that is in progress
+        assert await request_status(port, encode_request("GET", "/healthcheck"), 1.0) == 200
+        assert endpoint.failures == 1 and idle_connection.recv(1) == b""
+        idle_connection.close()
--- a/tests/golden/test_admin_endpoint.py
+++ b/tests/golden/test_admin_endpoint.py
@@ -26,7 +26,7 @@
     """The statistics in the response to the `number`th request that the endpoint received."""
     return (
         STATS.replace("hosts_down=0", f"hosts_down={hosts_down}")
-        + f"director.admin_connections={number}\ndirector.admin_accept_errors=0\ndirector.admin_replaced=0\n"
+        + f"director.task_failures=0\ndirector.admin_connections={number}\ndirector.admin_accept_errors=0\ndirector.admin_replaced=0\n"
         f"director.admin_timed_out=0\ndirector.admin_requests={number}\ndirector.admin_late=0\n"
         f"director.admin_answered={number - 1}\n"
     )
--- a/tests/golden/test_external_names.py
+++ b/tests/golden/test_external_names.py
@@ -53,7 +53,7 @@
 METRIC_NAMES = (
     "calls.film.success calls.film.busy calls.film.failure calls.sheet.success calls.sheet.busy "
     "calls.sheet.failure inflight backend_calls hosts_listed hosts_down reconfig_ok reconfig_failed withdrawn "
-    "unusable phase phase_reason phase_since_ms full_service_ms warm_start purges_standing "
+    "unusable task_failures phase phase_reason phase_since_ms full_service_ms warm_start purges_standing "
     "purges_known_since_ms feeds_followed renewals renewals_refused renewals_bind reseeded audit_stage "
     "audit_tenure_ms audit_span audit_spans_waiting audit_refused audit_held_up audit_void"
 ).split()
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -22,6 +22,7 @@
 LAYERS: tuple[tuple[str, ...], ...] = (
     ("deployment", "clock"),
     ("structures", "sse", "logs", "process", "sockets"),
+    ("supervision",),
     ("storage", "endpoints"),
     ("control_plane",),  # the control server, which does not depend on its parts
     ("purges",),
