Reserve the ports of the lab's director processes until they have ended

Seen: test_a_cache_in_maintenance_stays_out_of_service_across_an_upgrade[old process killed] failed twice (once among eight parallel workers, once in 30 runs ten at a time): the clients' port refused a connection after the new process had answered its health check. Traced by force: if another run takes the port that was chosen for the new process's admin endpoint, that run's director answers the health check, the new process ends with `Address already in use`, and the clients' port is refused, as seen. The port is chosen some 0.5 s before a process listens there. The logs of the two failures were not kept, so this is shown as possible, not as what happened in them; with logs kept the test passed 150 of 150 (ten at a time) and 400 of 400 (six at a time).

Changed: `Processes` reserves its ports (`fleet.ports`, which binds the UDP port of the same number; `free_port` respects it). No check of a test is changed. tests/hot_restart and the tests of ports pass, six at a time.

--- a/gladelane/lab/processes.py
+++ b/gladelane/lab/processes.py
@@ -13,10 +13,11 @@
 from contextlib import suppress
 from functools import partial
 from pathlib import Path
+from random import SystemRandom
 from typing import Any
 
 from .client import Client
-from .free_ports import free_port
+from .fleet.ports import release_port, reserve_port
 
 ROOT = Path(__file__).parent.parent.parent
 START_S = 20.0
@@ -36,7 +37,9 @@
     def __init__(
         self, folder: Path, raw: Mapping[str, Any], environment: Mapping[str, str] | None = None
     ) -> None:
-        self.folder, self.port = folder, free_port()
+        self._rng = SystemRandom()
+        # reserved until the end: another run could take a port before a process listens there
+        self.folder, self.port = folder, reserve_port(self._rng)
         self.environment = dict(environment or {})
         self.raw = {**raw, "listen": f"127.0.0.1:{self.port}"}
         self.ops: list[int] = []
@@ -49,7 +52,7 @@
         process.
 
         `program`: the checkout that is started. `changes`: changes to its configuration."""
-        self.ops.append(free_port())
+        self.ops.append(reserve_port(self._rng))
         path = self.folder / f"config{len(self.ops)}.json"
         path.write_text(json.dumps({**self.raw, **changes}))
         ops = f"127.0.0.1:{self.ops[-1]}"
@@ -113,11 +116,13 @@
         return memory, descriptors
 
     async def end(self) -> None:
-        """Kills all processes and waits for them."""
+        """Kills all processes, waits for them, and releases their ports."""
         for process in self.all:
             with suppress(ProcessLookupError):
                 process.kill()
             await process.wait()
+        for port in (self.port, *self.ops):
+            release_port(port)
 
 
 class Load:
