Let an error in a periodic check end neither the later checks nor the router's own timers

An exception in the router's housekeeping lost the timer that it had just set, so counts, cold budgets and expired purges stood still from then on.

Changed: `TimerWheel.repeat` schedules the next round first. After an exception in the router the timers that it had set are executed, and an action that fails no longer takes those behind it with it.

--- a/gladelane/net/cache_connection.py
+++ b/gladelane/net/cache_connection.py
@@ -149,6 +149,11 @@
         self.retired = True
         self.task.cancel()
 
+    def fail(self) -> None:
+        """Ends the connection after an internal error."""
+        self.end = AttemptOutcome.RESET
+        self.close()
+
     def reset(self) -> None:
         """Ends the connection so that bytes that have not left this machine are discarded."""
         assert self.attempts.queue.out is not None
--- a/gladelane/net/client_listener.py
+++ b/gladelane/net/client_listener.py
@@ -71,7 +71,7 @@
         OSError."""
         sock = inherited or open_listener(host, port, shared)
         self._listener = Listener(sock, shared, self._has_capacity, self._accepted)
-        self.timers.schedule(self.clock() + SWEEP_MS, self._sweep)
+        self.timers.repeat(SWEEP_MS, self._sweep)
         return int(sock.getsockname()[1])
 
     @property
@@ -207,6 +207,9 @@
         now = self.clock()
         self.buffered_bytes = 0
         for conn in list(self.connections):
-            conn.sweep(now)
-            self.buffered_bytes += conn.buffered_bytes()
-        self.timers.schedule(now + SWEEP_MS, self._sweep)
+            try:
+                conn.sweep(now)
+                self.buffered_bytes += conn.buffered_bytes()
+            except Exception:  # ends this connection only
+                log.exception("connection failed")
+                conn.writer.transport.abort()
--- a/gladelane/net/connection_pool.py
+++ b/gladelane/net/connection_pool.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import socket
 from collections.abc import Callable
 
@@ -16,6 +17,8 @@
 from .config import ConnLimits
 from .exchange import Attempt
 
+log = logging.getLogger(__name__)
+
 # These limits bound how many attempts one unresponsive connection can delay. They depend neither on request
 # classes nor on load, so they are not settings.
 SWEEP_MS = 100.0
@@ -51,7 +54,7 @@
         self._closing: list[socket.socket] = []  # sockets of ended connections, until they are closed
         self._extra_sockets = 0  # further sockets, for parallel dials and for health checks
         self._health_checks: set[asyncio.Task[None]] = set()
-        self.sweep()
+        self.timers.repeat(SWEEP_MS, self.sweep)
 
     # --- for dials and health checks (`endpoints.dialer.Budget`)
 
@@ -175,10 +178,13 @@
         return idle is not None
 
     def sweep(self) -> None:
-        """Checks all connections and schedules the next sweep."""
+        """Checks all connections. Called periodically."""
         now = self.clock()
-        self.timers.schedule(now + SWEEP_MS, self.sweep)  # first, so that an error does not end the sweeps
         for conns in list(self._pool.values()):
             answered_ms = max(conn.attempts.answered_ms for conn in conns) if conns else 0.0
             for conn in list(conns):
-                conn.sweep(now, answered_ms)
+                try:
+                    conn.sweep(now, answered_ms)
+                except Exception:  # ends this connection only
+                    log.exception("connection failed peer=%s", conn.peer)
+                    conn.fail()
--- a/gladelane/net/director.py
+++ b/gladelane/net/director.py
@@ -93,7 +93,7 @@
         self._exchanges = OpenExchanges()
         self._events: deque[Event] = deque()
         self._is_handling = False
-        self._end_overdue()
+        timers.repeat(OVERDUE_MS, self._end_overdue)
 
     @property
     def live(self) -> Mapping[int, Exchange]:
@@ -252,15 +252,25 @@
             exchange = self.live.get(event.id)
             event = replace(event, over=exchange is None or exchange.done)
         try:
-            for action in self.router.handle(self.clock(), event):
-                self._execute(action)
+            actions = self.router.handle(self.clock(), event)
         except Exception:  # an error ends only the request that it concerns
             log.exception("the router failed to handle %s", type(event).__name__)
-            if isinstance(event, (Request, Outcome)) and event.id in self.live:
-                self._abort(self.live[event.id])
+            self._abort_request_of(event)
+            # the periodic work of the router depends on the timers that it has set
+            actions = [action for action in self.router.context.actions if isinstance(action, SetTimer)]
+        for action in actions:
+            try:
+                self._execute(action)
+            except Exception:
+                log.exception("failed to execute %s", type(action).__name__)
+                self._abort_request_of(event)
         if isinstance(event, (Outcome, ClientDisconnected)) and event.id in self.live:
             self._exchanges.remove_if_settled(self.live[event.id])
 
+    def _abort_request_of(self, event: Event) -> None:
+        if isinstance(event, (Request, Outcome)) and event.id in self.live:
+            self._abort(self.live[event.id])
+
     def _execute(self, action: Action) -> None:
         match action:
             case Fetch() | Lookup():
@@ -295,12 +305,10 @@
             self._exchanges.remove_if_settled(exchange)
 
     def _end_overdue(self) -> None:
-        """Ends requests that the router failed to end in time, and schedules the next check."""
-        now = self.clock()
-        for exchange in self._exchanges.take_overdue(now):
+        """Ends requests that the router failed to end in time. Called periodically."""
+        for exchange in self._exchanges.take_overdue(self.clock()):
             log.error("overdue id=%s class=%s", exchange.ask.id, exchange.ask.cls)
             self._abort(exchange)
-        self.timers.schedule(now + OVERDUE_MS, self._end_overdue)
 
     def _abort(self, exchange: Exchange) -> None:
         exchange.finish(FinalAnswer(AnswerCode.FAILED))
--- a/gladelane/timer_wheel.py
+++ b/gladelane/timer_wheel.py
@@ -59,6 +59,16 @@
         self._slots[tick % SLOTS].append(handle)
         return handle
 
+    def repeat(self, interval_ms: float, callback: Callable[[], None]) -> None:
+        """Runs `callback` after each `interval_ms` for as long as the wheel turns, also after an exception in
+        it."""
+
+        def run() -> None:
+            self.repeat(interval_ms, callback)
+            callback()
+
+        self.schedule(self._clock() + interval_ms, run)
+
     def advance(self) -> None:
         """Runs all callbacks that are due. Visits each slot at most once, however late the tick is."""
         now_tick = int(self._clock() // TICK_MS)
--- a/tests/net/test_restarted_tasks.py
+++ b/tests/net/test_restarted_tasks.py
@@ -9,10 +9,21 @@
 from typing import Any
 
 import pytest
-from harness import REFUSED_ADDRESS, ScriptedCache, async_test, config, running_director, wait_until
+from harness import (
+    REFUSED_ADDRESS,
+    ScriptedCache,
+    async_test,
+    config,
+    hit,
+    never_respond,
+    running_director,
+    wait_until,
+)
 from test_discovery_outages import Discovery, DiscoveryState
 
 from gladelane.discovery.client import DiscoveryClient
+from gladelane.net.cache_connection import Connection
+from gladelane.net.client_connection import ClientConnection
 
 
 def fail_once(patch: pytest.MonkeyPatch, owner: object, name: str, error: type[BaseException]) -> None:
@@ -25,10 +36,23 @@
     patch.setattr(owner, name, fail)
 
 
+def count_calls(owner: object, name: str) -> list[None]:
+    """Returns a list that grows with each call of a method."""
+    calls: list[None] = []
+    method = getattr(owner, name)
+
+    def record(*args: Any, **kwargs: Any) -> Any:
+        calls.append(None)
+        return method(*args, **kwargs)
+
+    setattr(owner, name, record)
+    return calls
+
+
 @async_test
 async def test_timers_run_after_an_error_in_their_task() -> None:
     with pytest.MonkeyPatch.context() as patch:
-        cache = ScriptedCache(lambda command: None)
+        cache = ScriptedCache(never_respond)
         async with running_director(config({"c0": await cache.start(), "r0": REFUSED_ADDRESS})) as (
             node,
             client,
@@ -70,3 +94,49 @@
             assert "director.task_failures=2\n" in node.director.report()
 
     asyncio.run(scenario())
+
+
+@async_test
+async def test_error_in_a_sweep_of_client_connections_ends_no_later_sweep() -> None:
+    with pytest.MonkeyPatch.context() as patch:
+        async with running_director(config({"r0": REFUSED_ADDRESS})) as (node, client):
+            await wait_until(lambda: node.client_listener.connections)
+            connection = next(iter(node.client_listener.connections))
+            fail_once(patch, ClientConnection, "sweep", RuntimeError)
+            await wait_until(lambda: connection not in node.client_listener.connections)
+            node.client_listener.buffered_bytes = 1_000_000
+            await wait_until(lambda: node.client_listener.buffered_bytes == 0)
+
+
+@async_test
+async def test_error_in_a_sweep_of_cache_connections_ends_no_later_sweep() -> None:
+    with pytest.MonkeyPatch.context() as patch:
+        cache = ScriptedCache(hit)
+        raw = config({"c0": await cache.start(), "r0": REFUSED_ADDRESS}, conn_idle_ms=400.0)
+        async with running_director(raw) as (_, client):
+            client.ask(1)
+            assert (await client.next())[1] == 1
+            fail_once(patch, Connection, "sweep", RuntimeError)
+            await wait_until(lambda: cache.closed_count == 1)
+            client.ask(2)
+            assert (await client.next())[1] == 2
+            await wait_until(lambda: cache.closed_count == 2)
+
+
+@async_test
+async def test_error_in_the_check_for_overdue_requests_ends_no_later_check() -> None:
+    with pytest.MonkeyPatch.context() as patch:
+        async with running_director(config({"r0": REFUSED_ADDRESS})) as (node, _):
+            calls = count_calls(node.director._exchanges, "take_overdue")
+            fail_once(patch, node.director._exchanges, "take_overdue", RuntimeError)
+            await wait_until(lambda: len(calls) >= 2)
+
+
+@async_test
+async def test_error_in_the_periodic_work_of_the_router_does_not_end_it() -> None:
+    with pytest.MonkeyPatch.context() as patch:
+        async with running_director(config({"r0": REFUSED_ADDRESS})) as (node, _):
+            cold = node.director.router.cold
+            calls = count_calls(cold, "learn")
+            fail_once(patch, cold, "learn", RuntimeError)
+            await wait_until(lambda: len(calls) >= 2)
