Supervise every long-lived task of the director's optional parts and of the control server

A task that ended by an exception ended its promise, in these cases without a line until the process closed: the check of the link to the purge servers (a director that is cut off then never limits its strict classes), storing received purges, purge orders, the audit's lease update, the phases with the keys behind them (`max_keys` stays 0: all keyed requests refused), learned state, the control server's storing of purges and reports, its maintenance, its peers, settling (each purge waits for it) and the lease server's question for its peers' tokens (it grants nothing before). Five loops had a catch-all of their own, which counts nothing and does not catch a cancellation from inside.

Changed: each part has a `Supervisor`, whose failures `task_failures` sums up; the catch-alls in the loops are gone, since one supervisor does their work. A subscription that fails no longer goes on reading as `follows`. The audit's replication is a callable for each peer in place of a list of coroutines.

--- a/gladelane/audit/report_replication.py
+++ b/gladelane/audit/report_replication.py
@@ -7,8 +7,7 @@
 import logging
 import random
 import ssl
-from collections.abc import Callable, Coroutine
-from typing import Any
+from collections.abc import Callable
 
 from ..control_plane.errors import error_label
 from ..control_plane.http import CALL_ERRORS, fetch
@@ -45,7 +44,7 @@
 
 
 class ReportReplication:
-    """Replication to all peers. `peers` are added before the tasks run."""
+    """Replication to all peers. `peers` are added before `run` is called for each."""
 
     def __init__(
         self,
@@ -63,10 +62,6 @@
         self._name, self._epoch, self._store, self._versions = name, epoch, store, versions
         self._token, self._clock, self._on_peer_named = token, clock, on_peer_named
 
-    def replication_loops(self) -> list[Coroutine[Any, Any, None]]:
-        """One coroutine for each peer, to be run as tasks."""
-        return [self._run(peer) for peer in self.peers]
-
     def silent_peers(self) -> list[ReportPeer]:
         """The peers that have not answered for longer than SILENT_MS."""
         now = self._clock()
@@ -88,7 +83,8 @@
             if report.intervals and report.intervals[0].number <= known + 1:
                 peer.stored[run_id] = max(known, report.intervals[-1].number)
 
-    async def _run(self, peer: ReportPeer) -> None:
+    async def run(self, peer: ReportPeer) -> None:
+        """Replicates to one peer until cancelled."""
         backoff = Backoff(random.Random(), INTERVAL_S, MAX_BACKOFF_S)
         while True:
             has_answered = await self._attempt(peer)
@@ -105,9 +101,6 @@
                 )
             peer.are_positions_known = False
             return False
-        except Exception:
-            log.exception("audit: unexpected error in replication")
-            return False
         return True
 
     async def _replicate(self, peer: ReportPeer) -> None:
--- a/gladelane/audit/server.py
+++ b/gladelane/audit/server.py
@@ -16,12 +16,14 @@
 import logging
 import ssl
 from collections.abc import Callable, Sequence
+from functools import partial
 from urllib.parse import parse_qs
 
 from ..control_plane.http import Request
 from ..control_plane.part import MAX_LARGE_BODY_BYTES, Route, StreamRoute
 from ..control_plane.positions import Vector
 from ..storage.files import Disk
+from ..supervision import Supervisor
 from .answers import AuditAnswers
 from .audit_store import DAY_MS, AuditStore
 from .escalation import EscalationPolicy
@@ -73,7 +75,7 @@
         parts = self._identity, self.store, self.monitor, self.report_log, self._replication
         self.intake = ReportIntake(*parts, clock, lease_ms)
         self.answers = AuditAnswers(*parts, clock)
-        self._tasks: list[asyncio.Task[None]] = []
+        self.supervisor = Supervisor()
 
     def add_peer(self, host: str, port: int, tls: ssl.SSLContext | None = None) -> None:
         """Replicates to another control server. Must precede `start`."""
@@ -91,8 +93,11 @@
 
     def start(self) -> None:
         """Starts the background tasks: storing, replication, and checking the peers."""
-        runs = [self.intake.run(), self._watch_peers(), *self._replication.replication_loops()]
-        self._tasks = [asyncio.create_task(run) for run in runs]
+        self.supervisor.start("storing reports", self.intake.run)
+        self.supervisor.start("audit peers", self._watch_peers)
+        for peer in self._replication.peers:
+            run = partial(self._replication.run, peer)
+            self.supervisor.start(f"audit replication to {peer.host}:{peer.port}", run)
         log.info(
             "audit ready name=%s directors=%d spans=%d",
             self._identity.name,
@@ -102,9 +107,7 @@
 
     async def close(self) -> None:
         """Stops the tasks and releases the folder."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.supervisor.close()
         self.report_log.close()
 
     def reached(self, vector: Vector, low_watermark_ms: float) -> None:
--- a/gladelane/audit/service.py
+++ b/gladelane/audit/service.py
@@ -15,6 +15,7 @@
 from ..net.director import Director
 from ..purges.subscription import PurgeSubscription
 from ..structures.backoff import Backoff
+from ..supervision import Supervisor
 from .activity_log_writer import ActivityLogWriter
 from .activity_recorder import ActivityRecorder
 from .options import AuditOptions
@@ -70,7 +71,7 @@
             self.lease, purges, drain, close_clients, reconnect_discovery, clock, options.enforce
         )
         self._rejected = self._withheld = 0  # requests; attempts and answers
-        self._tasks: list[asyncio.Task[None]] = []
+        self.supervisor = Supervisor()
 
     @staticmethod
     def steady_ms() -> float:
@@ -120,24 +121,20 @@
     async def start(self) -> None:
         """Starts to report, and waits up to FIRST_LEASE_TIMEOUT_S for the first lease, without which no
         request is permitted."""
-        self._tasks = [asyncio.create_task(self._report_forever())]
+        self.supervisor.start("audit reports", self._report_forever)
         try:
             async with asyncio.timeout(FIRST_LEASE_TIMEOUT_S):
                 await self.reporter.lease_granted.wait()
         except TimeoutError:
             waited_ms, alone = FIRST_LEASE_TIMEOUT_S * 1000.0, self._options.alone
             log.error("audit: no control server granted a lease in ms=%.0f alone=%s", waited_ms, alone)  # noqa: TRY400  no server in time is no fault of this code
-        self._tasks.append(asyncio.create_task(self._update_forever()))
+        self.supervisor.start("audit lease", self._update_forever)
 
     async def _report_forever(self) -> None:
         backoff = Backoff(self._rng, MIN_BACKOFF_S, MAX_BACKOFF_S)
         while True:
-            try:
-                was_answered = await self.reporter.report(REPORT_TIMEOUT_S)
-                await self.write()
-            except Exception:  # without reports the director would stay quarantined
-                log.exception("audit: report failed")
-                was_answered = False
+            was_answered = await self.reporter.report(REPORT_TIMEOUT_S)
+            await self.write()
             wait_s = backoff.after(was_answered)
             if was_answered and not self.reporter.has_more:
                 wait_s = self._options.report_ms / 1000.0 * self._rng.uniform(*REPORT_JITTER)
@@ -171,9 +168,7 @@
 
     async def close(self) -> None:
         """Stops the tasks, reports the last interval and releases the folder."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.supervisor.close()
         self.reporter.stop()
         self._recorder.stop()
         await self.write()
--- a/gladelane/discovery/client.py
+++ b/gladelane/discovery/client.py
@@ -1,7 +1,8 @@
 """The client of the discovery service: one watch, server-sent events over HTTP, resumed after each break.
 
-Errors never stop the client. A watch that fails or times out is logged, and the next one starts after a
-backoff at the last revision that was applied. An event that cannot be decoded is logged and skipped.
+A watch that is lost or times out is logged, and the next one starts after a backoff at the last revision
+that was applied. An event that cannot be decoded is logged and skipped. Any other error ends
+`DiscoveryClient.run`, which a supervisor has to call again.
 """
 
 from __future__ import annotations
@@ -144,7 +145,7 @@
         self._last_revision, self._apply_event = last_revision, apply_event
 
     async def run(self) -> None:
-        """Keeps one watch open until cancelled."""
+        """Keeps one watch open until cancelled, from the last revision on."""
         while True:
             previous_revision = self._last_revision()
             try:
@@ -152,8 +153,6 @@
                 log.info("discovery watch ended by the service")
             except (OSError, h11.ProtocolError, TimeoutError) as error:
                 log.warning("discovery watch lost: %s %s", type(error).__name__, error)
-            except Exception:  # if the watch ended here, the director would go on with an outdated list
-                log.exception("discovery watch failed")
             await asyncio.sleep(self._backoff.after(self._last_revision() > previous_revision))
 
     async def _follow(self) -> None:
--- a/gladelane/leases/client.py
+++ b/gladelane/leases/client.py
@@ -13,6 +13,7 @@
 from typing import NamedTuple, Protocol
 
 from ..control_plane.http import CALL_ERRORS, fetch
+from ..supervision import Supervisor
 from .lease import Lease
 from .messages import (
     LeaseReplyBatch,
@@ -81,17 +82,15 @@
         self._last_round_ms = now_ms
         self._received_progress: dict[str, ResourceProgress] = {}
         self._announced_tokens: dict[str, int] = {}  # of leases held at the last check
-        self._task: asyncio.Task[None] | None = None
+        self.supervisor = Supervisor()
 
     def start(self) -> None:
         """Starts acquiring leases."""
-        self._task = asyncio.create_task(self._run())
+        self.supervisor.start("leases", self._run)
 
     async def close(self) -> None:
         """Stops, and releases all leases so that other directors can claim them at once."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await self.supervisor.close()
         releases = [release for lease in self._leases.values() if (release := lease.stop())]
         if releases:
             await self._call_all(releases)
@@ -109,10 +108,7 @@
 
     async def _run(self) -> None:
         while True:
-            try:
-                await self._run_round()
-            except Exception:  # without this loop no lease is held until the process is restarted
-                log.exception("lease client failed")
+            await self._run_round()
             await asyncio.sleep(TICK_S)
 
     async def _run_round(self) -> None:
--- a/gladelane/leases/server.py
+++ b/gladelane/leases/server.py
@@ -15,6 +15,7 @@
 from ..control_plane.http import CALL_ERRORS, HttpStatusError, Request, fetch
 from ..control_plane.part import MAX_LARGE_BODY_BYTES, Route, StreamRoute
 from ..storage.files import Disk
+from ..supervision import Supervisor
 from .acceptor import Grant, LeaseAcceptor
 from .messages import (
     MAX_BATCH_REQUESTS,
@@ -92,17 +93,15 @@
         )
         self._grant_times: dict[str, _GrantTime] = {}
         self._commit_lock = asyncio.Lock()
-        self._peer_sync: asyncio.Task[None] | None = None
+        self.supervisor = Supervisor()
 
     def start(self) -> None:
         """Starts asking the peers for the tokens that this server's disk may have lost."""
-        self._peer_sync = asyncio.create_task(self._sync_with_peers())
+        self.supervisor.start("lease tokens of peers", self._sync_with_peers, may_end=True)
 
     async def close(self) -> None:
         """Stops asking the peers and closes the disk."""
-        if self._peer_sync is not None:
-            self._peer_sync.cancel()
-            await asyncio.gather(self._peer_sync, return_exceptions=True)
+        await self.supervisor.close()
         self.store.close()
 
     def routes(self) -> Sequence[Route]:
--- a/gladelane/purges/purge_log.py
+++ b/gladelane/purges/purge_log.py
@@ -24,6 +24,7 @@
 from ..control_plane.tokens import Tokens
 from ..storage.files import Disk
 from ..storage.log import SyncPolicy
+from ..supervision import Supervisor
 from .active_purges import RETENTION_MS, ActivePurges
 from .batch import ServerRecord
 from .checkpoint_file import CheckpointFile
@@ -61,7 +62,7 @@
     """One purge log server.
 
     Attributes: name; tokens; clock, the monotonic timeline in Unix ms; server_clock; copies; active; store;
-    committer; losses; stream; listeners, which have to be added before the start."""
+    committer; losses; stream; supervisor of the tasks; listeners, which have to be added before the start."""
 
     def __init__(
         self,
@@ -95,7 +96,7 @@
         self._replication: Replication[Accepted] = Replication(copies)
         self._keys = IdempotencyKeys(purge for purge in self.active.purges_after({}) if purge.issuer == name)
         self._peers = Peers(self, self._replication, self.server_clock, tokens)
-        self._tasks: list[asyncio.Task[None]] = []
+        self.supervisor = Supervisor()
         self._start_epoch(is_first_start, now_ms)
 
     def _start_epoch(self, is_first_start: bool, now_ms: float) -> None:
@@ -125,25 +126,21 @@
 
     def start(self) -> None:
         """Starts the background tasks, of which one stores what is accepted."""
-        self._tasks += [
-            asyncio.create_task(self.committer.run()),
-            asyncio.create_task(self._maintain()),
-            asyncio.create_task(self.losses.settle()),
-            asyncio.create_task(self._peers.settle_clocks()),
-        ]
+        self.supervisor.start("storing purges", self.committer.run)
+        self.supervisor.start("purge maintenance", self._maintain)
+        self.supervisor.start("settling losses", self.losses.settle, may_end=True)
+        self.supervisor.start("settling clocks", self._peers.settle_clocks, may_end=True)
         self._notify_listeners()
 
     def subscribe_to_peer(self, host: str, port: int, tls: ssl.SSLContext | None = None) -> Subscriber:
         """Subscribes to a peer."""
         subscriber = self._peers.subscribe(host, port, tls)
-        self._tasks.append(asyncio.create_task(subscriber.run()))
+        self.supervisor.start(f"purges from {host}:{port}", subscriber.run)
         return subscriber
 
     async def close(self) -> None:
         """Cancels all tasks and closes the files."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.supervisor.close()
         self.store.close()
 
     # --- accepting purges
--- a/gladelane/purges/subscriber.py
+++ b/gladelane/purges/subscriber.py
@@ -81,7 +81,8 @@
         self._stream: asyncio.Task[None] | None = None
 
     async def run(self) -> None:
-        """Receives until it is cancelled; a stream that ends is resumed after a backoff."""
+        """Receives until it is cancelled; a stream that ends is resumed after a backoff. After an unexpected
+        error, which it raises, it may be run again."""
         backoff = Backoff(random.Random(), MIN_BACKOFF_S, MAX_BACKOFF_S)
         while True:
             previous_position_received_ms = self.position_received_ms
@@ -103,8 +104,9 @@
                     error_label(error),
                     error,
                 )
-            except Exception:  # without its subscription a director would miss new purges
-                log.exception("subscription failed")
+            except Exception:
+                self.state = "failed"
+                raise
             await asyncio.sleep(backoff.after(self.position_received_ms > previous_position_received_ms))
 
     @property
--- a/gladelane/purges/subscription.py
+++ b/gladelane/purges/subscription.py
@@ -14,6 +14,7 @@
 from ..control_plane.positions import InvalidPositionError, Vector
 from ..control_plane.tokens import Tokens
 from ..storage.files import Disk
+from ..supervision import Supervisor
 from .active_purges import ActivePurges
 from .backfill_sender import FOLLOWS, BackfillSender
 from .copy_limits import CopyLimits
@@ -42,8 +43,8 @@
     """The purges of a director, and the limits that they set for its requests.
 
     Attributes: options; clock, which returns Unix ms; active; orders, to cache servers; refetch_budget, for
-    copies that became invalid; store; subscribers, one for each server; on_change, called when the purges,
-    the position or the low watermark changed."""
+    copies that became invalid; store; subscribers, one for each server; supervisor of the tasks; on_change,
+    called when the purges, the position or the low watermark changed."""
 
     def __init__(
         self,
@@ -71,7 +72,7 @@
         ]
         self._limits = CopyLimits(options, self.active, self.refetch_budget, self.subscribers, now_ms)
         self._backfill = BackfillSender(self.active, self.subscribers, self._tokens.first_token, rng)
-        self._tasks: list[asyncio.Task[None]] = []
+        self.supervisor = Supervisor()
         self._update_low_watermark()
         if options.order_kinds:
             self.orders.add(self.active.purges_after({}))
@@ -79,14 +80,13 @@
     def start(self, order_sender: OrderSender | None = None) -> None:
         """Starts receiving and storing purges. `order_sender` is run if the options name kinds of servers
         that accept orders."""
-        self._tasks = [asyncio.create_task(subscriber.run()) for subscriber in self.subscribers]
+        for subscriber in self.subscribers:
+            self.supervisor.start(f"purges from {subscriber.host}:{subscriber.port}", subscriber.run)
         if order_sender is not None and self.options.order_kinds:
-            self._tasks.append(asyncio.create_task(order_sender.run()))
+            self.supervisor.start("purge orders", order_sender.run)
         # a separate task stores, so that a slow disk does not delay the detection of being cut off
-        self._tasks += [
-            asyncio.create_task(self._check_regularly()),
-            asyncio.create_task(self._save_regularly()),
-        ]
+        self.supervisor.start("link to purge servers", self._check_regularly)
+        self.supervisor.start("storing purges", self._save_regularly)
 
     async def ready(self) -> None:
         """Waits until one server has sent everything, but at most `start_wait_ms`. After that the director
@@ -102,9 +102,7 @@
 
     async def close(self) -> None:
         """Cancels all tasks, and stores all pending records."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.supervisor.close()
         await self._backfill.close()
         await self.store.close()
 
--- a/gladelane/recovery/service.py
+++ b/gladelane/recovery/service.py
@@ -14,6 +14,7 @@
 from ..net.director import Director
 from ..storage.files import FolderInUseError
 from ..storage.outage import Outage, is_transient
+from ..supervision import Supervisor
 from .options import Options
 from .phases import Phase, Phases, ServiceSnapshot
 from .purge_source import PurgeSource
@@ -47,7 +48,7 @@
         self._clock, self._is_listening = clock, is_listening
         self.phases = Phases(clock())
         self.state_store: StateStore | None = None
-        self._tasks: list[asyncio.Task[None]] = []
+        self.supervisor = Supervisor()
         self._outage = Outage(log, "warm start: state and keys")
         self._keys_unknown_until_ms = 0.0  # until then, keys that the previous process used may be unknown
         self._configured_max_keys = director.keys.max_keys
@@ -92,10 +93,8 @@
 
     def start(self) -> None:
         """Starts the tasks that update the phase and store learned state."""
-        self._tasks = [
-            asyncio.create_task(self._update_phases()),
-            asyncio.create_task(self._run_state_store()),
-        ]
+        self.supervisor.start("recovery phases", self._update_phases)
+        self.supervisor.start("learned state", self._run_state_store, may_end=True)
 
     async def _run_state_store(self) -> None:
         while self.state_store is None and self._options.dir:
@@ -180,9 +179,7 @@
     async def close(self) -> None:
         """Writes learned state a last time, so that a planned restart loses none of it, and closes the
         folder."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.supervisor.close()
         if self.state_store is not None:
             await self.state_store.write()
             self.state_store.close()
--- a/gladelane/server.py
+++ b/gladelane/server.py
@@ -144,7 +144,9 @@
     def _count_task_failures(self) -> int:
         """The number of long-lived tasks and threads that had to be restarted."""
         failures = self._supervisor.failures
-        return failures + (self.admin_endpoint.failures if self.admin_endpoint is not None else 0)
+        failures += self.admin_endpoint.failures if self.admin_endpoint is not None else 0
+        parts = self.audit, self.recovery, self.lease_client, self.purges
+        return failures + sum(part.supervisor.failures for part in parts if part is not None)
 
     # --- start
 
--- a/tests/purges/test_director.py
+++ b/tests/purges/test_director.py
@@ -183,7 +183,8 @@
             await subscription.ready()
             assert len(subscription.active) == 300
             await wait_until(lambda: subscription.store.records >= 300)  # stored
-            subscription._tasks[-1].cancel()  # a crash: nothing more is stored
+            tasks = {task.get_name(): task for task in asyncio.all_tasks()}
+            tasks["storing purges"].cancel()  # a crash: nothing more is stored
             remaining_disk = disk.after_crash(Lost.ALL, False)
             restored = PurgeSubscription(
                 options, type(node.director.router.purges)(), node.clock.now, remaining_disk
