--- a/gladelane/purges/subscription.py
+++ b/gladelane/purges/subscription.py
@@ -86,7 +86,7 @@
             self.supervisor.start("purge orders", order_sender.run)
         # a separate task stores, so that a slow disk does not delay the detection of being cut off
         self.supervisor.start("link to purge servers", self._check_regularly)
-        self.supervisor.start("storing purges", self._save_regularly)
+        self.supervisor.start("storing received purges", self._save_regularly)
 
     async def ready(self) -> None:
         """Waits until one server has sent everything, but at most `start_wait_ms`. After that the director
--- a/tests/fleet/test_restarted_parts.py
+++ b/tests/fleet/test_restarted_parts.py
@@ -51,6 +51,7 @@
     "purges from 127.0.0.1",
     "recovery phases",
     "storing purges",
+    "storing received purges",
     "storing reports",
     "timers",
 }
--- a/tests/purges/test_director.py
+++ b/tests/purges/test_director.py
@@ -184,7 +184,7 @@
             assert len(subscription.active) == 300
             await wait_until(lambda: subscription.store.records >= 300)  # stored
             tasks = {task.get_name(): task for task in asyncio.all_tasks()}
-            tasks["storing purges"].cancel()  # a crash: nothing more is stored
+            tasks["storing received purges"].cancel()  # a crash: nothing more is stored
             remaining_disk = disk.after_crash(Lost.ALL, False)
             restored = PurgeSubscription(
                 options, type(node.director.router.purges)(), node.clock.now, remaining_disk
