Record the end of a purge order also when its sending is cancelled

Seen on looking at what a restarted task finds: the task that sends purge orders cancels the orders in flight when it ends, and a cancelled order recorded nothing, so `Orders` went on counting its server as busy. After a restart of that task in the same process (new with the supervisor) the server got no order any more, and at eight such orders no server did.

Changed: the result is recorded in the task's done callback, which runs also for a task that is cancelled before its first step.

Measured: the new test (a server that reads an order and stalls, the sending task cancelled and run again) times out before the change and passes after it, with the rest of its file and the test of restarted parts.

--- a/gladelane/purges/order_sender.py
+++ b/gladelane/purges/order_sender.py
@@ -10,6 +10,7 @@
 import logging
 import os
 import socket
+from functools import partial
 
 from ..endpoints.dialer import Budget, Dialer
 from ..endpoints.health import DialFailure
@@ -31,38 +32,45 @@
         """`dial_timeout_ms` limits each attempt to connect."""
         self.orders, self.endpoints, self.budget = orders, endpoints, budget
         self.dial_timeout_ms = dial_timeout_ms
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks: set[asyncio.Task[bool]] = set()
 
     async def run(self) -> None:
         """Sends orders until it is cancelled, which also cancels those in flight."""
         try:
             while True:
                 for order in self.orders.next_orders(self.budget.clock()):
-                    task = asyncio.create_task(self._send(order))
-                    self._tasks.add(task)
-                    task.add_done_callback(self._tasks.discard)
+                    self._start(order)
                 await asyncio.sleep(POLL_INTERVAL_S)
         finally:
             for task in self._tasks:
                 task.cancel()
 
-    async def _send(self, order: Order) -> None:
+    def _start(self, order: Order) -> None:
         self.budget.hold(1)
+        task = asyncio.create_task(self._send(order))
+        self._tasks.add(task)
+        # as a callback, because a task that is cancelled before its first step runs none of its code
+        task.add_done_callback(partial(self._record_result, order))
+
+    def _record_result(self, order: Order, task: asyncio.Task[bool]) -> None:
+        """Records how an order ended. Otherwise its server would count as busy and get no further order."""
+        self._tasks.discard(task)
+        self.budget.hold(-1)
+        if not task.cancelled() and task.exception() is not None:
+            log.error("order failed server=%s", order.server, exc_info=task.exception())
+        elif not task.cancelled() and task.result():
+            self.orders.record_acknowledged(order)
+            return
+        log.info("order not acknowledged server=%s purges=%d", order.server, len(order.purges))
+        self.orders.record_failure(order, self.budget.clock())
+
+    async def _send(self, order: Order) -> bool:
+        """Sends an order. Returns whether the server has acknowledged it in time."""
         try:
             async with asyncio.timeout(ORDER_TIMEOUT_S):
-                is_acknowledged = await self._drop(order)
+                return await self._drop(order)
         except (OSError, TimeoutError):
-            is_acknowledged = False
-        except Exception:
-            log.exception("order failed server=%s", order.server)
-            is_acknowledged = False
-        finally:
-            self.budget.hold(-1)
-        if is_acknowledged:
-            self.orders.record_acknowledged(order)
-        else:
-            log.info("order not acknowledged server=%s purges=%d", order.server, len(order.purges))
-            self.orders.record_failure(order, self.budget.clock())
+            return False
 
     async def _drop(self, order: Order) -> bool:
         """Connects to a server and sends an order. Returns whether the server has acknowledged it."""
--- a/tests/purges/test_hard_cases.py
+++ b/tests/purges/test_hard_cases.py
@@ -123,6 +123,30 @@
     await fake_server.close()
 
 
+@async_test
+async def test_an_order_in_flight_is_sent_again_after_the_task_that_sends_orders_was_restarted() -> None:
+    fake_server, dropped = FakeServer("c0"), []
+    fake_server.drop = dropped.append
+    address = await fake_server.listen(Family.V4)
+    endpoints, budget = Endpoints(random.Random(1)), CountingBudget()
+    endpoints.update([Listing("c0", address)])
+    orders = Orders(1000.0, 4, budget.clock())
+    orders.set_servers({"c0": 1.0})
+    await fake_server.set(address, Fault.STALL)
+    orders.add([Purge("a", 1, 1, 1000.0, "all")])
+    sender = OrderSender(orders, endpoints, budget, 200.0)
+    task = asyncio.ensure_future(sender.run())
+    await wait_until(lambda: budget.held)
+    task.cancel()  # as an error in it would do
+    await wait_until(lambda: not budget.held)
+    await fake_server.set(address, Fault.NONE)
+    task = asyncio.ensure_future(sender.run())
+    await wait_until(lambda: orders.is_purged("c0"))
+    assert dropped[-1] == "1000.000 all" and budget.held == 0
+    task.cancel()
+    await fake_server.close()
+
+
 def test_a_server_crash_at_any_write_loses_no_acknowledged_purge_and_reuses_no_number(
     tmp_path: Path,
 ) -> None:
