Go on writing the hand-over after an error in one write

An exception other than a failed write (RuntimeError where the system starts no thread, an error while the document is built) left it set, and `_write_in_background` believes a set task to be running: no later request of operators was stored any more, so that a server that was taken out came back into use after a kill or an upgrade, and each later call waited for its 0.6 s. Nothing was logged before the process closed.

Changed: the task is set back and the waiting calls are answered however the write ends, the error is logged, and the write is tried again after 0.5 s. `worker_threads.run_in_thread` takes the place of `asyncio.to_thread`, which queues the call before it knows whether a thread starts, so that the call may run much later; a thread that is not started is an OSError now, and the call is never made.

Measured: two of the three cases of the test (no thread, unexpected error) fail on the text before; all pass. The third is the earlier test, with its assertion on the file unchanged and one on the waiting call added.

--- a/gladelane/hot_restart/coordinator.py
+++ b/gladelane/hot_restart/coordinator.py
@@ -20,6 +20,7 @@
 from ..net.client_listener import ClientListener
 from ..net.connection_pool import ConnectionPool
 from ..net.director import Director
+from ..worker_threads import run_in_thread
 from .channel import Channel, Offer
 from .handover import Handover, missing_requests, to_local_time, to_shared_time
 from .handover_file import HandoverFile
@@ -253,14 +254,25 @@
 
     async def _write_all_due(self) -> None:
         is_written = True
-        while is_written and self._is_write_due:
-            waiters, self._write_waiters = self._write_waiters, []
-            is_written = await asyncio.to_thread(self._file.write_numbered, *self._next_document(None))
-            _complete(waiters)
-        self._write_task = None
+        try:
+            while is_written and self._is_write_due:
+                is_written = False
+                is_written = await self._write_next_document()
+        except Exception as error:
+            log.warning("upgrade: the hand-over is not written, it is tried again: %r", error)
+        finally:
+            self._write_task = None
         if not is_written:
             self._schedule_write_retry()
 
+    async def _write_next_document(self) -> bool:
+        """Writes the current state. Returns whether that succeeded."""
+        waiters, self._write_waiters = self._write_waiters, []
+        try:
+            return await run_in_thread(self._file.write_numbered, *self._next_document(None))
+        finally:
+            _complete(waiters)
+
     def _schedule_write_retry(self) -> None:
         loop = asyncio.get_running_loop()
         self._write_retry = loop.call_later(WRITE_RETRY_S, self._write_in_background)
--- a/tests/hot_restart/test_handover_faults.py
+++ b/tests/hot_restart/test_handover_faults.py
@@ -54,11 +54,20 @@
     assert has_one_outage_logged(caplog, "upgrade: the hand-over")
 
 
-def test_a_request_received_while_the_folder_is_unwritable_is_stored_later(
-    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+@pytest.mark.parametrize(
+    ("owner", "name", "error"),
+    [
+        (os, "replace", OSError(errno.EIO, "Input/output error")),
+        (threading.Thread, "start", RuntimeError("can't start new thread")),
+        (HandoverFile, "write", ValueError("an error of the program")),
+    ],
+    ids=["folder unwritable", "no thread", "unexpected error"],
+)
+def test_a_request_that_cannot_be_stored_is_stored_later(
+    owner: Any, name: str, error: Exception, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     def failing(*args: Any) -> None:
-        raise OSError(errno.EIO, "Input/output error")
+        raise error
 
     monkeypatch.setattr(coordinator, "WRITE_RETRY_S", 0.01)
     out: dict[str, float] = {}
@@ -82,11 +91,11 @@
             str(tmp_path), NAME, clock, director, pool, client_listener, pool
         )
         with monkeypatch.context() as broken:
-            broken.setattr(os, "replace", failing)
+            broken.setattr(owner, name, failing)
             out["c1"] = NOW_MS
-            process.share_admin_request(AdminRequest(AdminAction.MAINT, "c1"))
+            attempted = process.share_admin_request(AdminRequest(AdminAction.MAINT, "c1"))
             await asyncio.sleep(0.05)
-            assert file.read(NAME) is None
+            assert file.read(NAME) is None and attempted.done()
         await asyncio.sleep(0.05)
         stored = file.read(NAME)
         assert stored is not None and stored.maintenance_started_ms == {"c1": NOW_MS}
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -22,7 +22,7 @@
 LAYERS: tuple[tuple[str, ...], ...] = (
     ("deployment", "clock"),
     ("structures", "sse", "logs", "process", "sockets"),
-    ("supervision",),
+    ("supervision", "worker_threads"),
     ("storage", "endpoints"),
     ("control_plane",),  # the control server, which does not depend on its parts
     ("purges",),
