Keep what a store could not write after any error, not only after a failed write

A lease server kept grants whose tokens were not stored.

Changed: the stores take any exception of a commit as not stored, as they do OSError: records are discarded, numbers given back, received purges retried, grants revoked. Calls in threads go by `run_in_thread`.

--- a/gladelane/audit/activity_log_writer.py
+++ b/gladelane/audit/activity_log_writer.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import logging
 from collections.abc import Iterable
 from pathlib import Path
@@ -11,6 +10,7 @@
 
 from ..storage.files import FolderInUseError
 from ..storage.outage import Outage, is_transient
+from ..worker_threads import run_in_thread
 from .activity_log import ActivityInterval
 from .activity_log_store import ActivityLogStore, LogPage
 from .activity_recorder import ActivityRecorder
@@ -73,13 +73,23 @@
         snapshot = None
         if self.store.needs_snapshot:
             snapshot = [*earlier, _complete_page(recorder, intervals, page)]
-        if await asyncio.to_thread(self.store.write, page, snapshot):
+        try:
+            is_written = await run_in_thread(self.store.write, page, snapshot)
+        except OSError as error:
+            self._outage.report_failure(error)
+            return
+        self._outage.report_success()
+        if is_written:
             self._last_written = max(self._last_written, new_intervals[-1].number if new_intervals else 0)
 
     async def close(self) -> None:
         """Releases the folder."""
-        if self.store is not None:
-            await asyncio.to_thread(self.store.close)
+        if self.store is None:
+            return
+        try:
+            await run_in_thread(self.store.close)
+        except OSError:  # the system starts no thread
+            self.store.close()
 
 
 def _complete_page(recorder: ActivityRecorder, intervals: list[ActivityInterval], page: LogPage) -> LogPage:
--- a/gladelane/audit/report_log.py
+++ b/gladelane/audit/report_log.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import logging
 from contextlib import suppress
 
@@ -13,6 +12,7 @@
 from ..storage.files import Disk
 from ..storage.log import recover
 from ..storage.outage import Outage
+from ..worker_threads import run_in_thread
 from .audit_store import AuditStore
 from .records import BadReportError
 from .wire import ExpectedDigests, Report
@@ -71,7 +71,7 @@
         `discard`."""
         for record in records:
             self._log.append(msgspec.msgpack.encode(record))
-        await asyncio.to_thread(self._log.commit)
+        await run_in_thread(self._log.commit)
         self._compaction.add(len(records))
         self.outage.report_success()
 
--- a/gladelane/leases/token_store.py
+++ b/gladelane/leases/token_store.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import logging
 from collections.abc import Iterator, Mapping
 
@@ -17,6 +16,7 @@
 from ..storage.files import Disk
 from ..storage.log import RecoveredLog, WriteAheadLog, recover
 from ..storage.outage import Outage
+from ..worker_threads import run_in_thread
 from .messages import ResourceProgress
 
 log = logging.getLogger(__name__)
@@ -102,8 +102,8 @@
         for record in batch.records():
             self._log.append(msgspec.msgpack.encode(record))
         try:
-            await asyncio.to_thread(self._log.commit)
-        except OSError as error:
+            await run_in_thread(self._log.commit)
+        except Exception as error:
             self._log.discard_uncommitted()
             self._outage.report_failure(error)
             _unstage(self._staged_tokens, batch.tokens)
--- a/gladelane/purges/committer.py
+++ b/gladelane/purges/committer.py
@@ -76,7 +76,9 @@
         batch = prepare_batch(entries, self._issue)
         try:
             await self._store.commit(batch, self.checkpoint())
-        except OSError as error:
+        except Exception as error:
+            if not isinstance(error, OSError):
+                log.exception("cannot store purges")
             for _ in range(batch.issued):
                 self._sequence.cancel_last()
             self._retried = [entry for entry in entries if is_retried(entry)]
--- a/gladelane/purges/purge_store.py
+++ b/gladelane/purges/purge_store.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import logging
 from collections.abc import Sequence
 
@@ -13,6 +12,7 @@
 from ..storage.files import Disk
 from ..storage.log import SyncPolicy, WriteAheadLog, recover
 from ..storage.outage import Outage
+from ..worker_threads import run_in_thread
 from .active_purges import ActivePurges
 from .batch import Batch, ServerRecord, decode_server_record, encode_server_record, is_server_record
 from .checkpoint_file import CheckpointFile
@@ -108,15 +108,15 @@
     async def commit(self, batch: Batch, checkpoint: Checkpoint) -> None:
         """Stores a batch. The checkpoint is replaced if this server issued purges of the batch.
 
-        Raises OSError if the batch must be regarded as not stored; it may be retried. The losses of the batch
-        stay in effect, so they are then stored with the next commit."""
-        if self.has_unsaved_start():
-            self.log.append(encode_server_record(self.unsaved))
-        for record in batch.records:
-            self.log.append(record)
+        If it raises any exception, mostly OSError, the batch must be regarded as not stored; it may be
+        retried. The losses of the batch stay in effect, so they are then stored with the next commit."""
         try:
-            await asyncio.to_thread(self._write, checkpoint, batch.issued > 0)
-        except OSError as error:
+            if self.has_unsaved_start():
+                self.log.append(encode_server_record(self.unsaved))
+            for record in batch.records:
+                self.log.append(record)
+            await run_in_thread(self._write, checkpoint, batch.issued > 0)
+        except Exception as error:
             self.log.discard_uncommitted()
             self._outage.report_failure(error)
             self._keep_unsaved(batch.losses)
@@ -147,8 +147,14 @@
     async def count(self, stored: int) -> None:
         """Counts purges that were stored and applied, and writes a snapshot if the log is long."""
         self._compaction.add(stored)
-        if self._compaction.is_due:
-            await self._compaction.write(await asyncio.to_thread(self._active.snapshot))
+        if not self._compaction.is_due:
+            return
+        try:
+            snapshot = await run_in_thread(self._active.snapshot)
+        except OSError as error:
+            self._compaction.record_failure(error)
+        else:
+            await self._compaction.write(snapshot)
 
     def close(self) -> None:
         """Closes the log."""
--- a/gladelane/purges/subscription_store.py
+++ b/gladelane/purges/subscription_store.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import logging
 from collections.abc import Iterator
 
@@ -13,6 +12,7 @@
 from ..storage.files import Disk
 from ..storage.log import WriteAheadLog, recover
 from ..storage.outage import Outage
+from ..worker_threads import run_in_thread
 from .active_purges import ActivePurges
 from .log_compaction import create_log_compaction
 from .low_watermark import Loss
@@ -132,8 +132,8 @@
         for record in split_record(saved):
             self.log.append(msgspec.msgpack.encode(record))
         try:
-            await asyncio.to_thread(self.log.commit)
-        except OSError as error:
+            await run_in_thread(self.log.commit)
+        except Exception as error:
             self.log.discard_uncommitted()
             self._outage.report_failure(error)
             self.pending = saved.concatenated_with(self.pending)
--- a/gladelane/recovery/state_store.py
+++ b/gladelane/recovery/state_store.py
@@ -21,6 +21,7 @@
 from ..storage.files import Folder, rename_damaged_folder
 from ..storage.log import MAX_RECORD_BYTES, CorruptLogError, WriteAheadLog, recover
 from ..storage.outage import Outage
+from ..worker_threads import run_in_thread
 from .key_log import KeyLog
 from .warm_start import (
     FORMAT,
@@ -152,7 +153,7 @@
         learned_state = take_snapshot(self._router)
         document = WarmStartDocument(FORMAT, self._name, settings, self._clock(), learned_state, *timestamp)
         try:
-            await asyncio.to_thread(self._write, document)
+            await run_in_thread(self._write, document)
         except (OSError, ValueError) as error:
             self._log.discard_uncommitted()
             self._outage.report_failure(error)
--- a/gladelane/storage/compaction.py
+++ b/gladelane/storage/compaction.py
@@ -6,8 +6,7 @@
 
 from __future__ import annotations
 
-import asyncio
-
+from ..worker_threads import run_in_thread
 from .log import WriteAheadLog
 from .outage import Outage
 
@@ -43,23 +42,27 @@
 
     async def write(self, payload: bytes) -> None:
         """Replaces the log by a snapshot, in a worker thread. Failures are logged, not raised."""
-        self._record_result(await asyncio.to_thread(self._try_snapshot, payload))
+        try:
+            await run_in_thread(self._log.snapshot, payload)
+        except OSError as error:
+            self.record_failure(error)
+        else:
+            self._record_success()
 
     def write_blocking(self, payload: bytes) -> None:
         """Replaces the log by a snapshot in the calling thread. Failures are logged, not raised."""
-        self._record_result(self._try_snapshot(payload))
-
-    def _try_snapshot(self, payload: bytes) -> OSError | None:
         try:
             self._log.snapshot(payload)
         except OSError as error:
-            return error
-        return None
-
-    def _record_result(self, error: OSError | None) -> None:
-        if error is None:
-            self._outage.report_success()
-            self.record_count = 0
+            self.record_failure(error)
         else:
-            self._outage.report_failure(error)
-            self.record_count = self._after_records - self._retry_after_records
+            self._record_success()
+
+    def record_failure(self, error: OSError) -> None:
+        """Logs that no snapshot could be written, and makes the next one due later."""
+        self._outage.report_failure(error)
+        self.record_count = self._after_records - self._retry_after_records
+
+    def _record_success(self) -> None:
+        self._outage.report_success()
+        self.record_count = 0
--- a/tests/purges/test_disk_faults.py
+++ b/tests/purges/test_disk_faults.py
@@ -6,6 +6,8 @@
 import asyncio
 import errno
 import json
+import threading
+from collections.abc import Callable
 from pathlib import Path
 
 import pytest
@@ -25,6 +27,7 @@
 from gladelane.purges.purge_log import PurgeLog
 from gladelane.purges.subscription import PurgeSubscription
 from gladelane.purges.subscription_store import SubscriptionStore
+from gladelane.storage.log import WriteAheadLog
 
 HOUR_MS = 3_600_000.0
 WAIT_S = 30.0  # much longer than needed
@@ -347,3 +350,65 @@
         patch.setattr(log_compaction, "SNAPSHOT_RETRY_AFTER", 2)
         asyncio.run(scenario())
     assert has_one_outage_logged(caplog, "director: snapshot of purges")
+
+
+def refuse_thread(thread: threading.Thread) -> None:
+    raise RuntimeError("can't start new thread")
+
+
+def fail_unexpectedly(*args: object) -> None:
+    raise ValueError("an error of the program")
+
+
+#: What fails: a class and its method, and the error.
+UNEXPECTED_ERRORS = pytest.mark.parametrize(
+    ("owner", "name", "fail"),
+    [(threading.Thread, "start", refuse_thread), (WriteAheadLog, "commit", fail_unexpectedly)],
+    ids=["no thread", "unexpected error"],
+)
+
+
+@UNEXPECTED_ERRORS
+def test_received_purges_and_numbers_survive_a_commit_that_fails_unexpectedly(
+    owner: type, name: str, fail: Callable[..., None], tmp_path: Path
+) -> None:
+    received = Purge("b", 1, 1, unix_ms(), "group:1")
+
+    async def scenario() -> None:
+        disk = SimDisk()
+        async with running_server(tmp_path, disk=disk) as purge_server:
+            with pytest.MonkeyPatch.context() as patch:
+                patch.setattr(owner, name, fail)
+                purge_server.receive([received])
+                with pytest.raises(HttpStatusError, match="not stored"):
+                    await purge_server.submit("group:2")
+                assert not scopes_of(purge_server)
+            await wait_until(lambda: scopes_of(purge_server) == {"group:1"}, WAIT_S)
+            assert (await purge_server.submit("group:3")).seq == 1
+            for remaining_disk in disks_after_crash(disk):
+                restarted = PurgeLog("a", remaining_disk, tokens(tmp_path), clock=unix_ms)
+                assert (
+                    scopes_of(restarted) == {"group:1", "group:3"} and not restarted.active.positions.gaps()
+                )
+
+    asyncio.run(scenario())
+
+
+@UNEXPECTED_ERRORS
+def test_received_purges_stay_pending_after_a_save_that_fails_unexpectedly(
+    owner: type, name: str, fail: Callable[..., None], tmp_path: Path
+) -> None:
+    async def scenario() -> None:
+        tokens(tmp_path)
+        disk = SimDisk()
+        subscription = PurgeSubscription(options(tmp_path, 1), Index(), unix_ms, disk)
+        subscription.receive([Purge("b", 1, 1, unix_ms(), "group:1")])
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(owner, name, fail)
+            await subscription.store.save()
+        await subscription.store.save()
+        for remaining_disk in disks_after_crash(disk):
+            restored = PurgeSubscription(options(tmp_path, 1), Index(), unix_ms, remaining_disk)
+            assert [purge.scope for purge in restored.active.purges_after({})] == ["group:1"]
+
+    asyncio.run(scenario())
