Answer admin calls within 1 s beside any crowd of callers, and never close one in progress

Seen in trials on real processes (12 calls each, 256 and 1,024 descriptors): beside 100 to 500 callers that connect again when disconnected, calls took up to 5 s or had no answer (256: 200 silent callers 3.5 s, 500 over 5 s, 100 with half a call over 5 s, 100 with random bytes 1.5 s). While the serving loop stands still, more calls than connections (7 at 256 descriptors) closed one another: 8 calls on 2 connections left 6 without an answer, whether or not they were in effect.

Cause: the queue of 64 overflowed, and the system repeats a lost SYN after 1 s; a connection counted as new from its accept, so each of 7 held the others up for 50 ms however long they had waited; the oldest connection was closed even while its call was carried out, or answered and only waiting for the client's close.

Changed: the queue holds 1,024. A connection may be closed for another one if its response was sent, or if its client has been silent for 0.3 s by the system's own clock of the connection (TCP_INFO), which counts the wait in the queue. One that comes from the queue silent for so long is closed at once. A call that is being carried out is never closed, and its 0.6 s count from its arrival. After 16 disconnected clients there is a pause of 5 ms for the serving loop. `open_connections` decides, the endpoint does the I/O.

--- a/gladelane/admin/endpoint.py
+++ b/gladelane/admin/endpoint.py
@@ -15,24 +15,28 @@
 from typing import Protocol
 
 import h11
-import msgspec
 
-from ..sockets import close_socket, has_unread, open_listening_socket
+from ..sockets import close_socket, ms_since_last_data, open_listening_socket
 from ..supervision import SupervisedThread, Supervisor
 from .endpoint_metrics import EndpointMetrics
+from .open_connections import OpenConnection, OpenConnections, Stage
 from .requests import AdminAction, AdminRequest, AdminResponse, InvalidAdminRequestError, parse_request
 
 log = logging.getLogger(__name__)
 
-BACKLOG = 64
-MAX_CONNECTIONS = 24  # at once; beyond it, a new connection replaces the oldest without a complete request
+BACKLOG = 1024  # connections that the system queues, so that a crowd of clients keeps no other client out
+MAX_CONNECTIONS = 24  # at once; beyond it, a connection without a complete request is closed for a new one
 REQUEST_TIMEOUT_S = 1.5  # for receiving a complete request
-COMPLETE_TIMEOUT_S = 0.6  # for the serving loop to complete an accepted request
+COMPLETE_TIMEOUT_S = 0.6  # from the arrival of a request, for the serving loop to complete it once accepted
+MIN_COMPLETE_TIMEOUT_S = 0.1  # the same for a request that has waited in the system's queue
 LINGER_S = 0.3  # for a client to read its response and close
 MAX_REQUEST_BYTES = 16_384  # including the body
 READ_BYTES = 4096
 ACCEPT_RETRY_S = 0.02  # delay after a failed accept
-MIN_AGE_S = 0.05  # a younger connection is not closed for another one: its request may be unread so far
+CAPACITY_POLL_S = 0.01  # interval between checks for a connection that may be closed, if there is none
+#: After this many disconnected clients there is a pause, since a crowd that reconnects at once must not take
+#: the processor time of the serving loop.
+DISCONNECTS_PER_PAUSE, PAUSE_S = 16, 0.005
 
 
 class RequestHandler(Protocol):
@@ -53,12 +57,6 @@
         """Returns the response to an accepted request that the serving loop has not completed in time."""
 
 
-class _Connection(msgspec.Struct):
-    sock: socket.socket
-    opened_s: float  # by the event loop's clock
-    is_complete: bool = False  # its request has been read
-
-
 class AdminEndpoint:
     """Listens and serves in its own thread. `close` may be called from the serving loop, and waits until the
     thread has ended. An error in the thread ends its connections, but neither the listener nor the thread.
@@ -75,7 +73,7 @@
         self._max_connections = min(max_connections, MAX_CONNECTIONS)
         self._loop = asyncio.new_event_loop()  # after an error the thread replaces it
         self._listener: socket.socket
-        self._connections: dict[asyncio.Task[None], _Connection] = {}  # oldest first
+        self._connections = OpenConnections()
         self._supervisor = Supervisor()
         self._thread = SupervisedThread("admin", self._run_event_loop)
         self.port = 0
@@ -134,7 +132,6 @@
 
     async def _accept_all(self) -> None:
         while True:
-            await self._wait_for_capacity()
             try:
                 accepted, _ = await self._loop.sock_accept(self._listener)
             except OSError as error:  # the client disconnected, or the process has no descriptors left
@@ -143,64 +140,76 @@
                 await asyncio.sleep(ACCEPT_RETRY_S)
                 continue
             self.metrics.connections += 1
-            task = self._loop.create_task(self._serve(accepted))
-            self._connections[task] = _Connection(accepted, self._loop.time())
-            task.add_done_callback(lambda done: self._connections.pop(done, None))
-
-    async def _wait_for_capacity(self) -> None:
-        """Waits until the number of connections is below the limit.
+            connection = OpenConnection(accepted, self._loop.time())
+            try:
+                has_capacity = await self._wait_for_capacity(connection)
+            except BaseException:
+                close_socket(accepted)
+                raise
+            if has_capacity:
+                task = self._loop.create_task(self._serve(connection))
+                self._connections.add(task, connection)
+            else:
+                close_socket(accepted)
+                await self._record_disconnect()
+            await asyncio.sleep(0)  # accepting would otherwise not wait while connections are queued
 
-        At the limit, a connection is closed once a new one has arrived, but only if it has reached MIN_AGE_S.
-        So clients that reconnect immediately wait in the system's queue, and do not end a connection whose
-        request is just being sent."""
+    async def _wait_for_capacity(self, new: OpenConnection) -> bool:
+        """Waits until the number of connections is below the limit, for which other connections may be
+        closed. Returns False if the new connection is to be closed instead."""
         while len(self._connections) >= self._max_connections:
-            await _wait_readable(self._loop, self._listener)
-            chosen = self._choose_to_close()
-            if chosen is None:  # all connections ended during the wait
+            now_s = self._loop.time()
+            if new.may_be_closed(now_s):
+                return False
+            chosen = self._connections.choose_to_close(now_s)
+            if chosen is None:
+                await asyncio.wait(self._connections, timeout=CAPACITY_POLL_S)
                 continue
-            remaining_s = self._connections[chosen].opened_s + MIN_AGE_S - self._loop.time()
-            if remaining_s > 0.0:
-                await asyncio.wait([chosen], timeout=remaining_s)
-            else:
-                log.info("admin: closed a connection for a new one open=%d", len(self._connections))
-                self.metrics.replaced += 1
-                chosen.cancel()
-                await asyncio.wait([chosen])
-
-    def _choose_to_close(self) -> asyncio.Task[None] | None:
-        """Returns the oldest connection that has neither a complete request nor unread bytes, or else the
-        oldest one. Returns None if there is no connection."""
-        for task, connection in self._connections.items():
-            if not (task.done() or connection.is_complete or has_unread(connection.sock)):
-                return task
-        return next(iter(self._connections), None)
-
-    async def _serve(self, accepted: socket.socket) -> None:
+            is_unanswered = self._connections[chosen].stage is Stage.RECEIVING
+            chosen.cancel()
+            await asyncio.wait([chosen])
+            if is_unanswered:
+                await self._record_disconnect()
+        return True
+
+    async def _record_disconnect(self) -> None:
+        """Counts a client that was disconnected before its request was complete."""
+        log.info("admin: closed a connection for a new one open=%d", len(self._connections))
+        self.metrics.replaced += 1
+        if self.metrics.replaced % DISCONNECTS_PER_PAUSE == 0:
+            await asyncio.sleep(PAUSE_S)
+
+    async def _serve(self, connection: OpenConnection) -> None:
         try:
             with suppress(OSError, TimeoutError):
-                await self._respond(accepted)
+                await self._respond(connection)
+        except Exception:  # ends this connection only
+            log.exception("admin: connection failed")
         finally:
-            close_socket(accepted)
+            close_socket(connection.sock)
 
-    async def _respond(self, accepted: socket.socket) -> None:
+    async def _respond(self, connection: OpenConnection) -> None:
         """Serves one request. Raises OSError or TimeoutError if the client has disconnected or does not read
         its response."""
         http = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_REQUEST_BYTES)
-        response = await self._read_and_handle(http, accepted)
+        response = await self._read_and_handle(http, connection)
+        sock = connection.sock
         async with asyncio.timeout(LINGER_S):
-            await self._loop.sock_sendall(accepted, _encode(http, response))
+            await self._loop.sock_sendall(sock, _encode(http, response))
             self.metrics.answered += 1
-            accepted.shutdown(socket.SHUT_WR)
+            sock.shutdown(socket.SHUT_WR)
+            connection.stage = Stage.RESPONDED
             # Closing a socket with unread bytes would send a reset, which could discard the response.
-            while await self._loop.sock_recv(accepted, READ_BYTES):
+            while await self._loop.sock_recv(sock, READ_BYTES):
                 pass
 
-    async def _read_and_handle(self, http: h11.Connection, accepted: socket.socket) -> AdminResponse:
+    async def _read_and_handle(self, http: h11.Connection, connection: OpenConnection) -> AdminResponse:
         """Reads a request and returns its response. Raises OSError."""
         try:
             async with asyncio.timeout(REQUEST_TIMEOUT_S):
-                request = await self._read(http, accepted)
-            return await self._handle(request)
+                request = await self._read(http, connection.sock)
+            connection.stage = Stage.HANDLING
+            return await self._handle(request, ms_since_last_data(connection.sock) / 1000.0)
         except InvalidAdminRequestError as error:
             return error.response
         except h11.RemoteProtocolError as error:
@@ -230,14 +239,12 @@
             elif isinstance(event, h11.Request):
                 request = parse_request(event.method.decode(), event.target.decode())
             elif isinstance(event, h11.EndOfMessage) and request is not None:
-                task = asyncio.current_task()
-                if task in self._connections:
-                    self._connections[task].is_complete = True
                 return request
             elif isinstance(event, h11.ConnectionClosed):
                 raise OSError("the client disconnected before its request was complete")
 
-    async def _handle(self, request: AdminRequest) -> AdminResponse:
+    async def _handle(self, request: AdminRequest, queued_s: float) -> AdminResponse:
+        """Executes a request that arrived `queued_s` ago."""
         self.metrics.requests += 1
         immediate = self._handler.accept(request)
         if immediate is not None:
@@ -261,7 +268,7 @@
         except RuntimeError:  # the serving loop has ended
             return self._handler.respond_late(request)
         try:
-            async with asyncio.timeout(COMPLETE_TIMEOUT_S):
+            async with asyncio.timeout(max(COMPLETE_TIMEOUT_S - queued_s, MIN_COMPLETE_TIMEOUT_S)):
                 response = await asyncio.shield(asyncio.wrap_future(done, loop=self._loop))
         except TimeoutError:
             self.metrics.late += 1
@@ -271,16 +278,6 @@
         return response
 
 
-async def _wait_readable(loop: asyncio.AbstractEventLoop, listener: socket.socket) -> None:
-    """Returns once a new connection can be accepted."""
-    readable = asyncio.Event()
-    loop.add_reader(listener.fileno(), readable.set)
-    try:
-        await readable.wait()
-    finally:
-        loop.remove_reader(listener.fileno())
-
-
 def _encode(http: h11.Connection, response: AdminResponse) -> bytes:
     """Encodes a response; empty if the HTTP connection can send none after a protocol error."""
     if http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
