Accept and read admin connections in the task that needs them, so that no cancellation loses one

Seen: test_error_of_the_event_loop_does_not_end_the_thread_of_the_endpoint failed 5 of 50, sixteen at a time: the caller got no answer within 1 s. Traced by its log: `loop.sock_accept` accepts in a callback; its caller had been cancelled in the same turn, so the connection was taken from the queue and given to nobody (InvalidStateError in asyncio), and stayed open without an answer. `loop.sock_recv` has the same gap: bytes that a callback has read count neither as unread nor as handled, so a connection could be closed with its call read.

Changed: both wait until the socket is readable and then make the call in the task itself.

--- a/gladelane/admin/endpoint.py
+++ b/gladelane/admin/endpoint.py
@@ -133,7 +133,7 @@
     async def _accept_all(self) -> None:
         while True:
             try:
-                accepted, _ = await self._loop.sock_accept(self._listener)
+                accepted = await _accept(self._listener)
             except OSError as error:  # the client disconnected, or the process has no descriptors left
                 log.warning("admin: accept failed: %s", error)
                 self.metrics.accept_errors += 1
@@ -200,7 +200,7 @@
             sock.shutdown(socket.SHUT_WR)
             connection.stage = Stage.RESPONDED
             # Closing a socket with unread bytes would send a reset, which could discard the response.
-            while await self._loop.sock_recv(sock, READ_BYTES):
+            while await _receive(sock):
                 pass
 
     async def _read_and_handle(self, http: h11.Connection, connection: OpenConnection) -> AdminResponse:
@@ -231,7 +231,7 @@
         while True:
             event = http.next_event()
             if event is h11.NEED_DATA:
-                data = await self._loop.sock_recv(accepted, READ_BYTES)
+                data = await _receive(accepted)
                 received += len(data)
                 if received > MAX_REQUEST_BYTES:
                     raise InvalidAdminRequestError(413, f"over {MAX_REQUEST_BYTES} bytes")
@@ -278,6 +278,40 @@
         return response
 
 
+async def _accept(listener: socket.socket) -> socket.socket:
+    """Returns the next connection. Raises OSError.
+
+    `loop.sock_accept` accepts in a callback and loses the connection if its caller is cancelled just then."""
+    while True:
+        try:
+            accepted, _ = listener.accept()
+        except BlockingIOError:
+            await _wait_readable(listener)
+        else:
+            accepted.setblocking(False)
+            return accepted
+
+
+async def _receive(sock: socket.socket) -> bytes:
+    """Returns the next bytes, empty at the end. Raises OSError. Bytes count as unread until then, so that the
+    connection is not closed in between."""
+    while True:
+        try:
+            return sock.recv(READ_BYTES)
+        except BlockingIOError:
+            await _wait_readable(sock)
+
+
+async def _wait_readable(sock: socket.socket) -> None:
+    loop, readable = asyncio.get_running_loop(), asyncio.Event()
+    descriptor = sock.fileno()
+    loop.add_reader(descriptor, readable.set)
+    try:
+        await readable.wait()
+    finally:
+        loop.remove_reader(descriptor)
+
+
 def _encode(http: h11.Connection, response: AdminResponse) -> bytes:
     """Encodes a response; empty if the HTTP connection can send none after a protocol error."""
     if http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
