Test of the admin thread's restart waits for the restart before it calls

Traced by its log: the planted error arrives while the call is accepted, the thread carries the call out as it ends its tasks, and counts the restart after that, so the answer may come first. The product is right in that; the order of the test was not.

Changed: it waits for the restart and calls then, which also shows that the restarted thread answers. All assertions stay.

--- a/tests/admin/test_endpoint.py
+++ b/tests/admin/test_endpoint.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 import pytest
-from harness import async_test
+from harness import async_test, wait_until
 
 from gladelane.admin import open_connections
 from gladelane.admin.endpoint import MAX_CONNECTIONS, AdminEndpoint
@@ -200,6 +200,7 @@
         await asyncio.sleep(0.1)
         fail_once(patch, endpoint._loop._selector, "select")  # type: ignore[attr-defined]
         endpoint._loop.call_soon_threadsafe(lambda: None)  # ends the wait that is in progress
+        await wait_until(lambda: endpoint.failures == 1)
         assert await request_status(port, encode_request("GET", "/healthcheck"), 1.0) == 200
         assert endpoint.failures == 1 and idle_connection.recv(1) == b""
         idle_connection.close()
