Apply an event of the endpoint list again if it failed, once

An exception in between (addresses, purge orders, the audit's view) ended the watch, and the next one went on behind the event: a server that joined was never used, one that drained stayed in the router's list, until its next change.

Changed: the revision goes back to the one before, so that the next watch receives the event again. An event that fails twice counts as applied; otherwise it would hold up all events behind it.

Measured: both cases of the new test (fails once, fails always) fail on the text before; with it the server is listed after one failure, and the event behind one that always fails is applied.

--- a/gladelane/net/list_changes.py
+++ b/gladelane/net/list_changes.py
@@ -22,14 +22,26 @@
         self._context = context
         self._endpoint_list = endpoint_list
         self._copy_dates = copy_dates
+        self._failed_rev = 0  # the revision of the latest event that failed
 
     def apply(self, event: WatchEvent) -> None:
         """Applies an event unless it was applied before, since discovery may send known events again after a
         reconnect. Only the invalid parts of an event are logged and ignored; the rest of the list and later
-        events are applied."""
+        events are applied.
+
+        Raises the error of an event that cannot be applied. If it is sent again, it is applied once more, and
+        then counts as applied, so that it does not hold up the events after it."""
         if event.rev <= self._context.rev:
             return
-        self._context.rev = event.rev
+        previous_rev, self._context.rev = self._context.rev, event.rev
+        try:
+            self._apply(event)
+        except Exception:
+            if event.rev != self._failed_rev:
+                self._failed_rev, self._context.rev = event.rev, previous_rev
+            raise
+
+    def _apply(self, event: WatchEvent) -> None:
         if event.pool is not None:
             self._apply_pool(event.pool, event.rev)
         if event.flush is not None:
--- a/tests/net/test_restarted_tasks.py
+++ b/tests/net/test_restarted_tasks.py
@@ -140,3 +140,31 @@
             calls = count_calls(cold, "learn")
             fail_once(patch, cold, "learn", RuntimeError)
             await wait_until(lambda: len(calls) >= 2)
+
+
+@pytest.mark.parametrize("is_permanent", [False, True])
+def test_event_of_the_list_that_fails_is_applied_again_and_holds_up_no_later_event(
+    is_permanent: bool,
+) -> None:
+    async def scenario() -> None:
+        discovery = Discovery()
+        async with running_director(config({"r0": REFUSED_ADDRESS}, await discovery.start())) as (node, _):
+            await wait_until(lambda: discovery.request_times_s)
+            update, failures = node.endpoints.update, 0
+
+            def fail_for_c1(listings: Any, *args: Any) -> Any:
+                nonlocal failures
+                if any(listing.server == "c1" for listing in listings) and (is_permanent or not failures):
+                    failures += 1
+                    raise RuntimeError("planted")
+                return update(listings, *args)
+
+            node.endpoints.update = fail_for_c1  # type: ignore[method-assign]
+            discovery.publish_member("c1", "in_service", REFUSED_ADDRESS)
+            discovery.publish_member("c2", "in_service", REFUSED_ADDRESS)
+            await wait_until(lambda: "c2" in node.director.router.stores)
+            assert ("c1" in node.director.router.stores) is not is_permanent
+            assert failures == (2 if is_permanent else 1)
+        await discovery.set_state(DiscoveryState.REFUSES)
+
+    asyncio.run(scenario())
