Let an error at the end of one request leave no other request without an answer

Changed: each request is ended by itself, and an error is logged with the request's id.

Measured: the new test (two open requests, an error planted in the end of the first one's attempt) fails on the text before with one answer of two, and passes.

--- a/gladelane/net/director.py
+++ b/gladelane/net/director.py
@@ -158,7 +158,7 @@
     def fail_open_requests(self) -> None:
         """Answers all open requests as failed."""
         for exchange in self._exchanges.pending():
-            self._abort(exchange)
+            self._try_abort(exchange)
 
     # --- from discovery and from operators
 
@@ -308,7 +308,14 @@
         """Ends requests that the router failed to end in time. Called periodically."""
         for exchange in self._exchanges.take_overdue(self.clock()):
             log.error("overdue id=%s class=%s", exchange.ask.id, exchange.ask.cls)
+            self._try_abort(exchange)
+
+    def _try_abort(self, exchange: Exchange) -> None:
+        """Ends a request. An error in that must not leave other requests without an answer."""
+        try:
             self._abort(exchange)
+        except Exception:
+            log.exception("failed to end a request id=%s", exchange.ask.id)
 
     def _abort(self, exchange: Exchange) -> None:
         exchange.finish(FinalAnswer(AnswerCode.FAILED))
--- a/tests/net/test_restarted_tasks.py
+++ b/tests/net/test_restarted_tasks.py
@@ -168,3 +168,19 @@
         await discovery.set_state(DiscoveryState.REFUSES)
 
     asyncio.run(scenario())
+
+
+@async_test
+async def test_error_at_the_end_of_one_request_leaves_no_other_request_without_an_answer() -> None:
+    with pytest.MonkeyPatch.context() as patch:
+        cache = ScriptedCache(never_respond)
+        async with running_director(config({"c0": await cache.start(), "r0": REFUSED_ADDRESS})) as (
+            node,
+            client,
+        ):
+            client.ask(1)
+            client.ask(2, i="2")
+            await wait_until(lambda: len(cache.received) == 2)
+            fail_once(patch, node.director._attempts, "abandon", RuntimeError)
+            node.director.fail_open_requests()
+            assert {(await client.next())[1] for _ in range(2)} == {1, 2}
