Answer open requests and close all parts also if the shutdown fails half-way

Changed: the wait for clients is a function of its own, and whatever ends it, the open requests are answered then; each part is closed by itself, and an error is logged with the part's name.

Measured: both new tests fail on the text before (the request is not answered, the timers go on) and pass; 13 of 13 of their file.

--- a/gladelane/server.py
+++ b/gladelane/server.py
@@ -292,17 +292,25 @@
         await shutdown.drain(self.director, self.client_listener, has_peer)
 
     async def close(self) -> None:
-        """Closes all parts, whether or not `drain` was called."""
-        if self.admin_endpoint is not None:
-            self.admin_endpoint.close()
-        if self.restart_coordinator is not None:
-            self.restart_coordinator.close()
-        await self.client_listener.close()
-        self.upstream.close()
-        for part in (self.audit, self.recovery, self.lease_client, self.purges):
-            if part is not None:
-                await part.close()
-        await self._supervisor.close()
+        """Closes all parts, whether or not `drain` was called. An error in one part keeps no other part
+        open."""
+        parts = (
+            self.admin_endpoint,
+            self.restart_coordinator,
+            self.client_listener,
+            self.upstream,
+            self.audit,
+            self.recovery,
+            self.lease_client,
+            self.purges,
+            self._supervisor,
+        )
+        for part in parts:
+            try:
+                if part is not None and (closing := part.close()) is not None:
+                    await closing
+            except Exception:
+                log.exception("closing failed part=%s", type(part).__name__)
 
 
 def _count_purge_servers(operator: Operator | None) -> int:
--- a/gladelane/shutdown.py
+++ b/gladelane/shutdown.py
@@ -8,10 +8,13 @@
 
 import asyncio
 import contextlib
+import logging
 
 from .net.client_listener import ClientListener
 from .net.director import Director
 
+log = logging.getLogger("gladelane")
+
 ACCEPT_PERIOD_S = 0.8  # after SIGTERM, during which new clients are still accepted
 # Pending requests are awaited until DEADLINE_MARGIN_S after the longest deadline, and for at most MAX_DRAIN_S
 # after SIGTERM. Flushing and closing after that still end before the SIGKILL.
@@ -28,6 +31,23 @@
     of the listening socket."""
     started_s = asyncio.get_running_loop().time()
     client_listener.drain.shut_down()
+    try:
+        await _wait_for_clients(director, client_listener, has_peer, started_s)
+    except Exception:  # the open requests must get an answer all the same
+        log.exception("draining failed, all open requests are answered now")
+    client_listener.is_closing = True
+    director.fail_open_requests()
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(FLUSH_TIMEOUT_S):
+            # polled, because no single event reports that all is sent
+            while not client_listener.has_no_pending_requests():  # noqa: ASYNC110
+                await asyncio.sleep(POLL_INTERVAL_S)
+
+
+async def _wait_for_clients(
+    director: Director, client_listener: ClientListener, has_peer: bool, started_s: float
+) -> None:
+    """Lets clients leave, and waits until pending requests are answered or their deadlines have passed."""
     client_listener.send_goaway_to_all()
     if has_peer:
         client_listener.stop_listening(accept_queued=False)
@@ -40,12 +60,6 @@
             # polled, because no single event reports that all is drained
             while not _is_drained(director, client_listener, has_peer):  # noqa: ASYNC110
                 await asyncio.sleep(POLL_INTERVAL_S)
-    client_listener.is_closing = True
-    director.fail_open_requests()
-    with contextlib.suppress(TimeoutError):
-        async with asyncio.timeout(FLUSH_TIMEOUT_S):
-            while not client_listener.has_no_pending_requests():  # noqa: ASYNC110  as above
-                await asyncio.sleep(POLL_INTERVAL_S)
 
 
 async def _accept_last_clients(client_listener: ClientListener) -> None:
--- a/tests/net/test_restarted_tasks.py
+++ b/tests/net/test_restarted_tasks.py
@@ -24,6 +24,7 @@
 from gladelane.discovery.client import DiscoveryClient
 from gladelane.net.cache_connection import Connection
 from gladelane.net.client_connection import ClientConnection
+from gladelane.net.client_protocol import FrameType
 
 
 def fail_once(patch: pytest.MonkeyPatch, owner: object, name: str, error: type[BaseException]) -> None:
@@ -184,3 +185,29 @@
             fail_once(patch, node.director, "_abort", RuntimeError)
             node.director.fail_open_requests()
             assert (await client.next())[1] == 2
+
+
+@async_test
+async def test_error_in_closing_one_part_keeps_no_other_part_open() -> None:
+    with pytest.MonkeyPatch.context() as patch:
+        async with running_director(config({"r0": REFUSED_ADDRESS})) as (node, _):
+            tasks = {task for task in asyncio.all_tasks() if task.get_name() in ("timers", "discovery")}
+            fail_once(patch, node.upstream, "close", RuntimeError)
+            await node.close()
+            assert len(tasks) == 2 and all(task.cancelled() for task in tasks)
+
+
+@async_test
+async def test_error_in_a_shutdown_leaves_no_open_request_without_an_answer() -> None:
+    with pytest.MonkeyPatch.context() as patch:
+        cache = ScriptedCache(never_respond)
+        async with running_director(config({"c0": await cache.start(), "r0": REFUSED_ADDRESS})) as (
+            node,
+            client,
+        ):
+            client.ask(1)
+            await wait_until(lambda: cache.received)
+            fail_once(patch, node.client_listener, "stop_listening", RuntimeError)
+            await node.drain()
+            frames = [await client.next() for _ in range(2)]
+            assert [frame[:2] for frame in frames if frame[0] == FrameType.ANSWER] == [(FrameType.ANSWER, 1)]
