Apply the updates behind one that fails in the channel between two processes

Changed: an update that cannot be applied is logged with its traceback; those behind it are applied, and it is passed on as before.

Measured: the new test (the second of four updates fails) times out on the text before with two received, and passes with four.

--- a/gladelane/hot_restart/channel.py
+++ b/gladelane/hot_restart/channel.py
@@ -183,7 +183,10 @@
         if message.kind == HELLO:
             self._hand_over_to(peer, message)
         elif peer.is_established:
-            self._handler.on_message(message)
+            try:
+                self._handler.on_message(message)
+            except Exception:  # the messages behind it must be handled all the same
+                log.exception("upgrade: failed to apply an update of the other process")
             # The processes form a chain: each is connected only to its predecessor and to its successors.
             self.broadcast(message, source=peer)
 
--- a/tests/hot_restart/test_keys_across_processes.py
+++ b/tests/hot_restart/test_keys_across_processes.py
@@ -235,6 +235,24 @@
         assert received == sent and old.peer_count == 1
 
 
+@async_test
+async def test_an_update_that_cannot_be_applied_holds_back_none_behind_it() -> None:
+    received: list[Message] = []
+    async with two_channels(received) as (old, new):
+        receive = new._handler.on_message
+
+        def receive_with_error(message: Message) -> None:
+            receive(message)
+            if len(received) == 2:
+                raise RuntimeError("planted")
+
+        new._handler.on_message = receive_with_error  # type: ignore[method-assign]
+        for number in range(4):
+            old.broadcast(key_update(number))
+        await wait_until(lambda: len(received) == 4)
+        assert new.peer_count == 1
+
+
 @async_test
 async def test_a_peer_that_reads_nothing_is_disconnected_but_receives_earlier_messages() -> None:
     received: list[Message] = []
