--- a/gladelane/net/listener.py
+++ b/gladelane/net/listener.py
@@ -118,8 +118,13 @@
         close_socket(self.sock)
 
     def _accept_more(self) -> None:
-        if not self._closed:
+        if self._closed:
+            return
+        try:
             asyncio.get_running_loop().add_reader(self.sock.fileno(), self.accept_all)
+        except Exception:  # without it no client would ever be accepted again
+            log.exception("cannot wait for new connections, it is tried again")
+            self._accept_later()
 
     def _accept_later(self) -> None:
         loop = asyncio.get_running_loop()
--- a/tests/net/test_restarted_tasks.py
+++ b/tests/net/test_restarted_tasks.py
@@ -11,6 +11,7 @@
 import pytest
 from harness import (
     REFUSED_ADDRESS,
+    Client,
     ScriptedCache,
     async_test,
     config,
@@ -211,3 +212,19 @@
             await node.drain()
             frames = [await client.next() for _ in range(2)]
             assert [frame[:2] for frame in frames if frame[0] == FrameType.ANSWER] == [(FrameType.ANSWER, 1)]
+
+
+@async_test
+async def test_clients_are_accepted_after_the_event_loop_failed_to_watch_the_listening_socket() -> None:
+    loop = asyncio.get_running_loop()
+    with pytest.MonkeyPatch.context() as patch:
+        async with running_director(config({"r0": REFUSED_ADDRESS})) as (node, _):
+            listener = node.client_listener._listener
+            assert listener is not None
+            listener._accept_later()
+            fail_once(patch, loop, "add_reader", OSError)
+            await asyncio.sleep(0.1)
+            other_client = await Client.connect(node.port)
+            other_client.ask(1)
+            assert (await other_client.next())[1] == 1
+            other_client.writer.close()
