Count an unexpected error at SIGHUP as a failed reload

Changed: any error is logged with its traceback and counted as failed; a file counts as taken once it is applied. What was applied before the error is not taken back (ROADMAP).

Measured: both cases of the new test fail on the text before and pass; the file and test_process_signals pass.

--- a/gladelane/__main__.py
+++ b/gladelane/__main__.py
@@ -65,9 +65,18 @@
         log.error(message, error)  # noqa: TRY400  the error says what is wrong in the file
         metrics.reconfig_failed += 1
         return
+    except Exception:
+        log.exception("reload failed, the old configuration stays")
+        metrics.reconfig_failed += 1
+        return
+    try:
+        configure_logs(operator)
+        server.reload(config, operator)
+    except Exception:
+        log.exception("reload failed, a part of the new configuration may apply")
+        metrics.reconfig_failed += 1
+        return
     metrics.reconfig_ok += 1
-    configure_logs(operator)
-    server.reload(config, operator)
 
 
 def configure_logs(operator: Operator | None) -> None:
--- a/tests/net/test_restarted_tasks.py
+++ b/tests/net/test_restarted_tasks.py
@@ -6,6 +6,7 @@
 import json
 import os
 from collections.abc import Callable
+from types import SimpleNamespace
 from typing import Any
 
 import pytest
@@ -22,6 +23,8 @@
 )
 from test_discovery_outages import Discovery, DiscoveryState
 
+from gladelane.__main__ import reload_files
+from gladelane.admin.metrics import Metrics
 from gladelane.discovery.client import DiscoveryClient
 from gladelane.net.cache_connection import Connection
 from gladelane.net.client_connection import ClientConnection
@@ -228,3 +231,15 @@
             other_client.ask(1)
             assert (await other_client.next())[1] == 1
             other_client.writer.close()
+
+
+@pytest.mark.parametrize("fails_at", ["read", "reload"])
+def test_unexpected_error_at_sighup_is_counted_as_a_failed_reload(fails_at: str) -> None:
+    def fail(*args: Any) -> Any:
+        raise RuntimeError("planted")
+
+    metrics = Metrics()
+    server: Any = SimpleNamespace(director=SimpleNamespace(metrics=metrics), reload=fail)
+    files: Any = SimpleNamespace(read=fail if fails_at == "read" else lambda: (None, None))
+    reload_files(server, files)
+    assert (metrics.reconfig_ok, metrics.reconfig_failed) == (0, 1)
