--- a/benchmarks/soak/faults.py
+++ b/benchmarks/soak/faults.py
@@ -127,13 +127,12 @@
 
 async def taken_processor(target: Target) -> str:
     """Other processes use the processors."""
+    duration_s = target.rng.uniform(0.5, 2.0)
+    program = f"import time\nend = time.time() + {duration_s}\nwhile time.time() < end: pass"
     busy = [
-        await asyncio.create_subprocess_exec(sys.executable, "-c", "while True: pass")
-        for _ in range(BUSY_PROCESSES)
+        await asyncio.create_subprocess_exec(sys.executable, "-c", program) for _ in range(BUSY_PROCESSES)
     ]
-    await asyncio.sleep(target.rng.uniform(0.5, 2.0))
     for process in busy:
-        process.kill()
         await process.wait()
     return ""
 
