Close a purge server's store after the write that a thread still makes

Traced by force: the thread replaces the checkpoint, which the test sees, and reports the success after it. `asyncio.run` used to wait for the threads of `asyncio.to_thread` at its end; it does not for those of `run_in_thread` (only the process's end does), so the server was closed in between. With a delay of 0.1 s before the report the test fails on, 1 of 1.

Changed: the store's close waits for a write in progress, as the log's close already did for its part of it.

Measured: with that delay 1 of 1; without it 40 of 40, eight at a time; tests/purges, control_plane and the restarted parts, 462 passed. No test changed.

--- a/gladelane/purges/purge_store.py
+++ b/gladelane/purges/purge_store.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import logging
+import threading
 from collections.abc import Sequence
 
 from ..storage import without_gc
@@ -45,6 +46,7 @@
         self.log: WriteAheadLog
         self.log, recovery = recover(disk, sync)
         self.unsaved = ServerRecord()
+        self._writing = threading.Lock()
         self.was_empty = recovery.snapshot is None and not recovery.records
         self._active, self._checkpoint_file = active, checkpoint_file
         self._outage = Outage(log, "feed: purges")
@@ -128,10 +130,11 @@
 
     def _write(self, checkpoint: Checkpoint, replaces_checkpoint: bool) -> None:
         """Commits the log and writes the checkpoint; runs in a thread. Raises OSError."""
-        self.log.commit()
-        if replaces_checkpoint or self.has_unsaved():
-            self._write_checkpoint(checkpoint)
-        self.unsaved = ServerRecord()
+        with self._writing:
+            self.log.commit()
+            if replaces_checkpoint or self.has_unsaved():
+                self._write_checkpoint(checkpoint)
+            self.unsaved = ServerRecord()
 
     def _write_checkpoint(self, checkpoint: Checkpoint) -> None:
         """Writes the checkpoint, after the log was stored and before any purge in it is acknowledged."""
@@ -157,5 +160,6 @@
             await self._compaction.write(snapshot)
 
     def close(self) -> None:
-        """Closes the log."""
-        self.log.close()
+        """Closes the log, after a write that is in progress in a thread."""
+        with self._writing:
+            self.log.close()
