Bound the memory that clients and servers can make a process hold, and give it back

Operators saw the process killed, in series where a crowd waited for the new one. Checked: what is held by whom. Three copies of what a client had sent (StreamReader, ClientReader, FrameDecoder), up to 256 KB read at once for each connection, no limit on incomplete frames and replies (only whole requests were counted, after they were read, against a quarter of memory_mb whatever the process had already); closed connections in reference cycles with their buffers, and free memory that the C library kept. Ruled out: MALLOC_ settings alone, one more garbage collection alone (70 MB of 30 remain). At fault: net/streams.py (feed_data), client_connection.py (serve, _handle_input), cache_connection.py (_read), client_listener.py (rejects_requests), server.py (BUFFER_MEMORY_SHARE), process.py (GC_THRESHOLDS).

Changed: a budget of what is told less what the process has at its start (memory_budget.py), divided among incomplete frames, requests, replies and answers, and reserved before more is read; readers hold what was asked for, 1 to 16 KB; a frame without room is discarded as it comes and refused at its end, so that its client is neither closed nor unnoticed when it leaves; oversize and silent frames give way; the cap on clients follows from the memory; replies without room are not read (backpressure); the resident memory is compared each 0.1 s (memory_monitor.py), garbage collected and malloc_trim(3) called after connections have ended; a configuration below 32 MB without room for one frame is refused with a line. Where hot restarts are on, room for a second process is left if there is any. Metrics and log lines for each refusal, pause and use.

--- a/gladelane/__main__.py
+++ b/gladelane/__main__.py
@@ -18,7 +18,13 @@
 from . import logs
 from .files import ConfigurationFiles, parse_admin_address
 from .net.config import Config, ConfigError
-from .process import count_open_descriptors, freeze_startup_objects, log_long_gc_pauses
+from .process import (
+    count_open_descriptors,
+    freeze_startup_objects,
+    load_heap_trim,
+    log_long_gc_pauses,
+    resident_bytes,
+)
 from .server import Server
 
 if TYPE_CHECKING:
@@ -34,7 +40,7 @@
 ) -> None:
     """Runs a director until a signal stops it, then shuts it down gracefully. `inherited_descriptors` is the
     number of descriptors that were open at the start."""
-    server = Server(config, operator, inherited_descriptors)
+    server = Server(config, operator, inherited_descriptors, resident_bytes)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -42,8 +48,10 @@
     loop.add_signal_handler(signal.SIGHUP, reload_files, server, files)
     signal.pthread_sigmask(signal.SIG_UNBLOCK, HANDLED_SIGNALS)
     port = await server.start()
+    server.memory_monitor.trim_heap = load_heap_trim()
     freeze_startup_objects()
     log_long_gc_pauses()
+    server.divide_memory()
     log.info("ready name=%s listen=%s:%d rev=%d", config.name, config.listen[0], port, server.director.rev)
     await stop.wait()
     log.info("draining")
--- a/gladelane/hot_restart/coordinator.py
+++ b/gladelane/hot_restart/coordinator.py
@@ -10,7 +10,7 @@
 import logging
 import socket
 from concurrent.futures import Future
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import msgspec
 
@@ -186,6 +186,13 @@
         _complete(self._write_waiters)
         self._channel.close()
 
+    def change_limits(self, client_connections: int, buffered_bytes: float) -> None:
+        """Replaces limits of the whole director, and divides them among its processes."""
+        self._limits = replace(
+            self._limits, client_connections=client_connections, buffered_bytes=buffered_bytes
+        )
+        self._apply_limits()
+
     # --- what the channel reports
 
     def on_message(self, message: Message) -> None:
@@ -200,15 +207,18 @@
 
     def on_peers_changed(self) -> None:
         """Divides the director's limits among its processes again."""
+        self._apply_limits()
         processes = 1 + self._channel.peer_count
-        limits = self._limits.divided_by(processes)
+        self._director.router.cold.process_count = processes
+        log.info("upgrade: processes=%d", processes)
+
+    def _apply_limits(self) -> None:
+        limits = self._limits.divided_by(1 + self._channel.peer_count)
         self._upstream.shrink(limits.upstream_connections)
         self._client_listener.cap, self._client_listener.max_buffered_bytes = (
             limits.client_connections,
             limits.buffered_bytes,
         )
-        self._director.router.cold.process_count = processes
-        log.info("upgrade: processes=%d", processes)
 
     def hand_over(self) -> Offer | None:
         """Writes the handover for a new process, and offers it the listening socket. If the file cannot be
--- a/gladelane/lab/memory/sampler.py
+++ b/gladelane/lab/memory/sampler.py
@@ -30,6 +30,11 @@
         self._pids = pids
         self._task = asyncio.create_task(self._run())
 
+    def restart(self) -> float:
+        """Returns the peak so far, and begins again."""
+        peak_mb, self.peak_mb = self.peak_mb, 0.0
+        return peak_mb
+
     def current_mb(self) -> float:
         """The resident memory now, in MB."""
         return resident_mb(self._pids())
--- a/gladelane/net/cache_connection.py
+++ b/gladelane/net/cache_connection.py
@@ -25,8 +25,9 @@
 from .config import ConnLimits
 from .exchange import Attempt
 from .outgoing import Outgoing
+from .reply_memory import UNRESERVED_REPLY_BYTES, ReplyMemory
 from .response_monitor import DEAD_AFTER_MS
-from .streams import READ_BYTES, Reader, open_stream
+from .streams import READ_BYTES, Reader, Writer, open_stream
 
 log = logging.getLogger(__name__)
 
@@ -42,6 +43,7 @@
 
     limits: ConnLimits
     endpoints: Endpoints
+    reply_memory: ReplyMemory
 
     async def wait_for_descriptor(self) -> None:
         """Returns once a dial would not exceed the pool's share of the descriptors."""
@@ -63,9 +65,10 @@
         self.dialer: Dialer | None = None
         self.attempts = CarriedAttempts(pool, self)
         self.decoder = ReplyDecoder()
+        self._reserved_bytes = 0  # for the incomplete reply
         # reader, writer and sock are set once a dial has succeeded
         self.reader: Reader | None = None
-        self.writer: asyncio.StreamWriter | None = None
+        self.writer: Writer | None = None
         self.sock: socket.socket | None = None  # the transport's socket, for checks outside of the stream
         self.finished = False
         self.retired = False  # open attempts finish, and no new ones are accepted
@@ -246,6 +249,10 @@
         finally:
             # at once, since an attempt could be written before a later iteration of the event loop
             self._finish(self.end)
+            self._release_reply()
+            self.decoder = ReplyDecoder()
+            if self.reader is not None:
+                self.reader.release()
 
     async def _dial(self) -> AttemptOutcome | None:
         """Connects. Returns the outcome for open attempts if that failed, else None."""
@@ -283,18 +290,40 @@
         """Reads replies until the connection ends. Returns the outcome for attempts that are still open."""
         assert self.reader is not None
         try:
-            while data := await self.reader.read(READ_BYTES):
+            while data := await self.reader.read(self._read_bytes()):
                 if not self.attempts.responses.received_ms and self.address is not None:
                     self.pool.endpoints.health.record_answer(self.store, self.address)
                 self.attempts.responses.record_read(self.pool.clock())
                 self.attempts.count_written()
                 for reply in self.decoder.feed(data):
+                    self._release_reply()
                     self.attempts.handle_reply(reply)
                 self.attempts.responses.record_incomplete(self.decoder.has_incomplete_reply())
                 self.close_if_done()
+                await self._reserve_reply()
         except MalformedReplyError as error:
             log.warning("malformed reply peer=%s: %s", self.peer, error)
             return AttemptOutcome.GARBLED
         except OSError:
             return AttemptOutcome.RESET
         return AttemptOutcome.CLOSED
+
+    # --- memory for the incomplete reply
+
+    def _read_bytes(self) -> int:
+        """How many bytes to read at once: what is missing of a reply that was reserved, else few."""
+        if not self._reserved_bytes:
+            return UNRESERVED_REPLY_BYTES
+        return max(min(self.decoder.missing_bytes(), READ_BYTES), UNRESERVED_REPLY_BYTES)
+
+    async def _reserve_reply(self) -> None:
+        """Waits until memory for the incomplete reply is reserved, if its size is known."""
+        size = self.decoder.body_bytes()
+        if size and not self._reserved_bytes:
+            await self.pool.reply_memory.reserve(size)
+            self._reserved_bytes = size
+
+    def _release_reply(self) -> None:
+        size, self._reserved_bytes = self._reserved_bytes, 0
+        if size:
+            self.pool.reply_memory.release(size)
--- a/gladelane/net/cache_protocol.py
+++ b/gladelane/net/cache_protocol.py
@@ -67,6 +67,14 @@
         """Whether a reply is incomplete."""
         return self._head is not None or bool(self._buffer)
 
+    def body_bytes(self) -> int:
+        """The size of the body of the incomplete reply; 0 while it is unknown."""
+        return self._length if self._head is not None else 0
+
+    def missing_bytes(self) -> int:
+        """How many bytes of the incomplete reply have not arrived; 0 while its size is unknown."""
+        return self._length + 2 - len(self._buffer) if self._head is not None else 0
+
     def reply_in_progress(self) -> tuple[str, float]:
         """The id of the incomplete reply, '' while it is unknown, and the share of its body that was
         received."""
@@ -91,7 +99,7 @@
                 return
             if buffer[self._length : self._length + 2] != b"\r\n":
                 raise MalformedReplyError("body is not followed by a line break after its stated length")
-            reply = self._head._replace(body=bytes(buffer[: self._length]))
+            reply = self._head._replace(body=bytes(memoryview(buffer)[: self._length]))
             del buffer[: self._length + 2]
             self._head = None
             yield reply
--- a/gladelane/net/carried_attempts.py
+++ b/gladelane/net/carried_attempts.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import logging
 from typing import Protocol
 
@@ -12,6 +11,7 @@
 from .exchange import Attempt
 from .outgoing import Outgoing
 from .response_monitor import ResponseMonitor
+from .streams import Writer
 from .write_queue import WriteQueue
 
 log = logging.getLogger(__name__)
@@ -76,7 +76,7 @@
         self.finished = False
         self._pool = pool
         self._carrier = carrier
-        self._writer: asyncio.StreamWriter | None = None
+        self._writer: Writer | None = None
         self._completed_ids: dict[str, None] = {}  # the latest ids, oldest first
 
     def accepts(self, id_: str) -> bool:
@@ -91,7 +91,7 @@
         if self._writer is not None:
             self.queue.add(attempt)
 
-    def start(self, writer: asyncio.StreamWriter, out: Outgoing) -> None:
+    def start(self, writer: Writer, out: Outgoing) -> None:
         """Writes the waiting attempts, now that the connection is established."""
         self._writer, self.queue.out = writer, out
         self.queue.waiting.extend(self.open.values())
--- a/gladelane/net/client_connection.py
+++ b/gladelane/net/client_connection.py
@@ -13,13 +13,16 @@
     FrameDecoder,
     FrameType,
     FramingError,
+    SkippedFrame,
     encode_answer,
     encode_frame,
     encode_ready,
 )
 from .client_requests import FAILED, ClientRequests, RequestContext
 from .exchange import Exchange
-from .streams import READ_BYTES, ClientReader
+from .frame_memory import MAX_REQUEST_FRAME_BYTES, SILENCE_MS
+from .memory_budget import MemoryUse
+from .streams import Reader, Writer
 
 log = logging.getLogger(__name__)
 
@@ -46,12 +49,21 @@
 #: A client whose incomplete frame is not completed within this time is closed. The protocol allows 3 s from
 #: connecting.
 FRAME_TIMEOUT_MS = 2_000.0
+UNRESERVED_FRAME_BYTES = 512  # of an incomplete frame; a connection's own memory has room for them
 
 
 class ConnectionContext(RequestContext, Protocol):
     """What all client connections share."""
 
     lingering: int  # connections whose write side was shut down here and that wait for the client's close
+    read_bytes: int  # how many bytes of one client are read at once
+
+    def reserve_frame(self, conn: ClientConnection, size: int) -> bool:
+        """Reserves memory for `size` further bytes of the client's incomplete frame. Returns False if there
+        is no room."""
+
+    def release_frame(self, conn: ClientConnection, size: int) -> None:
+        """Ends the reservation of all bytes of the client's incomplete frame."""
 
 
 class ClientConnection:
@@ -63,11 +75,40 @@
       Closing a socket with unread bytes would reset the connection and so discard answers in transit.
     """
 
+    __slots__ = (
+        "__dict__",  # empty, unless a test replaces a method
+        "__weakref__",
+        "_cancelled_streams",
+        "_decoder",
+        "_frames_while_blocked",
+        "_has_backlog",
+        "_is_flooding",
+        "_last_unsent_bytes",
+        "_queued_ms",
+        "_received_ms",
+        "_reserved_bytes",
+        "_searched_bytes",
+        "_skipped_frame",
+        "accepted_ms",
+        "context",
+        "discards_input",
+        "goaway_ms",
+        "has_sent_valid_frame",
+        "incomplete_since_ms",
+        "is_handling_frames",
+        "last_active_ms",
+        "reader",
+        "requests",
+        "sock",
+        "write_closed_ms",
+        "writer",
+    )
+
     def __init__(
         self,
         context: ConnectionContext,
-        reader: ClientReader,
-        writer: asyncio.StreamWriter,
+        reader: Reader,
+        writer: Writer,
         sock: socket.socket,
         queued_ms: float = 0.0,
     ) -> None:
@@ -84,17 +125,18 @@
         self.incomplete_since_ms = 0.0  # since when a frame has been incomplete; 0: no frame is
         self.discards_input = False  # received bytes are discarded
         self.write_closed_ms = 0.0  # when the write side was shut down; 0: it is open
-        self._is_handling_frames = False
+        self.is_handling_frames = False  # frames that were received completely
         self._queued_ms = queued_ms  # reset to 0 by the first read
         self._received_ms = 0.0  # latest time at which the frames being handled can have arrived
         self._has_backlog = False  # more bytes had arrived before the last of these frames was handled
         self._frames_while_blocked = 0  # frames in a row received while above MAX_UNSENT_BYTES
         self._is_flooding = False  # the client has exceeded MAX_FRAMES_WHILE_BLOCKED
         self._decoder = FrameDecoder()
+        self._reserved_bytes = 0  # for the incomplete frame
+        self._skipped_frame: SkippedFrame | None = None  # the incomplete frame, if it is discarded
         self._last_unsent_bytes = 0  # at the latest sweep
         self._searched_bytes = 0  # count of received bytes at the latest search for cancellations
         self._cancelled_streams: set[int] = set()  # streams whose cancellation that search found
-        writer.transport.set_write_buffer_limits(high=MAX_UNSENT_BYTES)
 
     @property
     def open(self) -> dict[int, Exchange]:
@@ -116,6 +158,15 @@
         incomplete frame."""
         return self.unsent_bytes() + self._decoder.incomplete_bytes() + self.requests.buffered_bytes()
 
+    @property
+    def reserved_bytes(self) -> int:
+        """The number of bytes that are reserved for the incomplete frame."""
+        return self._reserved_bytes
+
+    def frame_bytes(self) -> int:
+        """The size that the incomplete frame will have; 0 if there is none."""
+        return self._decoder.frame_bytes()
+
     def has_unread_bytes(self) -> bool:
         """Whether received bytes have not been read yet. They may be a request."""
         return bool(self.reader.buffered_bytes) or has_unread(self.sock)
@@ -127,14 +178,14 @@
             return False
         is_paused = now - self.last_active_ms > INCOMPLETE_FRAME_PAUSE_MS
         return (
-            self._is_handling_frames
+            self.is_handling_frames
             or self.has_unread_bytes()
             or (bool(self.incomplete_since_ms) and not is_paused)
         )
 
     def is_settled(self) -> bool:
         """Whether all received requests are answered and all answers have been sent."""
-        return not (self._is_handling_frames or self.open or self.unsent_bytes() or self.has_unread_bytes())
+        return not (self.is_handling_frames or self.open or self.unsent_bytes() or self.has_unread_bytes())
 
     def close_gracefully(self) -> None:
         """Starts to close the connection: further input is discarded, and open requests are answered before
@@ -161,19 +212,26 @@
         """Reads until the client closes. Reading goes on even if the client does not read its answers, so
         that its close and its cancellations are noticed."""
         try:
-            while data := await self.reader.read(READ_BYTES):
+            while data := await self.reader.read(self.context.read_bytes):
                 if not self.discards_input:
                     await self._handle_input(data)
         except OSError:
             pass  # the client has disconnected; its requests are ended below
         self.requests.end_open_requests()
         self.writer.close()
+        self.release()
+
+    def release(self) -> None:
+        """Drops the received bytes at the end of the connection, which may stay referred to for longer."""
+        self._release_frame()
+        self._decoder = FrameDecoder()
+        self.reader.release()
 
     async def _handle_input(self, data: bytes) -> None:
         self.last_active_ms = self.context.clock()
         self._received_ms = self._latest_receipt_ms(self.last_active_ms)
         self._has_backlog = False
-        self._is_handling_frames = True
+        self.is_handling_frames = True
         frames: list[Frame] = []
         try:
             for frame in self._decoder.feed(data):
@@ -192,12 +250,68 @@
             self.send(encode_answer(0, FAILED))
             self.close_gracefully()
         finally:
-            self._is_handling_frames = False
+            self.is_handling_frames = False
             self._has_backlog = self._has_backlog and self.has_unread_bytes()
         if not self._decoder.incomplete_bytes():
             self.incomplete_since_ms = 0.0
         elif not self.incomplete_since_ms:
             self.incomplete_since_ms = self.last_active_ms
+        self._reserve_incomplete_frame()
+
+    def _reserve_incomplete_frame(self) -> None:
+        """Reserves memory for what was received of the incomplete frame. If there is no room, the frame is
+        discarded."""
+        size = self._decoder.incomplete_bytes()
+        if size <= UNRESERVED_FRAME_BYTES or self.discards_input:
+            self._release_frame()
+        elif size < self._reserved_bytes:  # of an earlier frame
+            self._release_frame()
+            self._reserve_incomplete_frame()
+        elif self.context.reserve_frame(self, size - self._reserved_bytes):
+            self._reserved_bytes = size
+        else:
+            self.discard_incomplete_frame()
+
+    def _release_frame(self) -> None:
+        size, self._reserved_bytes = self._reserved_bytes, 0
+        if size:
+            self.context.release_frame(self, size)
+
+    def discard_incomplete_frame(self) -> None:
+        """Drops what was received of the incomplete frame, and discards the rest of it as it arrives. A
+        request is refused once it has arrived, since the client may still be writing."""
+        log.warning("no memory for an incomplete frame bytes=%d", self._decoder.frame_bytes())
+        self._skipped_frame = self._decoder.skip_incomplete_frame()
+        self._release_frame()
+        self.reader.discard(self._skipped_frame.missing_bytes, self._handle_skipped_frame)
+
+    def gives_way(self, now: float) -> bool:
+        """Whether the connection may be closed so that another client is accepted: its only frame is
+        incomplete and would be refused, and is longer than requests are or has received no byte for long."""
+        frame = self._skipped_frame
+        if frame is None or self.open or self.unsent_bytes() or self.discards_input:
+            return False
+        if frame.frame_bytes > MAX_REQUEST_FRAME_BYTES:
+            return True
+        return ms_since_last_data(self.sock) >= SILENCE_MS and now - self.last_active_ms >= SILENCE_MS
+
+    def refuse_skipped_frame(self) -> None:
+        """Refuses the frame that is discarded, although it is not complete, and closes the connection."""
+        self._handle_skipped_frame()
+        self.close_gracefully()
+
+    def _handle_skipped_frame(self) -> None:
+        """Answers a frame that was discarded, once all of it has arrived."""
+        frame, self._skipped_frame = self._skipped_frame, None
+        if frame is None or self.discards_input or self.writer.is_closing():
+            return
+        self.last_active_ms = self.context.clock()
+        self.incomplete_since_ms = 0.0
+        if frame.type == FrameType.REQUEST and frame.stream:
+            self.requests.refuse(Frame(frame.type, frame.stream, frame.payload))
+        else:
+            log.warning("unexpected frame type=%d stream=%d", frame.type, frame.stream)
+            self.send(encode_answer(0, FAILED))
 
     def _latest_receipt_ms(self, now: float) -> float:
         """The latest time at which the bytes being read now can have arrived. The client's deadline counts
@@ -254,7 +368,8 @@
         received_bytes = self.reader.received_bytes + len(unread.data)
         if received_bytes != self._searched_bytes:
             self._searched_bytes = received_bytes
-            self._cancelled_streams = self._decoder.find_cancelled_streams(self.reader.peek() + unread.data)
+            following = self.reader.peek() + unread.data[self.reader.discard_bytes :]
+            self._cancelled_streams = self._decoder.find_cancelled_streams(following)
         return stream in self._cancelled_streams
 
     def _reads_too_slowly(self) -> bool:
@@ -276,7 +391,7 @@
         """Sends a frame unless the write side is closed."""
         if not self.writer.is_closing() and not self.write_closed_ms:
             self.writer.write(data)
-            self.context.buffered_bytes += len(data)
+            self.context.memory.add(MemoryUse.ANSWERS, len(data))
 
     def send_goaway(self) -> None:
         """Asks the client to send no more requests on this connection. Only the first call has an effect."""
@@ -305,7 +420,7 @@
         elif (
             self.incomplete_since_ms
             and now - self.incomplete_since_ms > FRAME_TIMEOUT_MS
-            and not self._is_handling_frames
+            and not self.is_handling_frames
             and not self.has_unread_bytes()
         ):
             log.warning("frame not completed in time")
@@ -335,7 +450,7 @@
         is_busy = (
             self.discards_input
             or self.open
-            or self._is_handling_frames
+            or self.is_handling_frames
             or self.incomplete_since_ms
             or self.unsent_bytes()
         )
--- a/gladelane/net/client_listener.py
+++ b/gladelane/net/client_listener.py
@@ -14,7 +14,9 @@
 from ..timer_wheel import TimerWheel
 from .client_connection import ClientConnection
 from .director import Director
+from .frame_memory import choose_frame_to_discard
 from .listener import Listener, open_listener
+from .memory_budget import MAX_READ_BYTES, MemoryBudget, MemoryUse, request_bytes
 from .streams import accept_stream
 
 log = logging.getLogger(__name__)
@@ -41,22 +43,23 @@
         clock: Callable[[], float],
         timers: TimerWheel,
         cap: int,
-        max_buffered_bytes: float,
+        memory: MemoryBudget,
         descriptors: int = sys.maxsize,
     ) -> None:
-        """`descriptors` is the limit of the whole process. `max_buffered_bytes` limits the total size of
-        request bodies and unsent answers."""
+        """`descriptors` is the limit of the whole process."""
         self.director = director
         self.clock = clock
         self.timers = timers
         self.cap = cap
-        self.max_buffered_bytes = max_buffered_bytes
+        self.memory = memory
+        self.read_bytes = MAX_READ_BYTES  # of one client at once
         self._descriptors = descriptors
         self.drain = Drain()
-        self.buffered_bytes = 0  # increased as bytes are buffered, recounted by each sweep
+        self.ended_connections = 0  # since the start
         self.lingering = 0  # connections whose write side was shut down here and that wait for the close
         self.is_closing = False  # the process stops; requests that still arrive are rejected
         self.connections: dict[ClientConnection, asyncio.Task[None]] = {}
+        self._holding_frames: set[ClientConnection] = set()  # with memory reserved for incomplete frames
         self._listener: Listener | None = None
         self._being_set_up = 0  # accepted connections without a stream yet
         self._full_since_ms = 0.0  # since when new clients have waited for capacity; 0: no client waits
@@ -79,6 +82,15 @@
         """The listening socket; None before the start and once this process has stopped listening."""
         return self._listener.sock if self._listener is not None else None
 
+    @property
+    def max_buffered_bytes(self) -> float:
+        """The limit on the memory that is held for clients and servers."""
+        return self.memory.limit_bytes
+
+    @max_buffered_bytes.setter
+    def max_buffered_bytes(self, size: float) -> None:
+        self.memory.limit_bytes = size
+
     def _has_capacity(self) -> bool:
         """Whether a new client may be accepted. At the cap, closes an idle connection if there is one."""
         if self._has_found_capacity:
@@ -104,7 +116,7 @@
 
     async def _set_up(self, accepted: socket.socket, queued_ms: float) -> None:
         try:
-            reader, writer = await accept_stream(accepted)
+            reader, writer = await accept_stream(accepted, self.read_bytes)
         except OSError as error:
             log.warning("accept failed: %s", error)
             accepted.close()
@@ -122,8 +134,10 @@
         except Exception:
             log.exception("connection failed")
             conn.writer.transport.abort()
+            conn.release()
         finally:
             self.connections.pop(conn, None)
+            self.ended_connections += 1
             self.lingering -= bool(conn.write_closed_ms)
 
     def _close_idle_connection(self) -> bool:
@@ -134,9 +148,10 @@
         idle = [c for c in self.connections if c.last_active_ms < idle_since_ms]
         idle.sort(key=lambda c: (c.has_sent_valid_frame, c.last_active_ms))
         victim = next((c for c in idle if not c.writer.is_closing() and c.is_idle()), None)
-        if victim is None:
+        if victim is not None:
+            victim.close_gracefully()
+        elif not self._close_silent_connection():
             return False
-        victim.close_gracefully()
         if self._counted_connections() >= self.cap:  # too many linger: abort those past MAX_CROSSING_MS
             for conn in self.connections:
                 if (
@@ -147,12 +162,56 @@
                     conn.writer.transport.abort()
         return self._counted_connections() < self.cap
 
+    def _close_silent_connection(self) -> bool:
+        """Closes a connection of which only a frame without memory is open. Returns whether there was one."""
+        now = self.clock()
+        silent = (conn for conn in self.connections if conn.gives_way(now))
+        victim = min(silent, key=lambda conn: conn.last_active_ms, default=None)
+        if victim is not None:
+            victim.refuse_skipped_frame()
+        return victim is not None
+
     def rejects_requests(self) -> bool:
         """Whether requests are rejected before they are decoded, to save memory and CPU time. This is so
-        above the limit of buffered bytes, while the event loop lags, and once the process stops."""
-        return (
-            self.is_closing or self.buffered_bytes > self.max_buffered_bytes or self.timers.lag() > MAX_LAG_MS
-        )
+        while memory is short, while the event loop lags, and once the process stops."""
+        return self.is_closing or self._is_memory_short() or self.timers.lag() > MAX_LAG_MS
+
+    def _is_memory_short(self) -> bool:
+        memory = self.memory
+        if memory.is_exhausted(MemoryUse.ANSWERS):
+            self.recount_answers()  # most of them have been sent since they were counted
+        return memory.is_exhausted(MemoryUse.REQUESTS) or memory.is_exhausted(MemoryUse.ANSWERS)
+
+    def recount_answers(self) -> None:
+        """Counts the answers that clients have not read."""
+        self.memory.recount(MemoryUse.ANSWERS, sum(conn.unsent_bytes() for conn in self.connections))
+
+    def reserve_frame(self, conn: ClientConnection, size: int) -> bool:
+        """Reserves memory for `size` further bytes of a client's incomplete frame. Discards frames that are
+        less likely to be completed if there is no room otherwise. Returns False if there are none."""
+        while not self.memory.fits(MemoryUse.FRAMES, size):
+            holders = [holder for holder in self._holding_frames if not holder.is_handling_frames]
+            discarded = choose_frame_to_discard(holders, conn, self.clock())
+            if discarded is None:
+                break
+            discarded.discard_incomplete_frame()
+        if not self.memory.try_reserve(MemoryUse.FRAMES, size):
+            return False
+        self._holding_frames.add(conn)
+        return True
+
+    def shed_frames(self) -> None:
+        """Discards the largest incomplete frames until the others have room."""
+        holders = sorted(self._holding_frames, key=lambda conn: conn.reserved_bytes)
+        while holders and self.memory.is_exhausted(MemoryUse.FRAMES):
+            conn = holders.pop()
+            if not conn.is_handling_frames:
+                conn.discard_incomplete_frame()
+
+    def release_frame(self, conn: ClientConnection, size: int) -> None:
+        """Ends the reservation of all bytes of a client's incomplete frame."""
+        self._holding_frames.discard(conn)
+        self.memory.release(MemoryUse.FRAMES, size)
 
     def send_goaway_to_all(self) -> None:
         """Asks all clients to use another director; requests that still arrive are served. A client that has
@@ -205,11 +264,18 @@
 
     def _sweep(self) -> None:
         now = self.clock()
-        self.buffered_bytes = 0
         for conn in list(self.connections):
             try:
                 conn.sweep(now)
-                self.buffered_bytes += conn.buffered_bytes()
             except Exception:  # ends this connection only
                 log.exception("connection failed")
                 conn.writer.transport.abort()
+        self._recount_memory()
+
+    def _recount_memory(self) -> None:
+        """Corrects what is recorded as held for clients."""
+        self.recount_answers()
+        frames = sum(conn.reserved_bytes for conn in self._holding_frames)
+        self.memory.recount(MemoryUse.FRAMES, frames)
+        bodies = (len(exchange.ask.body) for exchange in self.director.live.values())
+        self.memory.recount(MemoryUse.REQUESTS, sum(map(request_bytes, bodies)))
--- a/gladelane/net/client_protocol.py
+++ b/gladelane/net/client_protocol.py
@@ -14,6 +14,7 @@
 MAX_FRAME_BYTES = 262_144
 HEADER = struct.Struct(">IBI")
 MAX_LOOK_AHEAD_FRAMES = 1024  # more frames than a client that reads its answers can have unread here
+SKIPPED_PAYLOAD_BYTES = 512  # kept of a frame that is not decoded; the fields of most requests
 MIN_FRAME_LENGTH = 5  # the bytes of type and stream; a frame's length does not count its own four bytes
 HEX16 = re.compile(r"[0-9a-fA-F]{16}")
 AMOUNT = re.compile(r"[0-9]{1,9}(\.[0-9]{1,20})?")  # float() would also accept signs, nan, inf, 1_0 and 1e999
@@ -49,9 +50,21 @@
     payload: bytes
 
 
+class SkippedFrame(NamedTuple):
+    """An incomplete frame that is not decoded. `payload` is the start of its payload."""
+
+    type: int
+    stream: int
+    payload: bytes
+    frame_bytes: int
+    missing_bytes: int  # how many bytes of it will still arrive
+
+
 class FrameDecoder:
     """Decodes the frames of one connection from its bytes, which may arrive in pieces of any size."""
 
+    __slots__ = ("_buffer",)
+
     def __init__(self) -> None:
         self._buffer = bytearray()
 
@@ -59,6 +72,21 @@
         """The number of bytes received of an incomplete frame."""
         return len(self._buffer)
 
+    def frame_bytes(self) -> int:
+        """The number of bytes of the incomplete frame once it is complete; 0 if there is none or its header
+        is incomplete."""
+        if len(self._buffer) < HEADER.size:
+            return 0
+        return 4 + int.from_bytes(self._buffer[:4], "big")
+
+    def skip_incomplete_frame(self) -> SkippedFrame:
+        """Drops what was received of the incomplete frame, whose header must be complete. The next bytes to
+        be fed are those after the frame."""
+        buffer, self._buffer = self._buffer, bytearray()
+        length, type_, stream = HEADER.unpack_from(buffer)
+        payload = bytes(memoryview(buffer)[HEADER.size : HEADER.size + SKIPPED_PAYLOAD_BYTES])
+        return SkippedFrame(type_, stream, payload, 4 + length, 4 + length - len(buffer))
+
     def feed(self, data: bytes) -> Iterator[Frame]:
         """Adds received bytes and yields the frames that they complete. Raises FramingError."""
         buffer = self._buffer
@@ -70,7 +98,7 @@
             if len(buffer) < 4 + length:
                 return
             _, type_, stream = HEADER.unpack_from(buffer)
-            payload = bytes(buffer[HEADER.size : 4 + length])
+            payload = bytes(memoryview(buffer)[HEADER.size : 4 + length])
             del buffer[: 4 + length]
             yield Frame(type_, stream, payload)
 
--- a/gladelane/net/client_requests.py
+++ b/gladelane/net/client_requests.py
@@ -5,6 +5,7 @@
 import logging
 from functools import partial
 from typing import Protocol
+from weakref import proxy
 
 import msgspec
 
@@ -18,6 +19,7 @@
 )
 from .director import Director
 from .exchange import AnswerCode, ClientRequest, Exchange, FinalAnswer
+from .memory_budget import MemoryBudget, MemoryUse, request_bytes
 from .stream_numbers import StreamNumbers
 
 log = logging.getLogger(__name__)
@@ -33,7 +35,7 @@
 
     director: Director
     drain: Drain
-    buffered_bytes: int
+    memory: MemoryBudget
 
     def clock(self) -> float:
         """The current time in ms."""
@@ -65,10 +67,13 @@
 class ClientRequests:
     """The open requests of one connection by stream number."""
 
+    __slots__ = ("_context", "_duplicates", "_owner", "_streams", "open")
+
     def __init__(self, context: RequestContext, owner: RequestOwner) -> None:
         self.open: dict[int, Exchange] = {}
         self._context = context
-        self._owner = owner
+        # without a reference cycle, which would keep a closed connection until the next garbage collection
+        self._owner: RequestOwner = proxy(owner)
         self._streams = StreamNumbers()
         self._duplicates: dict[int, int] = {}  # stream of an open request -> later requests on it
 
@@ -76,11 +81,16 @@
         """The total size of the bodies of open requests."""
         return sum(len(exchange.ask.body) for exchange in self.open.values())
 
+    def reserved_bytes(self) -> int:
+        """The memory that is reserved for the open requests."""
+        return sum(request_bytes(len(exchange.ask.body)) for exchange in self.open.values())
+
     def cancel(self, stream: int) -> None:
         """Ends a request that the client has cancelled."""
         self._duplicates.pop(stream, None)
         exchange = self.open.pop(stream, None)
         if exchange is not None:
+            self._release(exchange.ask)
             self._context.director.handle_disconnect(exchange)
 
     def end_open_requests(self) -> None:
@@ -90,6 +100,7 @@
         while self.open:
             stream, exchange = self.open.popitem()
             final = FAILED if exchange.may_have_run() else REFUSED
+            self._release(exchange.ask)
             self._context.director.handle_disconnect(exchange)
             self._send_answer(stream, final)
 
@@ -98,6 +109,11 @@
         if self._use_stream(frame):
             self._owner.send(encode_answer(frame.stream, REFUSED))
 
+    def refuse(self, frame: Frame) -> None:
+        """Refuses a request that was not decoded. `frame` may have the start of its payload only."""
+        if self._use_stream(frame):
+            self._answer_undecoded(frame, REFUSED)
+
     def skip_cancelled(self, stream: int) -> None:
         """Takes note of a request that its client has already cancelled, and which gets no answer."""
         self._streams.use(stream)
@@ -121,6 +137,10 @@
             self._answer_undecoded(frame, FAILED)
             return
         self._owner.has_sent_valid_frame = True
+        if not self._context.memory.try_reserve(MemoryUse.REQUESTS, request_bytes(len(client_request.body))):
+            log.warning("no memory for a request bytes=%d", len(client_request.body))
+            self._answer_undecoded(frame, REFUSED)
+            return
         elapsed_ms = self._context.clock() - received_ms
         if elapsed_ms >= 1.0:
             client_request = msgspec.structs.replace(
@@ -172,27 +192,32 @@
         return client_request
 
     def _admit(self, stream: int, client_request: ClientRequest) -> None:
-        self._context.buffered_bytes += len(client_request.body)
         answered: list[FinalAnswer] = []
         try:
             exchange = self._context.director.admit(
                 client_request,
-                lambda final: self._answer(stream, final, answered),
+                lambda final: self._answer(stream, client_request, final, answered),
                 partial(self._owner.is_client_gone, stream),
             )
         except Exception:  # an error fails this request only
             log.exception("request failed id=%s", client_request.id)
-            self._answer(stream, FAILED, answered)
+            self._answer(stream, client_request, FAILED, answered)
             return
         if not answered:
             self.open[stream] = exchange
 
-    def _answer(self, stream: int, final: FinalAnswer, answered: list[FinalAnswer]) -> None:
+    def _release(self, client_request: ClientRequest) -> None:
+        self._context.memory.release(MemoryUse.REQUESTS, request_bytes(len(client_request.body)))
+
+    def _answer(
+        self, stream: int, client_request: ClientRequest, final: FinalAnswer, answered: list[FinalAnswer]
+    ) -> None:
         """Answers a request unless `answered` already holds its answer. This may be called before `admit`
         returns."""
         if answered:
             return
         answered.append(final)
+        self._release(client_request)
         self.open.pop(stream, None)
         self._send_answer(stream, final)
         self._owner.answered()
--- a/gladelane/net/connection_pool.py
+++ b/gladelane/net/connection_pool.py
@@ -16,6 +16,7 @@
 from .carried_attempts import AttemptOwner
 from .config import ConnLimits
 from .exchange import Attempt
+from .reply_memory import ReplyMemory
 
 log = logging.getLogger(__name__)
 
@@ -42,8 +43,10 @@
         clock: Callable[[], float],
         timers: TimerWheel,
         endpoints: Endpoints,
+        reply_memory: ReplyMemory,
     ) -> None:
         self.endpoints = endpoints
+        self.reply_memory = reply_memory
         self.limits = limits
         self.cap = cap
         self.clock = clock
--- a/gladelane/net/outgoing.py
+++ b/gladelane/net/outgoing.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import asyncio
 import socket
 from collections.abc import Callable
 
 from ..sockets import reset, unsent_bytes
 from .exchange import Attempt
+from .streams import Writer
 
 
 class Outgoing:
@@ -15,7 +15,7 @@
     server does not read wait in the system's send buffer, and once that is full in the transport's. Times
     are ms of `clock`."""
 
-    def __init__(self, writer: asyncio.StreamWriter, sock: socket.socket, clock: Callable[[], float]) -> None:
+    def __init__(self, writer: Writer, sock: socket.socket, clock: Callable[[], float]) -> None:
         self.latest: Attempt | None = None  # the latest written attempt, until all of it has left
         self._latest_bytes = 0  # written since the start of the latest attempt, including its own bytes
         self._own_bytes = 0  # of the latest attempt alone
--- a/gladelane/net/stream_numbers.py
+++ b/gladelane/net/stream_numbers.py
@@ -15,6 +15,8 @@
     is forgotten. So a number that was used long ago may be taken for a new one, but a new number is never
     taken for a used one."""
 
+    __slots__ = ("_firsts", "_lasts")
+
     def __init__(self) -> None:
         self._firsts = array("L")  # the lowest number of each range, in ascending order
         self._lasts = array("L")  # the highest number of each range
--- a/gladelane/process.py
+++ b/gladelane/process.py
@@ -6,12 +6,14 @@
 import logging
 import os
 import time
+from collections.abc import Callable
 
 log = logging.getLogger("gladelane")
 
 STANDARD_DESCRIPTORS = 3  # stdin, stdout and stderr, with which every process starts
 LONG_GC_PAUSE_MS = 10.0  # longer collections are logged
-GC_THRESHOLDS = (50_000, 10, 10)  # high: reference counting frees nearly all objects, few are in cycles
+GC_THRESHOLDS = (5_000, 10, 10)  # high: reference counting frees nearly all objects, few are in cycles
+PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 
 
 def descriptor_limit(configured: int) -> int:
@@ -29,6 +31,33 @@
         return STANDARD_DESCRIPTORS
 
 
+def resident_bytes() -> float:
+    """The resident memory of this process; 0 if the system does not tell."""
+    try:
+        with open("/proc/self/statm", "rb") as statm:
+            return float(int(statm.read().split()[1]) * PAGE_BYTES)
+    except (OSError, IndexError, ValueError):
+        return 0.0
+
+
+def load_heap_trim() -> Callable[[], None]:
+    """Returns a function that gives free memory back to the system, as malloc_trim(3) does; one without an
+    effect if the C library has none."""
+    try:
+        import ctypes  # needed here only
+
+        trim = ctypes.CDLL(None).malloc_trim
+    except (ImportError, OSError, AttributeError) as error:
+        log.info("free memory is not given back to the system: %s", error)
+        return lambda: None
+    trim.argtypes, trim.restype = [ctypes.c_size_t], ctypes.c_int
+
+    def trim_heap() -> None:
+        trim(0)
+
+    return trim_heap
+
+
 def freeze_startup_objects() -> None:
     """Excludes the objects created during the start from garbage collection, since they live as long as the
     process, and sets the collection thresholds."""
--- a/gladelane/server.py
+++ b/gladelane/server.py
@@ -8,9 +8,11 @@
 
 import asyncio
 import logging
+import math
 import os
 import random
 import socket
+from collections.abc import Callable
 from concurrent.futures import Future
 from typing import TYPE_CHECKING
 
@@ -19,13 +21,24 @@
 from .admin.live_settings import TRANSITION_MS, apply_live, describe_changes, transition_settings
 from .admin.requests import AdminRequest
 from .clock import Clock
+from .deployment.checks import BadSetting
 from .discovery.client import DiscoveryClient
 from .endpoints.plan import Endpoints
 from .net.client_listener import ClientListener
-from .net.config import Config
+from .net.config import Config, ConfigError
 from .net.connection_pool import ConnectionPool
 from .net.descriptors import share_descriptors
 from .net.director import Director
+from .net.memory_budget import (
+    TRANSIENT_BYTES,
+    MemoryBudget,
+    MemoryPlan,
+    is_too_small,
+    plan_memory,
+    share_with_successor,
+)
+from .net.memory_monitor import BYTES_PER_MB, CHECK_MS, MemoryMonitor
+from .net.reply_memory import ReplyMemory
 from .process import STANDARD_DESCRIPTORS, descriptor_limit
 from .routing.events import Settings
 from .routing.idempotency import BYTES_PER_KEY
@@ -44,9 +57,6 @@
 log = logging.getLogger("gladelane")
 endpoints_log = logging.getLogger("gladelane.endpoints")
 
-BYTES_PER_MB = 1_000_000
-BUFFER_MEMORY_SHARE = 0.25  # for request bodies and for answers that clients have not read yet
-KEY_MEMORY_SHARE = 0.04  # for idempotency keys: a limit of 80 MB has room for 4,500 of them
 ENDPOINTS_SEED = 0x656E6473  # "ends" in ASCII
 
 
@@ -58,27 +68,34 @@
         config: Config,
         operator: Operator | None = None,
         inherited_descriptors: int = STANDARD_DESCRIPTORS,
+        resident_bytes: Callable[[], float] = lambda: 0.0,
     ) -> None:
-        """`inherited_descriptors` is the number of descriptors that were open before the start. Raises
-        ConfigError, OSError."""
+        """`inherited_descriptors` is the number of descriptors that were open before the start.
+        `resident_bytes` returns the memory of the process. Raises ConfigError, OSError."""
         self.config = config
         self.clock = Clock()
         self.timers = TimerWheel(self.clock.now)
         # This generator is separate, so that routing decisions do not depend on which addresses were dialled.
         rng = random.Random(config.seed ^ ENDPOINTS_SEED)
         self.endpoints = Endpoints(rng, log_warning=endpoints_log.warning)
-        memory_bytes = config.limits.memory_mb * BYTES_PER_MB
-        self.director = self._make_director(int(memory_bytes * KEY_MEMORY_SHARE / BYTES_PER_KEY))
-        self.director.extra_metrics = self._part_metrics
         descriptors = descriptor_limit(config.limits.sockets)
         self.shares = share_descriptors(descriptors, inherited_descriptors, _count_purge_servers(operator))
-        self.upstream = ConnectionPool(
-            config.conn, self.shares.upstream, self.clock.now, self.timers, self.endpoints
-        )
+        self._resident_bytes = resident_bytes
+        plan = self._plan_memory()
+        self.memory = MemoryBudget(plan.budget_bytes)
+        self.director = self._make_director(int(plan.key_bytes / BYTES_PER_KEY))
+        self.director.extra_metrics = self._part_metrics
+        self.upstream = self._make_pool()
         self.director.sender, self.upstream.owner = self.upstream, self.director
-        buffer_bytes = memory_bytes * BUFFER_MEMORY_SHARE
         self.client_listener = ClientListener(
-            self.director, self.clock.now, self.timers, self.shares.clients, buffer_bytes, descriptors
+            self.director, self.clock.now, self.timers, plan.clients, self.memory, descriptors
+        )
+        self.memory_monitor = MemoryMonitor(
+            self.memory,
+            self.client_listener,
+            self.clock.now,
+            resident_bytes,
+            config.limits.memory_mb * BYTES_PER_MB,
         )
         self.admin_handler = self._make_admin_handler()
         self.purges: PurgeSubscription | None = None
@@ -99,6 +116,52 @@
         config = self.config
         return Director(config.settings, config.seed, self.clock.now, self.timers, self.endpoints, max_keys)
 
+    def _make_pool(self) -> ConnectionPool:
+        def recount_answers() -> None:
+            self.client_listener.recount_answers()
+
+        return ConnectionPool(
+            self.config.conn,
+            self.shares.upstream,
+            self.clock.now,
+            self.timers,
+            self.endpoints,
+            ReplyMemory(self.memory, recount_answers),
+        )
+
+    def _process_limit_bytes(self) -> float:
+        """What this process may take. A hot restart needs room for a second process."""
+        limit_bytes = self.config.limits.memory_mb * BYTES_PER_MB
+        if self.config.ops is None:
+            return limit_bytes
+        return share_with_successor(limit_bytes, self._resident_bytes())
+
+    def _plan_memory(self) -> MemoryPlan:
+        """Divides the memory that the process has not taken yet. Raises ConfigError if it is too little."""
+        limit_bytes, resident = self.config.limits.memory_mb * BYTES_PER_MB, self._resident_bytes()
+        if is_too_small(limit_bytes, resident):
+            expected = f"at least {math.ceil((resident + TRANSIENT_BYTES) / BYTES_PER_MB)}"
+            raise ConfigError(BadSetting("limits.memory_mb", self.config.limits.memory_mb, expected))
+        return plan_memory(self._process_limit_bytes(), resident, self.shares.clients)
+
+    def divide_memory(self) -> None:
+        """Divides the memory again, by what the process has taken at its start."""
+        plan = self._plan_memory()
+        self.client_listener.read_bytes = plan.read_bytes
+        self.memory_monitor.limit_bytes = self._process_limit_bytes()
+        if self.restart_coordinator is not None:
+            self.restart_coordinator.change_limits(plan.clients, plan.budget_bytes)
+        else:
+            self.client_listener.cap, self.memory.limit_bytes = plan.clients, plan.budget_bytes
+        self.timers.repeat(CHECK_MS, self.memory_monitor.check)
+        log.info(
+            "memory resident_mb=%.1f budget_mb=%.1f clients=%d read_bytes=%d",
+            self._resident_bytes() / BYTES_PER_MB,
+            plan.budget_bytes / BYTES_PER_MB,
+            plan.clients,
+            plan.read_bytes,
+        )
+
     def _make_admin_handler(self) -> AdminHandler:
         return AdminHandler(
             self.director,
@@ -136,7 +199,7 @@
     def _part_metrics(self) -> list[tuple[str, int]]:
         """Metrics of the admin endpoint, of restarted tasks, and of the parts that the operator's file
         enables."""
-        metrics = [("task_failures", self._count_task_failures())]
+        metrics = [("task_failures", self._count_task_failures()), *self.memory_monitor.lines()]
         metrics += self.admin_endpoint.metrics.lines() if self.admin_endpoint is not None else []
         metrics += self.recovery.lines() if self.recovery is not None else []
         return metrics + (self.audit.lines() if self.audit is not None else [])
