Send no unsafe request again under an id that may have run

Checked: in safe classes a repeat is allowed, in keyed ones the server's window drops it; unsafe ones had no record beyond their exchange, which ends once the client has left. At fault: AttemptChecks.record_start and Admission.rejection, which recorded and looked up keys of keyed classes only. Changed: attempts of unsafe requests are recorded like those with keys, under their id, before the first byte, for the class's deadline; so the other process of an upgrade and a restart with recovery know them. An id that may have run gets 'failed', never 'refused'; one that is proven not to have run is free. A second request that waits for a dial is checked again before its first byte.

--- a/gladelane/net/admission.py
+++ b/gladelane/net/admission.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from ..routing.events import ClassSpec, Effect, Request
+from ..routing.idempotency import NO_ATTEMPT
 from .exchange import AnswerCode, ClientRequest, Exchange, FinalAnswer
 from .interfaces import DirectorContext
 
@@ -45,7 +46,11 @@
         context, client_request, spec = self._context, exchange.ask, exchange.spec
         if context.audit is not None and (retry_after_ms := context.audit.retry_after_ms(client_request.cls)):
             return self._rejected(retry_after_ms)
-        if spec.effect is Effect.KEYED and self._must_reject_key(client_request.key, now):
+        if spec.effect is Effect.UNSAFE and context.keys.first_attempt(exchange.key, now) != NO_ATTEMPT:
+            return FinalAnswer(AnswerCode.FAILED)  # its id came before, and it may have run then
+        if spec.effect is not Effect.SAFE and context.keys.is_full(exchange.key, now):
+            return FinalAnswer(AnswerCode.REFUSED)
+        if spec.effect is Effect.KEYED and self._is_key_unknown(client_request.key, now):
             return FinalAnswer(AnswerCode.REFUSED)
         if context.guard is not None and spec.cacheable:
             part = exchange.request.object, exchange.request.part
@@ -53,8 +58,8 @@
                 return self._rejected(retry_after_ms)
         return None
 
-    def _must_reject_key(self, key: str, now: float) -> bool:
-        return self._context.keys.is_full(key, now) or (bool(key) and now < self._keys_unknown_until_ms)
+    def _is_key_unknown(self, key: str, now: float) -> bool:
+        return bool(key) and now < self._keys_unknown_until_ms
 
     def _relative_weight(self, spec: ClassSpec) -> float:
         max_weight = max((one.worth for one in self._context.settings.classes.values()), default=1.0)
--- a/gladelane/net/attempt_lifecycle.py
+++ b/gladelane/net/attempt_lifecycle.py
@@ -59,6 +59,8 @@
         """Checks an attempt just before its first byte is written. Returns the outcome with which it ends
         unwritten; or None, after the attempt was recorded and its limits on copies were updated."""
         now = self._context.clock()
+        if self._checks.has_run_elsewhere(attempt.exchange, now):
+            attempt.exchange.finish(FinalAnswer(AnswerCode.FAILED))
         rejection = self._checks.rejection(attempt, now)
         if rejection is None:
             self._checks.record_start(attempt, now)
@@ -132,13 +134,13 @@
         return listed is not None and listed.kind == self._context.settings.origin_kind
 
     def _record_run(self, attempt: Attempt, status: Status) -> None:
-        """Records whether an attempt may have run, under its idempotency key and in its exchange."""
+        """Records whether an attempt may have run, under its key and in its exchange."""
         exchange, context = attempt.exchange, self._context
         if status in NEVER_RAN:
             if attempt.ran_ms:
-                context.keys.never_ran(exchange.ask.key, attempt.ran_ms, attempt.store)
+                context.keys.never_ran(exchange.key, attempt.ran_ms, attempt.store)
                 if context.key_observer is not None:
-                    context.key_observer.never_ran(exchange.ask.key, attempt.ran_ms, attempt.store)
+                    context.key_observer.never_ran(exchange.key, attempt.ran_ms, attempt.store)
         elif attempt.written_ms:
             exchange.ran_ms = min(exchange.ran_ms or attempt.written_ms, attempt.written_ms)
 
--- a/gladelane/net/exchange.py
+++ b/gladelane/net/exchange.py
@@ -14,6 +14,7 @@
 from ..admin.metrics import Metrics
 from ..clock import UnixMs
 from ..routing.events import ClassSpec, Request
+from ..routing.idempotency import attempt_key
 from ..timer_wheel import TimerHandle
 
 
@@ -70,6 +71,11 @@
     metrics: Metrics | None = None
     is_client_gone: Callable[[], bool] = never_gone  # judges by the bytes received so far
 
+    @property
+    def key(self) -> str:
+        """The key under which its attempts are recorded; empty if they need no record."""
+        return attempt_key(self.spec.effect, self.ask.id, self.ask.key)
+
     def may_have_run(self) -> bool:
         """Whether a byte of any attempt, including ended ones, may have reached a server."""
         return bool(self.ran_ms) or any(attempt.written_ms for attempt in self.open.values())
@@ -106,7 +112,9 @@
     objective_ms: float = 0.0  # latency objective
     timer: TimerHandle | None = None
     min_copy_date: UnixMs = UnixMs(0.0)  # of a copy that answers it, by the purges active when it was written
-    ran_ms: float = 0.0  # set only with an idempotency key: since when it may have run; 0: it has not run
+    ran_ms: float = (
+        0.0  # set only if it is recorded under a key: since when it may have run; 0: it has not run
+    )
     written_ms: float = 0.0  # 0 until a byte of it may have left this process
     activity_interval: int = 0  # interval of the activity log in which it was sent; 0: no log is kept
 
--- a/gladelane/routing/idempotency.py
+++ b/gladelane/routing/idempotency.py
@@ -1,4 +1,6 @@
-"""Records when requests with idempotency keys may have run.
+"""Records when requests that must not run twice may have run, under a key.
+
+The key is the client's idempotency key, or for an unsafe request one that is made of its id.
 
 The records must outlive attempts and processes, because the client may retry for as long as its class allows.
 The module does no I/O.
@@ -36,11 +38,20 @@
         """Receives the key, the start of the attempt and the server to which it is sent."""
 
 
+def attempt_key(effect: Effect, request_id: str, idempotency_key: str) -> str:
+    """The key under which the attempts of a request are recorded; empty if they need no record. An
+    idempotency key contains no equals sign."""
+    if effect is Effect.UNSAFE:
+        return f"id={request_id}"
+    return idempotency_key if effect is Effect.KEYED else ""
+
+
 def retention_for(classes: Iterable[ClassSpec]) -> float:
     """For how many ms after its latest attempt a key must be known. Its client retries for as long as the
-    class allows, and the last retry must still be recognized as past the window."""
-    keyed = (spec for spec in classes if spec.effect is Effect.KEYED)
-    return max((spec.window_ms + spec.deadline_ms for spec in keyed), default=0.0)
+    class allows, and the last retry must still be recognized as past the window. An unsafe request has no
+    window: it may come again, from a client whose connection broke, until its deadline."""
+    recorded = (spec for spec in classes if spec.effect is not Effect.SAFE)
+    return max((spec.window_ms + spec.deadline_ms for spec in recorded), default=0.0)
 
 
 def is_past_window(ran_ms: Iterable[float], now_ms: float, window_ms: float, spare_ms: float) -> bool:
