--- a/benchmarks/memory/__main__.py
+++ b/benchmarks/memory/__main__.py
@@ -45,6 +45,7 @@
     figures = {
         "seeds": len(results),
         "seeds_with_problems": [result.seed for result in results if result.problems],
+        "seeds_that_return_slowly": [result.seed for result in results if result.returns_slowly],
         "highest_share_of_limit": round(max(result.peak_mb / result.memory_mb for result in results), 3),
         "served": sum(result.served for result in results),
         "requests": sum(result.requests for result in results),
--- a/gladelane/lab/call_faults.py
+++ b/gladelane/lab/call_faults.py
@@ -118,6 +118,10 @@
                 except OSError:  # there is no listener: no request was sent
                     await asyncio.sleep(PROBE_APART_S)
                     continue
+            if client.is_closed_by_director():  # while this event loop was busy
+                await self._close(client)
+                client = None
+                continue
             request = repeated or self._new()
             repeated = None
             request.code = await self._ask(client, request)
--- a/gladelane/lab/client.py
+++ b/gladelane/lab/client.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import os
+import socket
 from collections import Counter
 from typing import NamedTuple
 
 from ..net.client_protocol import FrameDecoder, FrameType, decode_fields, encode_fields, encode_frame
+from ..sockets import has_ended
 
 
 class Answer(NamedTuple):
@@ -52,6 +55,14 @@
         except (TimeoutError, ConnectionError):
             return None
 
+    def is_closed_by_director(self) -> bool:
+        """Whether the end of the connection has arrived, read or not. A client sends no request then."""
+        transport_socket = self._writer.get_extra_info("socket")
+        if self.ended or transport_socket is None or transport_socket.fileno() < 0:
+            return True
+        with socket.socket(fileno=os.dup(transport_socket.fileno())) as sock:
+            return has_ended(sock)
+
     async def close(self) -> None:
         """Closes the connection. Pending requests get no answer."""
         self._writer.close()
--- a/gladelane/net/memory_budget.py
+++ b/gladelane/net/memory_budget.py
@@ -36,8 +36,9 @@
 COPIES_OF_BODY = 2
 #: A client connection with its reader, its transport and a small incomplete frame.
 CONNECTION_BYTES = 5_000
-#: Copies of the largest frame and of the largest reply while they are decoded and passed on.
-TRANSIENT_BYTES = 700_000
+#: What a process takes for its ordinary work after its start, with copies of the largest frame and of the
+#: largest reply while they are decoded and passed on.
+TRANSIENT_BYTES = 1_300_000
 #: Share of the free memory that is left for what is not reserved: learned state, logs, fragmentation.
 UNRESERVED_SHARE = 0.3
 CONNECTION_SHARE = 0.5  # of the reserved memory, at most
--- a/gladelane/net/memory_monitor.py
+++ b/gladelane/net/memory_monitor.py
@@ -18,7 +18,7 @@
 
 BYTES_PER_MB = 1_000_000
 CHECK_MS = 100.0
-HIGH_MARK_BYTES = 400_000  # below the limit, from which on memory is short
+HIGH_MARK_BYTES = 500_000  # below the limit, from which on memory is short
 #: Between two times that unused memory is freed: the longer interval if that had little effect.
 MIN_INTERVAL_MS, MAX_INTERVAL_MS = 500.0, 2_000.0
 UNUSED_BYTES = 1_000_000  # beyond the lowest level and what is reserved, which is worth freeing
