--- a/review/stand_2/fleet.py
+++ b/review/stand_2/fleet.py
@@ -110,7 +110,7 @@
 
     def __init__(self, name: str, record: Record, answer: Reply) -> None:
         self.name, self.record, self.answer = name, record, answer
-        self.port = free_port()
+        self.port = self.listed_port = free_port()  # the list may name a link to it
         self.fetches: list[Fetch] = []
         self._server: asyncio.Server | None = None
         self.writers: set[asyncio.StreamWriter] = set()
@@ -222,7 +222,7 @@
     """The entry of a store in the list."""
     return {
         "instanceId": store.name,
-        "hostPort": f"127.0.0.1:{store.port}",
+        "hostPort": f"127.0.0.1:{store.listed_port}",
         "zone": zone,
         "machineType": kind,
         "cell": 0,
@@ -232,9 +232,12 @@
     }
 
 
-def small_list(record: Record, answer: Reply) -> tuple[list[Store], Board]:
-    """A cache, a parent and the origin that answer alike, and a board that lists them."""
+def small_list(record: Record, answer: Reply, link: Link | None = None) -> tuple[list[Store], Board]:
+    """A cache, a parent and the origin that answer alike, and a board that lists them. `link` leads to the
+    cache, if there is one."""
     stores = [Store(name, record, answer) for name in ("cache-1", "depot-1", "bank")]
+    if link is not None:
+        link.far_port, stores[0].listed_port = stores[0].port, link.port
     kinds = (("standard", "branch"), ("parent", "hub"), ("origin", "hub"))
     rows = [instance(one, kind, zone) for one, (kind, zone) in zip(stores, kinds, strict=True)]
     board = Board(record)
@@ -316,6 +319,108 @@
     }
 
 
+class Link:
+    """A network link to a port. While it is cut, nothing passes and nothing is closed; what was sent
+    meanwhile passes once it is mended."""
+
+    def __init__(self, far_port: int = 0) -> None:
+        self.far_port, self.port = far_port, free_port()
+        self._open = asyncio.Event()
+        self._open.set()
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Listens."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
+
+    def cut(self) -> None:
+        """From now on nothing passes."""
+        self._open.clear()
+
+    def mend(self) -> None:
+        """What was held back passes, and all that follows."""
+        self._open.set()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await self._open.wait()
+        try:
+            far_reader, far_writer = await asyncio.open_connection("127.0.0.1", self.far_port)
+        except OSError:
+            writer.transport.abort()
+            return
+        ways = self._pass(reader, far_writer), self._pass(far_reader, writer)
+        await asyncio.gather(*ways, return_exceptions=True)
+
+    async def _pass(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with suppress(OSError):
+            while data := await reader.read(65_536):
+                await self._open.wait()
+                writer.write(data)
+        await self._open.wait()
+        writer.close()
+
+    def stop(self) -> None:
+        """Ends the link."""
+        if self._server is not None:
+            self._server.close()
+
+
+class Feed:
+    """The project's own control server for purges, as a process (see review/stand/feed.py)."""
+
+    TOKEN = "token-of-the-review-0002"
+
+    def __init__(self, record: Record, folder: Path) -> None:
+        self.record, self._folder = record, folder
+        self.port = free_port()
+        self.token_file = folder / "tokens"
+        self._process: asyncio.subprocess.Process | None = None
+
+    async def start(self) -> None:
+        """Starts it and waits until it takes purges."""
+        self.token_file.write_text(f"review {self.TOKEN}\n")
+        log_path = self._folder / "feed.log"
+        words = ["--name", "feed-a", "--dir", str(self._folder / "feed"), "--tokens", str(self.token_file)]
+        words += ["--listen", f"127.0.0.1:{self.port}"]
+        with log_path.open("wb") as log:
+            self._process = await asyncio.create_subprocess_exec(
+                str(ROOT / ".venv/bin/python"), "-B", str(ROOT / "review/stand/feed.py"), *words,
+                stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log,
+            )  # fmt: skip
+        for _ in range(int(SETUP_S / 0.05)):
+            if "feed ready" in log_path.read_text():
+                return
+            await asyncio.sleep(0.05)
+        raise CannotRunError("the feed is not ready:\n" + log_path.read_text()[-2000:])
+
+    async def purge(self, scope: str, key: str) -> tuple[int, str]:
+        """Sends a purge as an operator does. Returns the status and the text."""
+        body = json.dumps({"scope": scope, "tags": {}})
+        head = [
+            "POST /purges HTTP/1.1",
+            "Host: feed",
+            f"Authorization: Bearer {self.TOKEN}",
+            f"Idempotency-Key: {key}",
+            "Content-Type: application/json",
+            f"Content-Length: {len(body)}",
+            "Connection: close",
+        ]
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        writer.write(("\r\n".join(head) + "\r\n\r\n" + body).encode())
+        data = await asyncio.wait_for(reader.read(), 10.0)
+        writer.close()
+        status, text = int(data.split()[1]), data.partition(b"\r\n\r\n")[2].decode()
+        self.record.write(f"operator: purge {scope} -> {status} {text}")
+        return status, text
+
+    async def stop(self) -> None:
+        """Ends it."""
+        if self._process is not None:
+            with suppress(ProcessLookupError):
+                self._process.kill()
+            await self._process.wait()
+
+
 # --- the platform
 
 
@@ -340,6 +445,7 @@
             "settings": settings_,
         }
         self.processes: list[asyncio.subprocess.Process] = []
+        self.env: dict[str, str] = {}  # further variables
         self.write_config()
 
     def write_config(self) -> None:
@@ -359,6 +465,7 @@
             "GW_CONFIG": str(self.folder / "config.json"),
             "GW_OPS": f"127.0.0.1:{ops}",
             "TMPDIR": str(self.folder / "tmp"),
+            **self.env,
         }
         with self.log_path.open("ab") as log:
             process = await asyncio.create_subprocess_exec(
@@ -388,6 +495,16 @@
             self.record.write(f"operator: {method} {path} -> {head.decode().strip()}")
         return int(head.split()[1]) if head else 0
 
+    async def figure(self, ops: int, name: str) -> float:
+        """One figure of the director."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", ops)
+        writer.write(b"GET /stats HTTP/1.1\r\nHost: x\r\n\r\n")
+        text = (await asyncio.wait_for(reader.read(), 5.0)).decode()
+        writer.close()
+        line = next(one for one in text.splitlines() if one.startswith(f"director.{name}="))
+        self.record.write(f"operator: {line}")
+        return float(line.partition("=")[2])
+
     def signal(self, process: asyncio.subprocess.Process, number: signal.Signals) -> None:
         """Sends a signal to the program that `run` started."""
         self.record.write(f"platform: {number.name} to pid={process.pid}")
@@ -548,10 +665,11 @@
 
     def close(self) -> None:
         """Closes the connection."""
-        with suppress(OSError):
-            self._sock.close()
         if self._task is not None:
             self._task.cancel()
+        with suppress(OSError, ValueError):
+            asyncio.get_running_loop().remove_reader(self._sock.fileno())
+        self._sock.close()
 
 
 # --- a case
@@ -565,6 +683,10 @@
     record = Record(folder)
 
     async def limited() -> str:
+        task = asyncio.current_task()
+        assert task is not None
+        for number in (signal.SIGTERM, signal.SIGINT):  # so that no process is left
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         try:
             return await asyncio.wait_for(case(record), 110.0)
         finally:
@@ -577,7 +699,7 @@
     record.write(f"trouble={int(with_trouble())}")
     try:
         broken = asyncio.run(limited())
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         record.write(f"the case could not run: {type(error).__name__} {error}")
         print(f"could not run: {type(error).__name__} {error}", file=sys.stderr)
         return NOT_RUN
