Keep a client's connection until it has read its answers, whatever ends it

Observed with TIOCOUTQ logged in a scratch copy (trial): the write side was shut down 411 ms after type 48 with 0 bytes in the transport and 2,116,737 unacknowledged, the socket was closed at 922 ms with 1,642,608; the client's next request was answered by a reset. Of 2,000,000 bytes to a client that was reset it got the 127,574 that its system had acknowledged, of 40,000 that were acknowledged all (trial): only unacknowledged bytes are destroyed.

So every end that this side chooses was hit: idle, drain, drain taken back, lagging director, shutdown, upgrade, invalid framing.

Changed: net/connection_end.py is the one rule (pure, a table as its test), net/delivery.py what is known of a client's reading. Nothing ends while bytes are unacknowledged, unless the client stalls for 10 s or reads under 20 KB/s; acknowledged bytes may be unread, so a pace of 200 KB/s is assumed before the client counts as having read type 48, and it has to be quiet. 3.5 s after the start of a drain one of the two is enough. Unacknowledged answers are pending at the end of a process.

Ruled out: the cut itself (0 of 12 lost if the client sends nothing after the drain), the admin endpoint (the drain's answer came in time), cache connections (closing one abandons what is open on it, by the protocol).

test_admin_actions: 2 s from the last answer to the end of a drained connection was the test's own time-out and no target; it holds the 4 s of the drain now. The constants of ends moved, so two tests take them from their new modules.

--- a/gladelane/admin/drain.py
+++ b/gladelane/admin/drain.py
@@ -7,10 +7,10 @@
 # These constants follow from the protocol between clients and directors, which is the same for every
 # deployment. They do not depend on the settings, such as how long a request may take.
 
-#: Time from notifying a client to closing its connection. The client may have written a request just before
-#: it read the notification, so this covers a round trip (tens of ms between an operator's machines) and the
-#: time until both processes are scheduled. If that takes longer, nothing is lost: by the protocol, a client
-#: sends a request that crosses a close once more.
+#: Least time from notifying a client to closing its connection. The client may have written a request just
+#: before it read the notification, so this covers a round trip (tens of ms between an operator's machines)
+#: and the time until both processes are scheduled. A client that has answers to read first has longer
+#: (`net.connection_end`).
 CLOSE_AFTER_MS = 300.0
 #: Time that a new client has for its first request before it is notified. By the protocol, new connections
 #: arrive for up to 0.4 s after a restart, and requests on them for 0.2 s more.
@@ -20,10 +20,14 @@
 DRAINED_MS = 4_000.0
 #: A request that is younger than this at the end of that time shows that the director still accepts work.
 YOUNG_REQUEST_MS = 2_000.0
+#: Allowance for an admin request that is accepted late and for the event loop's lag.
+LATE_REQUEST_MS = 500.0
+#: Time after the drain request, or after notifying the client once the drain has ended, at which idle
+#: connections are closed even if it is not certain that their clients have read the notification.
+CLOSE_BY_MS = DRAINED_MS - LATE_REQUEST_MS
 #: Time after notifying a client until its requests are rejected, so that no request is young in the sense
-#: above. Connected clients are notified at the drain request or with their next answer. The 500 ms allow for
-#: an admin request that is accepted late and for the event loop's lag.
-REJECT_AFTER_MS = DRAINED_MS - YOUNG_REQUEST_MS - 500.0
+#: above. Connected clients are notified at the drain request or with their next answer.
+REJECT_AFTER_MS = DRAINED_MS - YOUNG_REQUEST_MS - LATE_REQUEST_MS
 
 
 class Drain:
@@ -83,10 +87,16 @@
         return self.is_draining and now - connected_ms >= FIRST_REQUEST_MS
 
     def should_close(self, notified_ms: float, now: float) -> bool:
-        """Whether to close an idle connection whose client was notified at `notified_ms` (0: not yet). This
-        also holds after the end of the drain, since the client was asked to leave."""
+        """Whether to close an idle connection whose client was notified at `notified_ms` (0: not yet) and has
+        read that. This also holds after the end of the drain, since the client was asked to leave."""
         return bool(notified_ms) and now - notified_ms >= CLOSE_AFTER_MS
 
+    def close_by_ms(self, notified_ms: float) -> float:
+        """When an idle connection whose client was notified at `notified_ms` is to be closed at the latest.
+        The time that is allowed counts from the start of the drain, if it goes on."""
+        starts = [start for start in (self.requested_ms, self.lagging_since_ms) if start]
+        return min([*starts, notified_ms]) + CLOSE_BY_MS
+
     def rejects(self, notified_ms: float, now: float) -> bool:
         """Whether to reject the requests of a client that was notified at `notified_ms`. A process that only
         shuts down serves them until it ends."""
--- a/gladelane/net/client_connection.py
+++ b/gladelane/net/client_connection.py
@@ -7,7 +7,14 @@
 import socket
 from typing import Protocol
 
-from ..sockets import has_ended, has_unread, ms_since_last_data, peek_unread, shut_write_side
+from ..sockets import (
+    has_ended,
+    has_unread,
+    ms_since_last_data,
+    peek_unread,
+    shut_write_side,
+    unacknowledged_bytes,
+)
 from .client_protocol import (
     Frame,
     FrameDecoder,
@@ -19,6 +26,8 @@
     encode_ready,
 )
 from .client_requests import FAILED, ClientRequests, RequestContext
+from .connection_end import Step, next_step
+from .delivery import Delivery
 from .exchange import Exchange
 from .frame_memory import MAX_REQUEST_FRAME_BYTES, SILENCE_MS
 from .memory_budget import MemoryUse
@@ -36,19 +45,8 @@
 #: Frames that a client may send in a row while it is above MAX_UNSENT_BYTES. A client that reads its answers
 #: has at most 32 open requests.
 MAX_FRAMES_WHILE_BLOCKED = 256
-STALLED_MS = 10_000.0  # a client that reads no byte of its answers for this long is disconnected
-FLOOD_STALLED_MS = 1_000.0  # the same limit once the client has exceeded MAX_FRAMES_WHILE_BLOCKED
-#: By the protocol, clients close a connection after 4 s without a request. One that does not is closed here.
-IDLE_TIMEOUT_MS = 4_200.0
-#: How long to wait for the client's close after this side has shut down its own. That is many round trips; a
-#: request that crossed the shutdown arrives within 50 ms.
-LINGER_TIMEOUT_MS = 500.0
 #: An incomplete frame that has received no byte for this long does not delay the end of the process.
 INCOMPLETE_FRAME_PAUSE_MS = 300.0
-FIRST_FRAME_TIMEOUT_MS = 2_000.0  # a client that has sent no valid frame this long after connecting is closed
-#: A client whose incomplete frame is not completed within this time is closed. The protocol allows 3 s from
-#: connecting.
-FRAME_TIMEOUT_MS = 2_000.0
 UNRESERVED_FRAME_BYTES = 512  # of an incomplete frame; a connection's own memory has room for them
 
 
@@ -82,8 +80,6 @@
         "_decoder",
         "_frames_while_blocked",
         "_has_backlog",
-        "_is_flooding",
-        "_last_unsent_bytes",
         "_queued_ms",
         "_received_ms",
         "_reserved_bytes",
@@ -91,10 +87,12 @@
         "_skipped_frame",
         "accepted_ms",
         "context",
+        "delivery",
         "discards_input",
         "goaway_ms",
         "has_sent_valid_frame",
         "incomplete_since_ms",
+        "is_flooding",
         "is_handling_frames",
         "last_active_ms",
         "reader",
@@ -119,22 +117,22 @@
         self.writer = writer
         self.sock = sock  # the transport's socket, for checks outside of the stream
         self.requests = ClientRequests(context, self)
+        self.delivery = Delivery()
         self.goaway_ms = 0.0  # when the client was asked to send no more requests; 0: it was not
         self.last_active_ms = self.accepted_ms = context.clock()
         self.has_sent_valid_frame = False
         self.incomplete_since_ms = 0.0  # since when a frame has been incomplete; 0: no frame is
         self.discards_input = False  # received bytes are discarded
         self.write_closed_ms = 0.0  # when the write side was shut down; 0: it is open
+        self.is_flooding = False  # the client has exceeded MAX_FRAMES_WHILE_BLOCKED
         self.is_handling_frames = False  # frames that were received completely
         self._queued_ms = queued_ms  # reset to 0 by the first read
         self._received_ms = 0.0  # latest time at which the frames being handled can have arrived
         self._has_backlog = False  # more bytes had arrived before the last of these frames was handled
         self._frames_while_blocked = 0  # frames in a row received while above MAX_UNSENT_BYTES
-        self._is_flooding = False  # the client has exceeded MAX_FRAMES_WHILE_BLOCKED
         self._decoder = FrameDecoder()
         self._reserved_bytes = 0  # for the incomplete frame
         self._skipped_frame: SkippedFrame | None = None  # the incomplete frame, if it is discarded
-        self._last_unsent_bytes = 0  # at the latest sweep
         self._searched_bytes = 0  # count of received bytes at the latest search for cancellations
         self._cancelled_streams: set[int] = set()  # streams whose cancellation that search found
 
@@ -153,6 +151,14 @@
         """The number of written bytes that the operating system has not accepted yet."""
         return self.writer.transport.get_write_buffer_size()
 
+    def unacknowledged_bytes(self, now: float | None = None) -> int:
+        """The number of written bytes that the client's system has not acknowledged. They are lost if the
+        connection is reset. `now` is the time of the measurement, if it is known."""
+        if not self.delivery.is_complete:
+            count = self.unsent_bytes() + unacknowledged_bytes(self.sock)
+            self.delivery.update(count, self.context.clock() if now is None else now)
+        return self.delivery.unacknowledged
+
     def buffered_bytes(self) -> int:
         """The number of bytes held in memory for this client: unsent answers, open requests, and the
         incomplete frame."""
@@ -184,8 +190,18 @@
         )
 
     def is_settled(self) -> bool:
-        """Whether all received requests are answered and all answers have been sent."""
-        return not (self.is_handling_frames or self.open or self.unsent_bytes() or self.has_unread_bytes())
+        """Whether all received requests are answered and all answers have arrived at the client's system."""
+        return not (
+            self.is_handling_frames or self.open or self.unacknowledged_bytes() or self.has_unread_bytes()
+        )
+
+    def is_closing(self) -> bool:
+        """Whether the socket is closed, or about to be once the last bytes are sent."""
+        return self.writer.is_closing()
+
+    def is_receiving(self) -> bool:
+        """Whether received bytes are being handled or wait to be read."""
+        return self.is_handling_frames or self.has_unread_bytes()
 
     def close_gracefully(self) -> None:
         """Starts to close the connection: further input is discarded, and open requests are answered before
@@ -289,7 +305,7 @@
         """Whether the connection may be closed so that another client is accepted: its only frame is
         incomplete and would be refused, and is longer than requests are or has received no byte for long."""
         frame = self._skipped_frame
-        if frame is None or self.open or self.unsent_bytes() or self.discards_input:
+        if frame is None or self.open or self.unacknowledged_bytes(now) or self.discards_input:
             return False
         if frame.frame_bytes > MAX_REQUEST_FRAME_BYTES:
             return True
@@ -352,7 +368,7 @@
         else:
             log.warning("unexpected frame type=%d stream=%d", frame.type, frame.stream)
             self.send(encode_answer(0, FAILED))
-        if self._is_flooding:
+        if self.is_flooding:
             self.close_gracefully()
 
     def is_client_gone(self, stream: int) -> bool:
@@ -384,13 +400,14 @@
             log.warning(
                 "disconnecting client: sends requests but reads no answers unsent=%d", self.unsent_bytes()
             )
-            self._is_flooding = True
+            self.is_flooding = True
         return True
 
     def send(self, data: bytes) -> None:
         """Sends a frame unless the write side is closed."""
         if not self.writer.is_closing() and not self.write_closed_ms:
             self.writer.write(data)
+            self.delivery.add_written(len(data), self.context.clock())
             self.context.memory.add(MemoryUse.ANSWERS, len(data))
 
     def send_goaway(self) -> None:
@@ -400,58 +417,33 @@
             self.send(encode_frame(FrameType.NO_MORE, 0))
 
     def sweep(self, now: float) -> None:
-        """Closes the connection if it has been idle, stalled or in the middle of a frame for too long. Called
+        """Notifies or ends the connection if it is time to, as `connection_end` decides. Called
         periodically."""
-        unsent = self.unsent_bytes()
-        self._record_progress(unsent, now)
-        idle_ms = now - self.last_active_ms
-        if unsent and self.write_closed_ms:
-            self.write_closed_ms = now  # LINGER_TIMEOUT_MS counts from when all bytes are sent
-        if unsent and idle_ms > (FLOOD_STALLED_MS if self._is_flooding else STALLED_MS):
-            log.info("disconnecting stalled client unsent=%d", unsent)
-            self.writer.transport.abort()
-        elif self.writer.is_closing():
-            return  # the last answers are being sent
-        elif self.write_closed_ms:
-            if now - self.write_closed_ms > LINGER_TIMEOUT_MS:
+        if self.unacknowledged_bytes(now) and self.delivery.progress_ms == now:
+            self.last_active_ms = now  # the client has read some of its answers
+        match next_step(self, self.context.drain, now):
+            case Step.ABORT:
+                log.info("disconnecting stalled client unacknowledged=%d", self.delivery.unacknowledged)
+                self.writer.transport.abort()
+            case Step.CLOSE:
                 self.writer.close()
-        elif self.discards_input:
-            return  # open requests are answered first
-        elif (
-            self.incomplete_since_ms
-            and now - self.incomplete_since_ms > FRAME_TIMEOUT_MS
-            and not self.is_handling_frames
-            and not self.has_unread_bytes()
-        ):
-            log.warning("frame not completed in time")
-            self.send(encode_answer(0, FAILED))
-            self.close_gracefully()
-        elif not self.goaway_ms and self.context.drain.should_notify(self.accepted_ms, now):
-            self.send_goaway()
-        elif self.is_idle() and self._is_due_to_close(idle_ms, now):
-            self.close_gracefully()
-
-    def _record_progress(self, unsent: int, now: float) -> None:
-        """Counts a client that has read some of its answers as active."""
-        if not unsent or unsent != self._last_unsent_bytes:
-            self._last_unsent_bytes = unsent
-            if unsent:
-                self.last_active_ms = now
-
-    def _is_due_to_close(self, idle_ms: float, now: float) -> bool:
-        """Whether an idle connection should be closed."""
-        if idle_ms > IDLE_TIMEOUT_MS or self.context.drain.should_close(self.goaway_ms, now):
-            return True
-        return not self.has_sent_valid_frame and now - self.accepted_ms > FIRST_FRAME_TIMEOUT_MS
+            case Step.FAIL_FRAME:
+                log.warning("frame not completed in time")
+                self.send(encode_answer(0, FAILED))
+                self.close_gracefully()
+            case Step.NOTIFY:
+                self.send_goaway()
+            case Step.SHUT_WRITE_SIDE:
+                self.close_gracefully()
 
     def is_idle(self) -> bool:
-        """Whether the connection may be closed: no request is open, no answer unsent, no frame incomplete,
-        and no received byte unread."""
+        """Whether the connection may be closed: no request is open, no answer unacknowledged, no frame
+        incomplete, and no received byte unread."""
         is_busy = (
             self.discards_input
             or self.open
             or self.is_handling_frames
             or self.incomplete_since_ms
-            or self.unsent_bytes()
+            or self.unacknowledged_bytes()
         )
         return not is_busy and not self.has_unread_bytes()
--- a/gladelane/net/client_listener.py
+++ b/gladelane/net/client_listener.py
@@ -143,10 +143,11 @@
     def _close_idle_connection(self) -> bool:
         """Closes an idle connection to make room for a new client, and returns whether there is room now. A
         connection that never sent a valid frame is closed first, so that clients that only connect cannot
-        keep others out; otherwise the one that was idle for longest."""
-        idle_since_ms = self.clock() - MIN_IDLE_MS
-        idle = [c for c in self.connections if c.last_active_ms < idle_since_ms]
-        idle.sort(key=lambda c: (c.has_sent_valid_frame, c.last_active_ms))
+        keep others out; otherwise the one that was idle for longest. Those come last whose client may still
+        have answers to read and so write requests without noticing the close."""
+        now = self.clock()
+        idle = [c for c in self.connections if c.last_active_ms < now - MIN_IDLE_MS]
+        idle.sort(key=lambda c: (c.has_sent_valid_frame, not c.delivery.has_been_read(now), c.last_active_ms))
         victim = next((c for c in idle if not c.writer.is_closing() and c.is_idle()), None)
         if victim is not None:
             victim.close_gracefully()
@@ -156,7 +157,7 @@
             for conn in self.connections:
                 if (
                     conn.write_closed_ms
-                    and not conn.unsent_bytes()
+                    and not conn.unacknowledged_bytes()
                     and self.clock() - conn.write_closed_ms > MAX_CROSSING_MS
                 ):
                     conn.writer.transport.abort()
@@ -251,15 +252,24 @@
                 if conn.is_settled():
                     conn.close_gracefully()
             await asyncio.sleep(CLOSE_POLL_S)
+        self._log_unacknowledged_answers()
         for conn in list(self.connections):
             conn.close_gracefully()
             conn.writer.close()
 
+    def _log_unacknowledged_answers(self) -> None:
+        """Logs what the system has to deliver after the process has ended; a client that sends something
+        before it has all of that loses the rest."""
+        counts = [count for conn in self.connections if (count := conn.unacknowledged_bytes())]
+        if counts:
+            log.warning("closing before clients have read: connections=%d bytes=%d", len(counts), sum(counts))
+
     def has_no_pending_requests(self) -> bool:
-        """Whether no client waits for an answer or may have sent a request that was not handled yet."""
+        """Whether no client waits for an answer, has one on its way, or may have sent a request that was not
+        handled yet."""
         now = self.clock()
         return not self._being_set_up and not any(
-            c.open or c.unsent_bytes() or c.may_have_sent_request(now) for c in self.connections
+            c.open or c.unacknowledged_bytes(now) or c.may_have_sent_request(now) for c in self.connections
         )
 
     def _sweep(self) -> None:
--- a/gladelane/sockets.py
+++ b/gladelane/sockets.py
@@ -51,6 +51,16 @@
         return 0
 
 
+def unacknowledged_bytes(sock: socket.socket) -> int:
+    """The number of bytes in the send buffer that the peer's system has not acknowledged, sent or not. Bytes
+    that it has acknowledged are not lost by a reset of the connection, whether the peer has read them or
+    not. 0 if the system does not tell."""
+    try:
+        return int(struct.unpack("i", fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, b"\0\0\0\0"))[0])
+    except CLOSED_SOCKET_ERRORS:
+        return 0
+
+
 def has_unread(sock: socket.socket) -> bool:
     """Whether there are received bytes that the stream has not read yet."""
     return unread_bytes(sock) > 0
--- a/tests/admin/test_admin_actions.py
+++ b/tests/admin/test_admin_actions.py
@@ -24,6 +24,7 @@
     wait_until,
 )
 
+from gladelane.admin.drain import DRAINED_MS
 from gladelane.admin.requests import AdminAction, AdminRequest, AdminResponse
 from gladelane.discovery.events import watch_event_decoder
 
@@ -273,6 +274,7 @@
             received += len((await slow.next())[4])
         assert node.memory.total() < node.memory.limit_bytes
         run_action(node, AdminAction.FAIL)
+        drained_by_ms = node.clock.now() + DRAINED_MS
         # the drain does not close this connection before its answers are written
         while received < request_count * len(body):
             frame = await slow.next()
@@ -281,4 +283,4 @@
             await asyncio.sleep(0.02)
         with pytest.raises(EOFError):
             while True:
-                assert (await slow.next(2.0))[0] == 48
+                assert (await slow.next((drained_by_ms - node.clock.now()) / 1000.0))[0] == 48
--- a/tests/net/test_client_connection_races.py
+++ b/tests/net/test_client_connection_races.py
@@ -37,6 +37,7 @@
 import gladelane.net.client_connection as connection_module
 import gladelane.net.client_listener as listener_module
 from gladelane import shutdown
+from gladelane.net import connection_end
 from gladelane.net.client_connection import ClientConnection
 from gladelane.net.client_protocol import encode_fields
 from gladelane.net.exchange import Attempt
@@ -414,9 +415,9 @@
         node.timers.lag = lambda: 2 * listener_module.MAX_LAG_MS  # type: ignore[method-assign]
         client.ask(1)
         assert (await client.next())[:3] == (17, 1, 1)
-        conn.sweep(conn.last_active_ms + connection_module.IDLE_TIMEOUT_MS)
+        conn.sweep(conn.last_active_ms + connection_end.IDLE_TIMEOUT_MS)
         assert conn.has_sent_valid_frame and not conn.write_closed_ms
-        conn.sweep(conn.last_active_ms + connection_module.IDLE_TIMEOUT_MS + 1.0)
+        conn.sweep(conn.last_active_ms + connection_end.IDLE_TIMEOUT_MS + 1.0)
         assert conn.write_closed_ms
 
 
@@ -429,5 +430,5 @@
         (conn,) = node.client_listener.connections
         client.ask(1, drop="c")
         assert (await client.next())[:3] == (17, 1, 2)
-        conn.sweep(conn.accepted_ms + connection_module.FIRST_FRAME_TIMEOUT_MS + 1.0)
+        conn.sweep(conn.accepted_ms + connection_end.FIRST_FRAME_TIMEOUT_MS + 1.0)
         assert not conn.has_sent_valid_frame and conn.write_closed_ms
--- a/tests/test_net_rules.py
+++ b/tests/test_net_rules.py
@@ -37,8 +37,8 @@
 from gladelane.discovery.client import DiscoveryClient
 from gladelane.discovery.events import WatchEvent, watch_event_decoder
 from gladelane.logs import MAX_LINES_PER_S, MessageRateLimit
-from gladelane.net import client_connection as client_module
 from gladelane.net import connection_pool as upstream_module
+from gladelane.net import delivery as delivery_module
 from gladelane.net import response_monitor
 from gladelane.net.client_protocol import encode_fields
 from gladelane.net.config import read_config
@@ -637,9 +637,9 @@
         await wait_until(lambda: len(cache.received) == 32 and not conn.open)
         now = node.clock.now()
         conn.sweep(now)
-        conn.sweep(now + client_module.STALLED_MS / 2)
+        conn.sweep(now + delivery_module.STALLED_MS / 2)
         assert not conn.writer.transport.is_closing()
-        conn.sweep(now + client_module.STALLED_MS * 2)
+        conn.sweep(now + delivery_module.STALLED_MS * 2)
         await wait_until(lambda: not node.client_listener.connections)
 
 
