Store keys for as long as the settings in force need them

Callers: with recovery.dir, a keyed request could be sent again past its window after a kill, if a file since the start had added the first class with keys or a longer window.

Observed in the new test: of five keys recorded 100 ms apart with a retention of 10 s, a restart found two. At fault: StateStore._open_keys gives KeyLog the retention of the start, 0 without classes with keys, and KeyLog._rotate then empties the older file at each write.

Changed: StateStore._store_key extends KeyLog's retention to that of the key windows, which Director.retune keeps at the longest so far.

--- a/gladelane/recovery/key_log.py
+++ b/gladelane/recovery/key_log.py
@@ -102,6 +102,10 @@
         """Whether a key used now would be unknown after a restart, without a marker that tells so."""
         return self._outage.is_ongoing and self._marker != INCOMPLETE_MARKER
 
+    def extend_retention(self, retention_ms: float) -> None:
+        """Keeps keys for at least this long from now on, since new settings may have longer windows."""
+        self._retention_ms = max(self._retention_ms, retention_ms)
+
     def write(self, key: str, at_ms: float, store: str) -> None:
         """Records an attempt that is about to begin. It does not raise if the write fails: see
         `would_lose_keys`."""
--- a/gladelane/recovery/state_store.py
+++ b/gladelane/recovery/state_store.py
@@ -126,6 +126,8 @@
         self.watch_keys()
 
     def _store_key(self, key: str, at_ms: float, store: str) -> None:
+        if self._windows is not None:
+            self.keys.extend_retention(self._windows.retention_ms)
         self.keys.write(key, at_ms, store)
         self._limit_keys()
 
--- a/tests/recovery/test_folder_faults.py
+++ b/tests/recovery/test_folder_faults.py
@@ -178,6 +178,25 @@
     assert keys.first_attempt("key", rebooted.wall_ms + RETENTION_MS + 1.0) == (0.0, "")
 
 
+def test_a_kill_forgets_no_key_of_settings_that_came_after_the_start(tmp_path: Path) -> None:
+    """The retention was that of the start, so with settings without keys then each key displaced those before."""
+    machine, count = Machine(), 5
+    without_keys = settings(
+        classes=[{"name": "film", "effect": "safe", "aim_ms": 600.0, "deadline_ms": 5_000.0, "worth": 2.0}]
+    )
+    store = open_state_store(tmp_path, machine, Router(without_keys, 1))
+    windows = KeyWindows(0.0, 100)
+    store.restore(windows)
+    windows.retention_ms = RETENTION_MS  # as `Director.retune` extends it
+    for number in range(count):
+        machine.wait(100.0)
+        windows.may_have_run(f"key {number}", machine.wall_ms, "root")
+    store.close()
+    restarted = open_state_store(tmp_path, machine, make_router(machine.wall_ms))
+    assert set(restarted.keys.recovered_attempts) == {f"key {number}" for number in range(count)}
+    restarted.close()
+
+
 # --- learned state
 
 
