--- a/tests/net/test_slow_readers.py
+++ b/tests/net/test_slow_readers.py
@@ -27,6 +27,7 @@
 from gladelane import shutdown
 from gladelane.admin.drain import DRAINED_MS
 from gladelane.net.client_protocol import FrameDecoder, FrameType
+from gladelane.net.delivery import STALLED_MS
 from gladelane.net.exchange import AnswerCode
 from gladelane.server import Server
 
@@ -199,3 +200,23 @@
             await client.stop()
 
     scenario()
+
+
+@async_test
+async def test_a_client_that_pauses_for_long_gets_the_answers_that_the_system_holds() -> None:
+    """A client that reads nothing for STALLED_MS loses its connection, but no answer that was on its way."""
+    cache = ScriptedCache(serve)
+    async with running_director(config({"c0": await cache.start(), "r0": REFUSED_ADDRESS})) as (node, _):
+        raw = RawClient(node, RECEIVE_BUFFER_BYTES)
+        conn = await wait_for_server_connection(node, raw)
+        for stream in range(1, 5):
+            raw.send(encode_request(stream, chunk="7", m="1", d="6000", o=f"{stream:016x}"))
+        await wait_until(lambda: len(cache.received) == 4 and not conn.open and not conn.unsent_bytes())
+        now = node.clock.now()
+        conn.sweep(now)
+        conn.sweep(now + STALLED_MS + 1.0)
+        await wait_until(lambda: conn not in node.client_listener.connections)
+        frames, end = await raw.receive_until_end()
+        served = [stream for type_, stream, payload in frames if len(payload) > PART_BYTES]
+        assert (sorted(served), end) == ([1, 2, 3, 4], "end of file")
+        raw.sock.close()
