Let a process end beside busy clients whose systems acknowledge late

Cause: ClientListener.has_no_pending_requests took each unacknowledged byte for an answer that waits to be read. A system may acknowledge 40 ms late, so with many busy clients some byte is always unacknowledged.

Changed: Delivery.has_backlog: over 128 KiB unacknowledged, or any for 0.1 s. ClientConnection.is_settled asks for unsent bytes again: the shutdown of the write side that follows it waits behind them and destroys nothing.

--- a/gladelane/net/client_connection.py
+++ b/gladelane/net/client_connection.py
@@ -190,10 +190,12 @@
         )
 
     def is_settled(self) -> bool:
-        """Whether all received requests are answered and all answers have arrived at the client's system."""
-        return not (
-            self.is_handling_frames or self.open or self.unacknowledged_bytes() or self.has_unread_bytes()
-        )
+        """Whether all received requests are answered and all answers have been sent."""
+        return not (self.is_handling_frames or self.open or self.unsent_bytes() or self.has_unread_bytes())
+
+    def has_backlog(self, now: float) -> bool:
+        """Whether answers wait for the client to read."""
+        return bool(self.unacknowledged_bytes(now)) and self.delivery.has_backlog(now)
 
     def is_closing(self) -> bool:
         """Whether the socket is closed, or about to be once the last bytes are sent."""
--- a/gladelane/net/client_listener.py
+++ b/gladelane/net/client_listener.py
@@ -265,11 +265,12 @@
             log.warning("closing before clients have read: connections=%d bytes=%d", len(counts), sum(counts))
 
     def has_no_pending_requests(self) -> bool:
-        """Whether no client waits for an answer, has one on its way, or may have sent a request that was not
-        handled yet."""
+        """Whether no client waits for an answer, still has to read some, or may have sent a request that was
+        not handled yet."""
         now = self.clock()
         return not self._being_set_up and not any(
-            c.open or c.unacknowledged_bytes(now) or c.may_have_sent_request(now) for c in self.connections
+            c.open or c.unsent_bytes() or c.has_backlog(now) or c.may_have_sent_request(now)
+            for c in self.connections
         )
 
     def _sweep(self) -> None:
--- a/gladelane/net/delivery.py
+++ b/gladelane/net/delivery.py
@@ -16,6 +16,10 @@
 STALLED_MS = 10_000.0  # a client that reads no byte of its answers for this long is disconnected
 #: A client that makes progress, but reads what it has outstanding at a lower pace, is disconnected.
 MIN_READ_BYTES_PER_MS = 20.0
+#: A client that reads at once may acknowledge bytes this late, and has no more unacknowledged until then: its
+#: system delays acknowledgements, for two segments at most (64 KB each on loopback).
+MAX_ACK_DELAY_MS = 100.0
+MAX_DELAYED_BYTES = 131_072
 
 
 class Delivery:
@@ -30,6 +34,7 @@
         "_is_measured",
         "_target_bytes",
         "_target_ms",
+        "_target_since_ms",
         "_written_bytes",
         "progress_ms",
         "read_by_ms",
@@ -44,7 +49,7 @@
         self._written_bytes = 0
         self._acknowledged_bytes = 0
         self._target_bytes = 0  # count of acknowledged bytes that is to be reached by `_target_ms`
-        self._target_ms = 0.0
+        self._target_since_ms = self._target_ms = 0.0
 
     @property
     def is_complete(self) -> bool:
@@ -65,6 +70,7 @@
             self.progress_ms = now
         if is_new_backlog or acknowledged >= self._target_bytes:
             self._target_bytes = self._written_bytes
+            self._target_since_ms = now
             self._target_ms = now + STALLED_MS + unacknowledged / MIN_READ_BYTES_PER_MS
         self._is_measured = True
         self.unacknowledged, self._acknowledged_bytes = unacknowledged, acknowledged
@@ -79,6 +85,12 @@
             least_ms = self.unacknowledged / ASSUMED_READ_BYTES_PER_MS
             self.read_by_ms = max(self.read_by_ms, now + least_ms)
 
+    def has_backlog(self, now: float) -> bool:
+        """Whether unacknowledged bytes wait for the client to read, and are not just on their way."""
+        if not self.unacknowledged:
+            return False
+        return self.unacknowledged > MAX_DELAYED_BYTES or now - self._target_since_ms >= MAX_ACK_DELAY_MS
+
     def has_been_read(self, now: float) -> bool:
         """Whether the client has presumably read everything."""
         return not self.unacknowledged and now >= self.read_by_ms
--- a/tests/net/test_delivery.py
+++ b/tests/net/test_delivery.py
@@ -8,6 +8,8 @@
 
 from gladelane.net.delivery import (
     ASSUMED_READ_BYTES_PER_MS,
+    MAX_ACK_DELAY_MS,
+    MAX_DELAYED_BYTES,
     MAX_RECEIVE_BUFFER_BYTES,
     MIN_READ_BYTES_PER_MS,
     STALLED_MS,
@@ -93,6 +95,32 @@
         assert not delivery.is_stalled(now)
 
 
+@pytest.mark.parametrize(
+    ("unacknowledged", "age_ms", "has_backlog"),
+    [
+        (0, 9e9, False),
+        (1, 0.0, False),
+        (MAX_DELAYED_BYTES, MAX_ACK_DELAY_MS - 1.0, False),
+        (1, MAX_ACK_DELAY_MS, True),
+        (MAX_DELAYED_BYTES + 1, 0.0, True),
+    ],
+)
+def test_bytes_that_are_just_on_their_way_are_no_backlog(
+    unacknowledged: int, age_ms: float, has_backlog: bool
+) -> None:
+    delivery = delivery_of(1_000_000, unacknowledged)
+    assert delivery.has_backlog(START_MS + age_ms) == has_backlog
+
+
+def test_a_client_that_acknowledges_late_and_is_written_to_all_the_time_has_no_backlog() -> None:
+    delivery, now = delivery_of(1_000, 1_000), START_MS
+    for _ in range(100):
+        now += MAX_ACK_DELAY_MS / 2.0
+        delivery.add_written(1_000, now)
+        delivery.update(1_000, now)
+        assert not delivery.has_backlog(now)
+
+
 @given(st.lists(st.tuples(st.integers(0, 300_000), st.floats(0.0, 1.0), st.floats(0.0, 1_000.0))))
 def test_estimate_never_falls_below_what_is_unacknowledged(steps: list[tuple[int, float, float]]) -> None:
     delivery, now, outstanding = Delivery(), START_MS, 0
