--- a/benchmarks/soak/run.py
+++ b/benchmarks/soak/run.py
@@ -6,6 +6,7 @@
 import random
 import signal
 import tempfile
+from contextlib import suppress
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -99,7 +100,8 @@
             code = await asyncio.wait_for(process.wait(), EARLIEST_KILL_S)
         except TimeoutError:
             ended_before = len(clients.ended_unanswered_s)
-            process.kill()
+            with suppress(ProcessLookupError):  # it may have ended just now
+                process.kill()
             result.kills += 1
             await process.wait()
             await asyncio.sleep(AFTER_KILL_S)
