Count the stated delay of a purge when an answer is passed on, not at the send

The director had known the purge for 4 s.

Checked by a line written at the comparison (a trial): date of the copy ...623000, bound used (the send less the retention), newest purge in the index ...624308, written ...623804, answered ...628312, one purge known. Ruled out: a purge not received, a missing date, clocks.

At fault: AttemptLifecycle._adjust_outcome compared with Attempt.min_copy_date only, which CopyDates.limit_copies takes just before the first byte. Being cut off and losses were taken there as well.

Changed: net/copy_acceptance.py, one pure rule with a table of cases, has a bound of the send and one of the answer. Such an answer ends as SUPERSEDED: no failure of its server, two free attempts for a request, at the same server too, that wait for room for a fill; the budget for refetches binds them. answers_superseded in /stats, a log line with reason and size. As an error instead, the answer left no cache to ask with seconds to go.

--- a/gladelane/net/admission.py
+++ b/gladelane/net/admission.py
@@ -52,11 +52,17 @@
             return FinalAnswer(AnswerCode.REFUSED)
         if spec.effect is Effect.KEYED and self._is_key_unknown(client_request.key, now):
             return FinalAnswer(AnswerCode.REFUSED)
-        if context.guard is not None and spec.cacheable:
-            part = exchange.request.object, exchange.request.part
-            if retry_after_ms := context.guard.admits(client_request.cls, part, self._relative_weight(spec)):
-                return self._rejected(retry_after_ms)
-        return None
+        return self.refetch_rejection(exchange)
+
+    def refetch_rejection(self, exchange: Exchange) -> FinalAnswer | None:
+        """The answer to a request for which the budget for refetches permits no attempt now; None if it
+        does."""
+        guard, request, spec = self._context.guard, exchange.request, exchange.spec
+        if guard is None or not spec.cacheable:
+            return None
+        part = request.object, request.part
+        retry_after_ms = guard.admits(request.cls, part, self._relative_weight(spec))
+        return self._rejected(retry_after_ms) if retry_after_ms else None
 
     def _is_key_unknown(self, key: str, now: float) -> bool:
         return bool(key) and now < self._keys_unknown_until_ms
--- a/gladelane/net/attempt_lifecycle.py
+++ b/gladelane/net/attempt_lifecycle.py
@@ -7,10 +7,12 @@
 
 from ..routing.events import NEVER_RAN, Cancel, Fetch, Lookup, Note, Outcome, Status
 from ..timer_wheel import TICK_MS
+from .admission import Admission
 from .attempt_checks import AttemptChecks
 from .attempt_outcomes import STATUS, AttemptOutcome
 from .cache_protocol import Reply
-from .copy_dates import DATE_SLACK_MS, CopyDates
+from .copy_acceptance import CopyVerdict, judge_copy
+from .copy_dates import CopyDates
 from .endpoint_list import EndpointList
 from .exchange import AnswerCode, Attempt, Exchange, FinalAnswer
 from .interfaces import DirectorContext
@@ -36,11 +38,13 @@
         endpoint_list: EndpointList,
         checks: AttemptChecks,
         copy_dates: CopyDates,
+        admission: Admission,
     ) -> None:
         self._context = context
         self._endpoint_list = endpoint_list
         self._checks = checks
         self._copy_dates = copy_dates
+        self._admission = admission
 
     def send(self, exchange: Exchange, action: Fetch | Lookup) -> None:
         """Starts an attempt, which ends at once if it may not be sent."""
@@ -96,6 +100,8 @@
             self._answer(attempt, outcome, reply)
         now = self._context.clock()
         self._report_to_guard(attempt, status, reply, now)
+        if status is Status.SUPERSEDED:
+            self._reject_over_budget(exchange)
         self._context.post(
             Outcome(
                 exchange.request.id,
@@ -119,16 +125,46 @@
         exchange, audit = attempt.exchange, self._context.audit
         if reply is not None and reply.dated_ms:
             self._copy_dates.record_reply(attempt, reply, self._is_origin(attempt.store))
-            if reply.dated_ms + DATE_SLACK_MS < attempt.min_copy_date and STATUS[outcome] is Status.OK:
-                by_ms = attempt.min_copy_date - reply.dated_ms
-                log.warning("outdated answer store=%s by_ms=%.0f", attempt.store, by_ms)
-                outcome = AttemptOutcome.OUTDATED
+        if reply is not None and exchange.spec.cacheable and STATUS[outcome] is Status.OK:
+            outcome = self._judge_copy(attempt, outcome, reply)
         if audit is not None and exchange.spec.cacheable and STATUS[outcome] is Status.OK:
             # the answer to a write is always forwarded, since the write has run
             if not audit.may_answer(exchange.ask.cls):
                 outcome = AttemptOutcome.WITHHELD
         return outcome
 
+    def _judge_copy(self, attempt: Attempt, outcome: AttemptOutcome, reply: Reply) -> AttemptOutcome:
+        """Changes the outcome of a reply whose copy may not answer the request now."""
+        now = self._context.clock()
+        bounds = self._copy_dates.answer_bounds(attempt, now)
+        verdict, excess_ms = judge_copy(reply.dated_ms, attempt.min_copy_date, bounds)
+        if verdict is CopyVerdict.ACCEPTED:
+            return outcome
+        if verdict is CopyVerdict.NONCOMPLIANT:
+            log.warning("outdated answer store=%s by_ms=%.0f", attempt.store, excess_ms)
+            return AttemptOutcome.OUTDATED
+        if attempt.exchange.done:  # nothing would be passed on, so this is an ordinary surplus answer
+            return outcome
+        log.warning(
+            "superseded answer store=%s reason=%s by_ms=%s out_ms=%.0f",
+            attempt.store,
+            verdict.name.lower(),
+            f"{excess_ms:.0f}" if reply.dated_ms else "undated",
+            now - attempt.written_ms,
+        )
+        if self._context.guard is not None:
+            self._context.guard.superseded()
+        return AttemptOutcome.SUPERSEDED
+
+    def _reject_over_budget(self, exchange: Exchange) -> None:
+        """Ends a request whose answer was not passed on, if no attempt is left and none may be added: limits
+        that bind all requests at once must not send all of them to the origin at once."""
+        if exchange.done or exchange.open:
+            return
+        rejection = self._admission.refetch_rejection(exchange)
+        if rejection is not None:
+            exchange.finish(rejection)
+
     def _is_origin(self, store: str) -> bool:
         listed = self._endpoint_list.listed.get(store)
         return listed is not None and listed.kind == self._context.settings.origin_kind
@@ -156,7 +192,7 @@
         if guard is None or not exchange.spec.cacheable or status in UNREPORTED_STATUSES:
             return
         request = exchange.request
-        served = reply if status is Status.OK else None
+        served = reply if status in (Status.OK, Status.SUPERSEDED) else None
         guard.answered(
             request.cls,
             (request.object, request.part),
--- a/gladelane/net/attempt_outcomes.py
+++ b/gladelane/net/attempt_outcomes.py
@@ -34,6 +34,7 @@
     GARBLED = auto()
     CUT_SHORT = auto()  # a response began and was not continued
     OUTDATED = auto()  # the copy in the response is older than a purge that was active when it was requested
+    SUPERSEDED = auto()  # a limit that came after the request was sent forbids to forward the copy
     WITHHELD = auto()  # when the response arrived, this director was no longer permitted to forward it
     SILENT = auto()  # no byte arrived, while the server answered later attempts on another connection
     # the director ended it
@@ -65,6 +66,7 @@
     AttemptOutcome.GARBLED: Status.RESET,
     AttemptOutcome.CUT_SHORT: Status.RESET,
     AttemptOutcome.OUTDATED: Status.ERROR,
+    AttemptOutcome.SUPERSEDED: Status.SUPERSEDED,
     AttemptOutcome.WITHHELD: Status.ERROR,
     AttemptOutcome.SILENT: Status.RESET,
     AttemptOutcome.TIMED_OUT: Status.TIMEOUT,
--- a/gladelane/net/copy_dates.py
+++ b/gladelane/net/copy_dates.py
@@ -5,18 +5,20 @@
 
 from __future__ import annotations
 
+import math
+
 from ..clock import FreshCopies, PlatformDates, UnixMs, as_date
 from ..discovery.events import WatchEvent
 from ..routing.events import ClassSpec, Note, Request
 from ..routing.freshness import PURGE_SLACK_MS
 from .attempt_outcomes import AttemptOutcome
 from .cache_protocol import Reply
+from .copy_acceptance import AnswerBounds
 from .exchange import Attempt
 from .interfaces import DirectorContext
-from .known_purges import KnownPurges, min_date_by_purge_servers
+from .known_purges import NO_DATE, KnownPurges, min_date_by_purge_servers
 from .new_attempt import REFRESH_HINT
 
-DATE_SLACK_MS = 5.0  # tolerance, since dates and ages are rounded to ms on the wire
 #: Purges are kept this much longer than they are active, so that a successor that is starting receives them.
 PURGE_RETENTION_SLACK_MS = 2000.0
 
@@ -90,6 +92,24 @@
         if self._context.guard is not None:
             self._limit_by_guard(attempt, self._context.guard.max_copy_age_ms(request.cls), spec, now)
 
+    def answer_bounds(self, attempt: Attempt, now: float) -> AnswerBounds:
+        """The bounds on the copy in a reply to an attempt that is to be passed on now. The purges of
+        discovery bind only requests that are sent after them."""
+        guard, request = self._context.guard, attempt.exchange.request
+        if guard is None or not attempt.exchange.spec.cacheable:
+            return AnswerBounds()
+        part = request.cls, request.group, request.object - 1, request.part
+        limits = guard.answer_limits(*part, attempt.written_ms)
+        shift_ms = self._fresh_copies.shift_ms(now)
+        by_purges = max(
+            (min_date_by_purge_servers(by_date, by_age, now, shift_ms) for by_date, by_age in limits.purges),
+            default=NO_DATE,
+        )
+        if not limits.has_all_purges:
+            by_purges = max(by_purges, self._min_date_by_purge_servers(request, now, shift_ms))
+        by_age = NO_DATE if math.isinf(limits.max_age_ms) else as_date(now - limits.max_age_ms + shift_ms)
+        return AnswerBounds(by_purges, by_age)
+
     def _limit_by_guard(self, attempt: Attempt, max_age_ms: float, spec: ClassSpec, now: float) -> None:
         usual_ms = attempt.max_age_ms or spec.fresh_ms
         if not usual_ms or max_age_ms < usual_ms:  # 0 permits copies of any age
--- a/gladelane/net/director.py
+++ b/gladelane/net/director.py
@@ -89,7 +89,9 @@
         self.attempt_checks = AttemptChecks(self, self.endpoint_list)
         self.list_changes = ListChanges(self, self.endpoint_list, self.copy_dates)
         self._admission = Admission(self)
-        self._attempts = AttemptLifecycle(self, self.endpoint_list, self.attempt_checks, self.copy_dates)
+        self._attempts = AttemptLifecycle(
+            self, self.endpoint_list, self.attempt_checks, self.copy_dates, self._admission
+        )
         self._exchanges = OpenExchanges()
         self._events: deque[Event] = deque()
         self._is_handling = False
--- a/gladelane/net/interfaces.py
+++ b/gladelane/net/interfaces.py
@@ -8,6 +8,7 @@
 from ..admin.maintenance import MaintenanceRegister
 from ..endpoints.address import Address
 from ..endpoints.plan import Endpoints
+from ..purges.answer_limits import AnswerLimits
 from ..routing.events import Event, Settings
 from ..routing.idempotency import KeyWindows
 from ..routing.router import Router
@@ -41,6 +42,13 @@
     def max_copy_age_ms(self, cls: str) -> float:
         """The maximum age of copies of a class; `inf` means any age."""
 
+    def answer_limits(self, cls: str, group: int, object_: int, part: int, written_ms: float) -> AnswerLimits:
+        """The limits on a copy that answers now. `written_ms` is when the request for it was written; objects
+        are numbered from 0."""
+
+    def superseded(self) -> None:
+        """Counts an answer that was not passed on because of a limit that came after its request was sent."""
+
     def admits(self, cls: str, part: tuple[int, int], worth: float) -> float:
         """0 if a request for (object, part) is admitted; otherwise its Retry-After in ms."""
 
--- a/gladelane/purges/active_purges.py
+++ b/gladelane/purges/active_purges.py
@@ -25,6 +25,7 @@
 from .low_watermark import LowWatermark
 from .purge import Purge, PurgeId, check_purge
 from .receipt import EffectiveTimes, Receipt, effective_times
+from .recent_purges import RecentPurge, RecentPurges
 from .scope import Scope, parse
 from .snapshot import FORMAT, ServerStart, Snapshot, decode_snapshot, select_uncovered
 
@@ -37,9 +38,9 @@
 class ActivePurges:
     """The purges that are active, and how far each stream has been applied.
 
-    Attributes: index; positions; low_watermark; start, the latest start of the server whose folder this is;
-    last_at_ms, the latest time of any purge, in Unix ms; widened_count, the number of purges that apply to
-    more than their scope because their patterns cannot be indexed."""
+    Attributes: index; recent, the purges received last; positions; low_watermark; start, the latest start of
+    the server whose folder this is; last_at_ms, the latest time of any purge, in Unix ms; widened_count, the
+    number of purges that apply to more than their scope because their patterns cannot be indexed."""
 
     def __init__(
         self,
@@ -50,6 +51,7 @@
     ) -> None:
         """`keeps_purges`: whether purges are kept for subscribers and snapshots, and not only indexed."""
         self.index = Index() if index is None else index
+        self.recent = RecentPurges()
         self.positions = Positions()
         self.low_watermark = LowWatermark()
         self.start = ServerStart()
@@ -106,21 +108,23 @@
             times = effective_times(at_ms, receipt, now_ms)
         if times.by_age_ms + self.skew_ms + self.active_duration_ms <= now_ms:
             return
+        bounds = EffectiveTimes(times.by_date_ms + self.skew_ms, times.by_age_ms + self.skew_ms)
+        self.recent.add(RecentPurge(scope, bounds, min(purge.at_ms, now_ms), now_ms))
         try:
-            self._add_to_index(scope, times)
+            self._add_to_index(scope, bounds)
         except UnsupportedPatternError:
             # the issuer has accepted the purge, so it must apply; a wider scope costs fetches, a narrower one
             # would serve copies that are out of date
             self.widened_count += 1
             without_globs = tuple(box._replace(mask=0, value=0) for box in scope.boxes)
-            self._add_to_index(Scope(without_globs), times)
+            self._add_to_index(Scope(without_globs), bounds)
         if self._keeps_purges and times.by_age_ms > purge.at_ms:
             self._by_age_ms[purge.id] = times.by_age_ms
 
-    def _add_to_index(self, scope: Scope, times: EffectiveTimes) -> None:
-        """Raises UnsupportedPatternError. Entries that were added before the error stay, which is correct
-        because they are a part of the same purge."""
-        by_date_ms, by_age_ms = times.by_date_ms + self.skew_ms, times.by_age_ms + self.skew_ms
+    def _add_to_index(self, scope: Scope, bounds: EffectiveTimes) -> None:
+        """`bounds` include `skew_ms`. Raises UnsupportedPatternError. Entries that were added before the
+        error stay, which is correct because they are a part of the same purge."""
+        by_date_ms, by_age_ms = bounds
         until_ms = by_age_ms + self.active_duration_ms
         self.index.add(scope, by_date_ms, until_ms)
         if by_age_ms > by_date_ms:
--- a/gladelane/purges/copy_limits.py
+++ b/gladelane/purges/copy_limits.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import logging
+import math
 from collections.abc import Sequence
 from typing import Protocol
 
@@ -115,10 +116,17 @@
     def max_copy_age_ms(self, cls: str, now_ms: float) -> float:
         """Returns the age above which no copy may be used for a class, which is never more than the
         retention."""
-        limit_ms = self._active.max_copy_age_ms()
+        return min(self._active.max_copy_age_ms(), self.max_age_at_answer_ms(cls, now_ms))
+
+    def max_age_at_answer_ms(self, cls: str, now_ms: float) -> float:
+        """Returns the age above which no copy may be passed on for a class, `inf` if there is no limit.
+
+        The retention limits what is sent, but not what is passed on: purges stay active for longer than it,
+        by more than any request takes."""
+        limit_ms = math.inf
         if cls not in self._options.strict:
             return limit_ms
-        limit_ms = min(self.cut_off.max_copy_age_ms(cls) or limit_ms, limit_ms)
+        limit_ms = self.cut_off.max_copy_age_ms(cls) or limit_ms
         if self.low_watermark_ms and self._voids_copies():
             since_watermark_ms = now_ms - self.low_watermark_ms - self._watermark_behind_ms()
             limit_ms = min(limit_ms, max(since_watermark_ms, MIN_COPY_AGE_MS))
--- a/gladelane/purges/cutoff.py
+++ b/gladelane/purges/cutoff.py
@@ -1,12 +1,12 @@
 """Decides what a director may serve while it receives nothing from any purge log server.
 
-It does no I/O and reads no clock. It guarantees that `delay_ms` after a purge was accepted, no response comes
-from a copy older than the purge. If a server has sent its position within the delay, the director has all
-purges that the server had accepted before. Otherwise the director is cut off, and a strict class accepts only
-copies younger than the delay: such a copy was made after any purge that is older than the delay, known or
-not. Other classes are served as before, which is logged. Fetches of strict classes from the origin, while cut
-off and after that, share one budget with those for all other causes that invalidate copies
-(`refetch_budget`).
+It does no I/O and reads no clock. It guarantees that from `delay_ms` after a purge was accepted, no response
+is forwarded from a copy older than the purge, however long ago its request was sent. If a server has sent its
+position within the delay, the director has all purges that the server had accepted before. Otherwise the
+director is cut off, and a strict class accepts only copies younger than the delay: such a copy was made after
+any purge that is older than the delay, known or not. Other classes are served as before, which is logged.
+Fetches of strict classes from the origin, while cut off and after that, share one budget with those for all
+other causes that invalidate copies (`refetch_budget`).
 """
 
 from __future__ import annotations
--- a/gladelane/purges/subscription.py
+++ b/gladelane/purges/subscription.py
@@ -16,6 +16,7 @@
 from ..storage.files import Disk
 from ..supervision import Supervisor
 from .active_purges import ActivePurges
+from .answer_limits import AnswerLimits
 from .backfill_sender import FOLLOWS, BackfillSender
 from .copy_limits import CopyLimits
 from .cutoff import CutOff, Link
@@ -37,14 +38,16 @@
 INTERVAL_S = 0.2  # between two checks of the link to the servers, and between two writes
 EXPIRY_INTERVALS = 300  # checks of the link between two removals of expired purges
 MAX_ORDERS_IN_FLIGHT = 8
+FORWARDING_MS = 20.0  # allowance for the time that an answer takes from here to its client
 
 
 class PurgeSubscription:
     """The purges of a director, and the limits that they set for its requests.
 
     Attributes: options; clock, which returns Unix ms; active; orders, to cache servers; refetch_budget, for
-    copies that became invalid; store; subscribers, one for each server; supervisor of the tasks; on_change,
-    called when the purges, the position or the low watermark changed."""
+    copies that became invalid; store; subscribers, one for each server; superseded_answers, the number of
+    answers that were not passed on; supervisor of the tasks; on_change, called when the purges, the position
+    or the low watermark changed."""
 
     def __init__(
         self,
@@ -72,6 +75,7 @@
         ]
         self._limits = CopyLimits(options, self.active, self.refetch_budget, self.subscribers, now_ms)
         self._backfill = BackfillSender(self.active, self.subscribers, self._tokens.first_token, rng)
+        self.superseded_answers = 0
         self.supervisor = Supervisor()
         self._update_low_watermark()
         if options.order_kinds:
@@ -187,6 +191,18 @@
         """Returns the age above which no copy may be used for a class."""
         return self._limits.max_copy_age_ms(cls, self.clock())
 
+    def answer_limits(self, cls: str, group: int, object_: int, part: int, written_ms: float) -> AnswerLimits:
+        """Returns the limits on a copy that answers now. `written_ms`: when the request for it was written;
+        objects are numbered from 0."""
+        now_ms = self.clock()
+        accepted_until_ms = now_ms + FORWARDING_MS - self.options.delay_ms
+        recent = self.active.recent
+        return AnswerLimits(
+            self._limits.max_age_at_answer_ms(cls, now_ms),
+            recent.accepted_until(cls, group, object_, part, written_ms, accepted_until_ms),
+            recent.is_complete_since(written_ms),
+        )
+
     def admits(self, cls: str, part: PartKey, weight: float) -> float:
         """Returns 0.0 if a request is admitted, or the time in ms after which to retry it."""
         return self._limits.admit(cls, part, weight, self.clock())
@@ -195,6 +211,10 @@
         """Records that an attempt ended. `dated_ms`: the date of the copy, 0.0 if there was none."""
         self._limits.record_answer(cls, part, dated_ms, in_time)
 
+    def superseded(self) -> None:
+        """Counts an answer that was not passed on because of a limit that came after its request was sent."""
+        self.superseded_answers += 1
+
     def check_link(self) -> None:
         """Updates the state of the link to the servers."""
         if self._limits.update_link(self.clock()):
@@ -215,6 +235,7 @@
             ("renewals_refused", self.refetch_budget.rejected),
             ("renewals_bind", int(self.refetch_budget.is_active)),
             ("reseeded", self._backfill.sent),
+            ("answers_superseded", self.superseded_answers),
         ]
 
     # --- background
--- a/gladelane/routing/attempts.py
+++ b/gladelane/routing/attempts.py
@@ -17,10 +17,12 @@
     HEDGE_DELAY_SHARE,
     HEDGE_MIN_LEFT_MS,
     MAX_IMMEDIATE_ERRORS,
+    MAX_REPLACEMENTS,
     RETRY_MIN_LEFT_MS,
     RepeatRules,
     RetryBudgets,
     may_wait_for_origin,
+    replacement_backoff_ms,
     write_backoff_ms,
 )
 from .selection import FillLimits, Route, Selection
@@ -67,7 +69,7 @@
             is_sent = self._send_read(pending, left_ms)
         else:
             is_sent = self._send_write(pending, left_ms, after)
-        if not is_sent:
+        if not is_sent and not self._wait_with_free_attempt(pending, left_ms):
             self._shedding.give_up(pending)
 
     def hedge(self, pending: PendingRequest) -> None:
@@ -88,11 +90,29 @@
 
     def _pay_for_attempt(self, pending: PendingRequest, after: Outcome | None) -> bool:
         """Whether the retry budget covers an attempt. A retry at a store that only reported that it has no
-        copy is free, and the same store may be chosen again."""
+        copy, or whose answer could not be used any more, is free, and the same store may be chosen again."""
         if after is not None and after.status is Status.MISS and pending.tried_stores:
             pending.tried_stores.pop()
+            pending.has_free_attempt = pending.replacements > 0
             return True
-        return not pending.attempt_count or self._budgets.take_retry()
+        if after is not None and after.status is Status.SUPERSEDED:
+            if pending.replacements < MAX_REPLACEMENTS:
+                pending.replace_answer(after.store)
+        if not pending.attempt_count or pending.has_free_attempt:
+            return True
+        return self._budgets.take_retry()
+
+    def _wait_with_free_attempt(self, pending: PendingRequest, left_ms: float) -> bool:
+        """Tries a free attempt that no server could get again after a backoff, if there is time for that. An
+        answer that could not be used any more is no reason to reject its request."""
+        if not pending.has_free_attempt:
+            return False
+        pending.replacement_waits += 1
+        wait_ms = replacement_backoff_ms(pending)
+        if left_ms - wait_ms <= RETRY_MIN_LEFT_MS:
+            return False
+        self._context.emit(SetTimer(f"{RETRY_TIMER}:{pending.request.id}", self._context.now_ms + wait_ms))
+        return True
 
     def _send_read(self, pending: PendingRequest, left_ms: float) -> bool:
         route = self._selection.select_route(pending)
@@ -178,6 +198,7 @@
             name, source.member.store, self._context.now_ms, pending.objective_ms, is_fill, limits
         )
         pending.attempt_count += 1
+        pending.has_free_attempt = False
         pending.tried_stores.append(name)
 
     def _schedule_hedge(self, pending: PendingRequest) -> None:
--- a/gladelane/routing/events.py
+++ b/gladelane/routing/events.py
@@ -36,6 +36,7 @@
     CANCELLED = "cancelled"
     MOOT = "moot"
     MISS = "miss"
+    SUPERSEDED = "superseded"  # it was answered as asked, but a limit that came since forbids to use the copy
 
 
 #: Outcomes that prove that the attempt never ran at a store.
--- a/gladelane/routing/request_state.py
+++ b/gladelane/routing/request_state.py
@@ -63,6 +63,12 @@
     tried_copies_only: bool = False
     is_recent_key: bool = False
     immediate_errors: int = 0
+    #: Number of answers that could not be used any more and were replaced by a free attempt.
+    replacements: int = 0
+    #: Whether the next attempt is free; it waits if no server can get it now.
+    has_free_attempt: bool = False
+    #: Number of waits of free attempts.
+    replacement_waits: int = 0
 
     def mark_may_have_run(self, at_ms: float, store: str) -> None:
         """Records the first attempt that may have run."""
@@ -73,6 +79,15 @@
         if self.tried_stores and self.tried_stores[-1] == store:
             self.tried_stores.pop()
 
+    def replace_answer(self, store: str) -> None:
+        """Records that the answer of a store could not be used any more. The next attempt is free, and what
+        was tried may be tried again."""
+        self.replacements += 1
+        self.has_free_attempt = True
+        self.tried_copies_only = False
+        if store in self.tried_stores:
+            self.tried_stores.remove(store)
+
 
 class RequestTable:
     """Pending requests by number, and attempts that are still in flight after their request ended."""
--- a/gladelane/routing/retries.py
+++ b/gladelane/routing/retries.py
@@ -16,6 +16,10 @@
 INITIAL_BUDGET_SHARE = 0.5  # initial budget of a router, relative to its upper bound
 HEDGE_MIN_LEFT_MS, RETRY_MIN_LEFT_MS = 60.0, 15.0  # minimum time until the deadline for either
 HEDGE_DELAY_SHARE = 0.5  # part of the latency objective after which a hedged request is sent
+#: Answers of one request that could not be used any more and are replaced by a free attempt, as no server
+#: failed.
+MAX_REPLACEMENTS = 2
+REPLACEMENT_BACKOFF_MS = 50.0  # of a free attempt that no server can get, times the number of such waits
 MAX_IMMEDIATE_ERRORS = 2  # immediate errors from different servers that show that the request is at fault
 WINDOW_MARGIN_TICKS = 2  # a key's window ends earlier by this many ticks of a store's clock
 
@@ -95,6 +99,11 @@
     return is_early and pending.attempt_count < MAX_WRITE_ATTEMPTS
 
 
+def replacement_backoff_ms(pending: PendingRequest) -> float:
+    """The backoff before a free attempt that no server could get; it grows with each wait."""
+    return REPLACEMENT_BACKOFF_MS * pending.replacement_waits
+
+
 def write_backoff_ms(pending: PendingRequest) -> float:
     """The backoff before the next attempt of a write; it grows with each attempt."""
     return WRITE_BACKOFF_SHARE * pending.spec.deadline_ms * pending.attempt_count
--- a/tests/test_failure.py
+++ b/tests/test_failure.py
@@ -25,6 +25,7 @@
     Timer,
 )
 from gladelane.routing.request_state import MAX_LINGERING
+from gladelane.routing.retries import MAX_REPLACEMENTS, REPLACEMENT_BACKOFF_MS, RETRY_MIN_LEFT_MS
 
 
 def answer_late(d: Driver, fetch: Fetch, note: Note = Note.HIT, wait: float = 0.0) -> None:
@@ -408,3 +409,70 @@
         d.now += 100.0
         d.answer(only_action(d.ask(object=5000 + n), Fetch), Status.OK, Note.PARENT_HELD, after=9.0)
     assert not d.router.stores[bad].is_ejected(d.now) and d.router.stores[bad].error_rate < 0.6
+
+
+def test_an_attempt_after_a_superseded_answer_is_free_and_may_go_to_the_same_cache() -> None:
+    """The cache is sound: a limit that came later forbids to use its copy. As an error, it left no cache to ask."""
+    d = Driver(members(caches=1), second_copies=False)
+    d.router.budgets.retries = 0.0
+    first = only_action(d.ask(), Fetch)
+    second = only_action(d.answer(first, Status.SUPERSEDED, after=3000.0), Fetch)
+    assert second.store == first.store
+    cache = d.router.stores[first.store]
+    assert cache.failure_score == 0.0 and not cache.is_ejected(d.now)
+    assert not actions_of(d.answer(second, after=1.0), Refuse)
+
+
+def test_attempts_after_superseded_answers_are_limited() -> None:
+    d = Driver(members(caches=1), second_copies=False)
+    d.router.budgets.retries = 0.0
+    fetch = only_action(d.ask(), Fetch)
+    for _ in range(MAX_REPLACEMENTS):
+        fetch = only_action(d.answer(fetch, Status.SUPERSEDED, after=100.0), Fetch)
+    assert only_action(d.answer(fetch, Status.SUPERSEDED, after=100.0), Refuse)
+
+
+def test_a_request_without_time_for_another_attempt_is_refused_when_its_answer_is_superseded() -> None:
+    d = Driver(members(caches=1), second_copies=False)
+    fetch = only_action(d.ask(), Fetch)
+    after_ms = fetch.timeout_ms - RETRY_MIN_LEFT_MS
+    assert only_action(d.answer(fetch, Status.SUPERSEDED, after=after_ms), Refuse)
+
+
+def test_a_superseded_answer_waits_for_a_second_attempt_under_way() -> None:
+    d = Driver(second_copies=True)
+    first = only_action(d.ask(), Fetch)
+    d.now += 400.0
+    hedge = only_action(d.handle(Timer(f"h:{first.id}")), Fetch)
+    assert hedge.store != first.store
+    assert not d.handle(Outcome(first.id, 0, first.store, Status.SUPERSEDED))
+    assert only_action(d.handle(Outcome(first.id, 1, hedge.store, Status.SUPERSEDED)), Fetch)
+
+
+def test_a_free_attempt_waits_until_a_server_can_get_it() -> None:
+    """Many answers are superseded at once by a wide purge. Most of their requests were rejected for want of places
+    for fills, although seconds were left."""
+    d = Driver(members(caches=1), second_copies=False)
+    d.router.budgets.retries = 0.0
+    fetch = only_action(d.ask(), Fetch)
+    cache = d.router.caches[0]
+    fill_limit, cache.fills.limit = cache.fills.limit, 0.0
+    copies_only = only_action(d.answer(fetch, Status.SUPERSEDED, after=1000.0), Fetch)
+    assert (
+        copies_only.source == copies_only.store
+    )  # it was tried before, but another request may have filled it
+    timer = only_action(d.answer(copies_only, Status.MISS, Note.NOT_REPORTED, after=1.0), SetTimer)
+    assert timer.due_ms == d.now + REPLACEMENT_BACKOFF_MS
+    d.now = timer.due_ms
+    timer = only_action(d.handle(Timer(timer.token)), SetTimer)
+    assert timer.due_ms == d.now + 2.0 * REPLACEMENT_BACKOFF_MS
+    cache.fills.limit = fill_limit
+    d.now = timer.due_ms
+    assert only_action(d.handle(Timer(timer.token)), Fetch).source != cache.member.store
+
+
+def test_a_free_attempt_does_not_wait_past_the_deadline() -> None:
+    d = Driver(members(caches=1), second_copies=False)
+    fetch = only_action(d.ask(), Fetch)
+    d.router.caches[0].concurrency.limit = 0.0
+    assert only_action(d.answer(fetch, Status.SUPERSEDED, after=fetch.timeout_ms - 40.0), Refuse)
--- a/tests/test_net_parsers.py
+++ b/tests/test_net_parsers.py
@@ -244,7 +244,7 @@
     assert set(STATUS) == set(AttemptOutcome)
     may_have_run = {outcome for outcome in AttemptOutcome if STATUS[outcome] not in NEVER_RAN}
     assert may_have_run == {AttemptOutcome.SERVED, AttemptOutcome.STILL_GOOD, AttemptOutcome.CRASHED, AttemptOutcome.RESET, AttemptOutcome.CLOSED, AttemptOutcome.GARBLED, AttemptOutcome.CUT_SHORT, AttemptOutcome.SILENT, AttemptOutcome.TIMED_OUT,
-                            AttemptOutcome.CANCELLED, AttemptOutcome.IDLE, AttemptOutcome.OUTDATED, AttemptOutcome.WITHHELD}  # fmt: skip
+                            AttemptOutcome.CANCELLED, AttemptOutcome.IDLE, AttemptOutcome.OUTDATED, AttemptOutcome.SUPERSEDED, AttemptOutcome.WITHHELD}  # fmt: skip
     assert {outcome for outcome in AttemptOutcome if STATUS[outcome] is Status.OK} == {
         AttemptOutcome.SERVED,
         AttemptOutcome.STILL_GOOD,
