--- a/gladelane/purges/copy_limits.py
+++ b/gladelane/purges/copy_limits.py
@@ -93,8 +93,7 @@
         """Updates whether the director is cut off and which causes still limit refetches. Returns whether the
         low watermark changed. A server counts only if this director has everything up to its position."""
         previous = self.cut_off.link
-        caught_up_ms = max((source.caught_up_ms for source in self._sources), default=0.0)
-        self.cut_off.update(caught_up_ms, now_ms)
+        self.cut_off.update(self._caught_up_ms(), now_ms)
         link = self.cut_off.link
         if link is not previous:
             self._activate_budget(link, now_ms)
@@ -107,6 +106,15 @@
                 self.refetch_budget.deactivate(Cause.RECONNECTED)
         return has_changed
 
+    def is_update_due(self, now_ms: float) -> bool:
+        """Returns whether the director is cut off and `update_link` has not noticed it yet."""
+        return self.cut_off.link is not Link.CUT_OFF and not self.cut_off.is_fresh(
+            self._caught_up_ms(), now_ms
+        )
+
+    def _caught_up_ms(self) -> float:
+        return max((source.caught_up_ms for source in self._sources), default=0.0)
+
     def _activate_budget(self, link: Link, now_ms: float) -> None:
         if link is Link.CUT_OFF:
             self.refetch_budget.activate(Cause.CUT_OFF, now_ms)
--- a/gladelane/purges/cutoff.py
+++ b/gladelane/purges/cutoff.py
@@ -50,7 +50,7 @@
     def update(self, caught_up_ms: float, now_ms: float) -> None:
         """Updates the state; must be called regularly. `caught_up_ms`: when this director last had all
         purges of some server, in Unix ms, 0.0 if never."""
-        is_fresh = caught_up_ms > 0.0 and now_ms - caught_up_ms <= self.delay_ms
+        is_fresh = self.is_fresh(caught_up_ms, now_ms)
         if not is_fresh and self.link is not Link.CUT_OFF:
             self.link = Link.CUT_OFF
             strict = ",".join(sorted(self.strict))
@@ -64,6 +64,10 @@
         elif self.link is Link.RETURNING and now_ms - self._reconnected_ms > RETURN_PERIOD_MS:
             self.link = Link.FOLLOWS
 
+    def is_fresh(self, caught_up_ms: float, now_ms: float) -> bool:
+        """Returns whether all purges of some server were known recently enough."""
+        return caught_up_ms > 0.0 and now_ms - caught_up_ms <= self.delay_ms
+
     def max_copy_age_ms(self, cls: str) -> float:
         """Returns the age above which no copy may be used for a class; 0.0 if being cut off sets no limit."""
         return self.delay_ms if self.link is Link.CUT_OFF and cls in self.strict else 0.0
--- a/tests/purges/test_director.py
+++ b/tests/purges/test_director.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import math
 import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -19,6 +20,7 @@
 from gladelane.lab.simdisk import Lost, SimDisk
 from gladelane.net.config import ConfigError, read_config
 from gladelane.purges.cutoff import RETURN_PERIOD_MS, CutOff, Link
+from gladelane.purges.index import Index
 from gladelane.purges.subscription import PurgeSubscription
 from gladelane.routing.events import Status
 from gladelane.server import Server
@@ -167,6 +169,25 @@
     assert link.link is Link.FOLLOWS and messages == ["connected", "cut", "connected"]
 
 
+def test_the_limit_of_being_cut_off_applies_at_once_and_not_from_the_next_check_on(tmp_path: Path) -> None:
+    """For up to 0.2 s after the delay, answers of strict classes came from copies of any age."""
+    options = operator(tmp_path, 1).purges
+    assert options is not None
+    now = [1_000_000.0]
+    subscription = PurgeSubscription(options, Index(), lambda: now[0])
+    subscription.subscribers[0].caught_up_ms = now[0]
+    subscription.check_link()
+    now[0] += 2000.0
+    part = "film", 17, 5, 3
+    assert subscription.answer_limits(*part, now[0]).max_age_ms == math.inf
+    assert subscription.max_copy_age_ms("film") == options.retention_ms
+    now[0] += 1.0
+    assert subscription.answer_limits(*part, now[0]).max_age_ms == options.delay_ms
+    assert subscription.answer_limits("sheet", *part[1:], now[0]).max_age_ms == math.inf
+    assert subscription.max_copy_age_ms("film") == options.delay_ms
+    assert subscription.refetch_budget.is_active and subscription.cut_off.link is Link.CUT_OFF
+
+
 def test_stored_purges_apply_after_a_restart_and_only_newer_ones_are_requested(
     tmp_path: Path,
 ) -> None:
