--- a/tests/purges/test_director.py
+++ b/tests/purges/test_director.py
@@ -21,7 +21,9 @@
 from gladelane.net.config import ConfigError, read_config
 from gladelane.purges.cutoff import RETURN_PERIOD_MS, CutOff, Link
 from gladelane.purges.index import Index
+from gladelane.purges.low_watermark import Loss
 from gladelane.purges.subscription import PurgeSubscription
+from gladelane.purges.wire import Event
 from gladelane.routing.events import Status
 from gladelane.server import Server
 from gladelane.settings.operator import Operator, OperatorFileError, read_operator
@@ -188,6 +190,23 @@
     assert subscription.refetch_budget.is_active and subscription.cut_off.link is Link.CUT_OFF
 
 
+def test_a_loss_limits_the_copies_of_answers_that_are_out_when_it_is_reported(tmp_path: Path) -> None:
+    """What was lost may be older than the stated delay, so the limit applies at once."""
+    options = operator(tmp_path, 1).purges
+    assert options is not None
+    now_ms = 1_000_000.0
+    subscription = PurgeSubscription(options, Index(), lambda: now_ms)
+    source = subscription.subscribers[0]
+    source.caught_up_ms = now_ms
+    subscription.check_link()
+    part = "film", 17, 5, 3
+    assert subscription.answer_limits(*part, now_ms - 500.0).max_age_ms == math.inf
+    loss = Loss("a", 1, now_ms - 100.0, now_ms - 400.0)
+    subscription.on_losses(Event(losses=[loss]), source)
+    assert subscription.answer_limits(*part, now_ms - 500.0).max_age_ms == 400.0
+    assert subscription.answer_limits("sheet", *part[1:], now_ms - 500.0).max_age_ms == math.inf
+
+
 def test_stored_purges_apply_after_a_restart_and_only_newer_ones_are_requested(
     tmp_path: Path,
 ) -> None:
