Fail a superseded request that is over budget if it may not be repeated

Refused says that a new try is harmless; the attempt has run, so that holds only for SAFE classes. A cacheable class can become stricter by a SIGHUP.

Changed: such a request ends as failed. The test for an UNSAFE class fails without it (refused, 1 instead of 2).

--- a/gladelane/net/attempt_lifecycle.py
+++ b/gladelane/net/attempt_lifecycle.py
@@ -5,7 +5,7 @@
 import logging
 from functools import partial
 
-from ..routing.events import NEVER_RAN, Cancel, Fetch, Lookup, Note, Outcome, Status
+from ..routing.events import NEVER_RAN, Cancel, Effect, Fetch, Lookup, Note, Outcome, Status
 from ..timer_wheel import TICK_MS
 from .admission import Admission
 from .attempt_checks import AttemptChecks
@@ -162,8 +162,10 @@
         if exchange.done or exchange.open:
             return
         rejection = self._admission.refetch_rejection(exchange)
-        if rejection is not None:
-            exchange.finish(rejection)
+        if rejection is None:
+            return
+        is_retry_harmless = exchange.spec.effect is Effect.SAFE  # an attempt has run
+        exchange.finish(rejection if is_retry_harmless else FinalAnswer(AnswerCode.FAILED))
 
     def _is_origin(self, store: str) -> bool:
         listed = self._endpoint_list.listed.get(store)
--- a/tests/purges/test_superseded_answers.py
+++ b/tests/purges/test_superseded_answers.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import re
 import time
 from collections.abc import AsyncIterator
@@ -19,11 +20,11 @@
 from test_purge_log import ServedLog, running_server, send
 
 from gladelane.net.config import read_config
-from gladelane.routing.events import Event, Status
+from gladelane.routing.events import Effect, Event, Status
 from gladelane.server import Server
 from gladelane.settings.operator import Operator
 
-SERVED, REFUSED = 0, 1
+SERVED, REFUSED, FAILED = 0, 1, 2
 OBJECT = "7f3a9c21e0b4d655"  # as `Client.ask` sends it, with group 17, part 3 and class film
 DELAY_MS = 300.0  # shorter than an operator's file permits, so that the tests are
 OLD_COPY_MS = 100.0
@@ -75,11 +76,12 @@
     node: Server
     port: int
     client: Client
-    purge_server: ServedLog
+    purge_server: ServedLog | None
     events: list[Event]
 
     async def purge(self, scope: str) -> float:
         """Sends a purge and returns when it was accepted, once the director knows it."""
+        assert self.purge_server is not None
         await send(self.purge_server.port, scope)
         accepted_s = time.monotonic()
         purges = self.node.purges
@@ -161,6 +163,7 @@
             site.client.ask(1)
             await wait_until(lambda: cache.received)
             await until_after_delay(await site.purge("all"))
+            assert site.purge_server is not None
             await send(site.purge_server.port, "all")
             purges = site.node.purges
             assert purges is not None
@@ -265,24 +268,57 @@
     asyncio.run(scenario())
 
 
+@asynccontextmanager
+async def cut_off_site(tmp_path: Path, cache: GatedCache, cut_off_per_s: float) -> AsyncIterator[Site]:
+    """A director that no control server reaches."""
+    op = with_short_delay(tmp_path, 1, cut_off_per_s=cut_off_per_s)
+    servers = {"c0": await cache.start(), "r0": REFUSED_ADDRESS}
+    node = Server(read_config(config(servers, may_duplicate=False)), op)
+    port = await node.start()
+    client = await Client.connect(port)
+    try:
+        yield Site(node, port, client, None, record_events(node.director))
+    finally:
+        client.writer.close()
+        await node.close()
+
+
 def test_while_cut_off_the_age_of_a_copy_is_limited_when_its_answer_is_passed_on(tmp_path: Path) -> None:
     """A strict class takes copies younger than the delay. The age was limited as of the send only."""
 
     async def scenario() -> None:
         cache = GatedCache()
-        address = await cache.start()
-        op = with_short_delay(tmp_path, 1, cut_off_per_s=40)  # no control server listens there
-        node = Server(read_config(config({"c0": address, "r0": REFUSED_ADDRESS}, may_duplicate=False)), op)
-        client = await Client.connect(await node.start())
-        events = record_events(node.director)
-        await asyncio.sleep(0.2)  # for the budget of refetches
-        client.ask(1)
-        await wait_until(lambda: cache.received)
-        await asyncio.sleep(DELAY_MS / 1000.0 + 0.05)
-        cache.gate.set()
-        assert (await client.next())[2] == SERVED and len(cache.received) == 2
-        assert [status for _, _, status, _ in outcomes(events)] == [Status.SUPERSEDED, Status.OK]
-        client.writer.close()
-        await node.close()
+        async with cut_off_site(tmp_path, cache, cut_off_per_s=40.0) as site:
+            await asyncio.sleep(0.2)  # for the budget of refetches
+            site.client.ask(1)
+            await wait_until(lambda: cache.received)
+            await asyncio.sleep(DELAY_MS / 1000.0 + 0.05)
+            cache.gate.set()
+            assert (await site.client.next())[2] == SERVED and len(cache.received) == 2
+            assert [status for _, _, status, _ in outcomes(site.events)] == [Status.SUPERSEDED, Status.OK]
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("effect, code", [(Effect.SAFE, REFUSED), (Effect.UNSAFE, FAILED)])
+def test_a_superseded_answer_without_budget_for_another_fetch_ends_its_request_honestly(
+    tmp_path: Path, effect: Effect, code: int
+) -> None:
+    """A request that has run may be refused only if a retry is harmless."""
+
+    async def scenario() -> None:
+        cache = GatedCache()
+        async with cut_off_site(tmp_path, cache, cut_off_per_s=40.0) as site:
+            await asyncio.sleep(0.2)
+            site.client.ask(1)
+            await wait_until(lambda: cache.received)
+            (exchange,) = site.node.director.live.values()
+            exchange.spec = dataclasses.replace(exchange.spec, effect=effect)
+            purges = site.node.purges
+            assert purges is not None
+            await asyncio.sleep(DELAY_MS / 1000.0 + 0.05)
+            purges.admits = lambda *_: 700.0  # type: ignore[method-assign]
+            cache.gate.set()
+            assert (await site.client.next())[2] == code and len(cache.received) == 1
 
     asyncio.run(scenario())
