--- a/gladelane/purges/subscription.py
+++ b/gladelane/purges/subscription.py
@@ -189,13 +189,13 @@
 
     def max_copy_age_ms(self, cls: str) -> float:
         """Returns the age above which no copy may be used for a class."""
-        self._notice_cut_off()
+        self._check_link_if_due()
         return self._limits.max_copy_age_ms(cls, self.clock())
 
     def answer_limits(self, cls: str, group: int, object_: int, part: int, written_ms: float) -> AnswerLimits:
         """Returns the limits on a copy that answers now. `written_ms`: when the request for it was written;
         objects are numbered from 0."""
-        self._notice_cut_off()
+        self._check_link_if_due()
         now_ms = self.clock()
         accepted_until_ms = now_ms + FORWARDING_MS - self.options.delay_ms
         recent = self.active.recent
@@ -207,7 +207,7 @@
 
     def admits(self, cls: str, part: PartKey, weight: float) -> float:
         """Returns 0.0 if a request is admitted, or the time in ms after which to retry it."""
-        self._notice_cut_off()
+        self._check_link_if_due()
         return self._limits.admit(cls, part, weight, self.clock())
 
     def answered(self, cls: str, part: PartKey, dated_ms: float, in_time: bool) -> None:
@@ -223,7 +223,7 @@
         if self._limits.update_link(self.clock()):
             self.on_change()
 
-    def _notice_cut_off(self) -> None:
+    def _check_link_if_due(self) -> None:
         """Updates the state of the link at once if it is over, and not only at the next regular check."""
         if self._limits.is_update_due(self.clock()):
             self.check_link()
