Keep the free attempt of a superseded request while its hedge is under way

An answer was superseded while a second attempt was under way; when that failed, its error alone decided: retry budget, both caches tried, and the request was refused with seconds left.

At fault: Attempts._pay_for_attempt recorded a superseded answer, and it is called only once no attempt is in flight. Ruled out: an answer of the second attempt, which ends the request as before.

Changed: Router.on_outcome records it when it comes (Attempts.record_superseded).

--- a/gladelane/routing/attempts.py
+++ b/gladelane/routing/attempts.py
@@ -83,6 +83,11 @@
         if self.rules.may_repeat(pending) and left_ms > HEDGE_MIN_LEFT_MS:
             self._send_read(pending, left_ms)
 
+    def record_superseded(self, pending: PendingRequest, store: str) -> None:
+        """Makes the next attempt free after an answer that could not be used any more, up to a limit."""
+        if pending.replacements < MAX_REPLACEMENTS:
+            pending.replace_answer(store)
+
     def _may_advance(self, pending: PendingRequest, left_ms: float) -> bool:
         if pending.attempt_count >= pending.max_attempts or pending.immediate_errors >= MAX_IMMEDIATE_ERRORS:
             return False
@@ -95,9 +100,6 @@
             pending.tried_stores.pop()
             pending.has_free_attempt = pending.replacements > 0
             return True
-        if after is not None and after.status is Status.SUPERSEDED:
-            if pending.replacements < MAX_REPLACEMENTS:
-                pending.replace_answer(after.store)
         if not pending.attempt_count or pending.has_free_attempt:
             return True
         return self._budgets.take_retry()
--- a/gladelane/routing/router.py
+++ b/gladelane/routing/router.py
@@ -232,6 +232,8 @@
             return
         if event.status not in NEVER_RAN and not pending.may_have_run:
             pending.mark_may_have_run(attempt.sent_ms, attempt.store)
+        if event.status is Status.SUPERSEDED:
+            self.attempts.record_superseded(pending, event.store)
         if not pending.in_flight:
             self.attempts.advance(pending, event)
 
--- a/tests/test_failure.py
+++ b/tests/test_failure.py
@@ -476,3 +476,16 @@
     fetch = only_action(d.ask(), Fetch)
     d.router.caches[0].concurrency.limit = 0.0
     assert only_action(d.answer(fetch, Status.SUPERSEDED, after=fetch.timeout_ms - 40.0), Refuse)
+
+
+def test_a_free_attempt_is_kept_until_a_second_attempt_under_way_has_failed() -> None:
+    """The failure of the hedge used to decide alone, and the request was rejected with seconds left."""
+    d = Driver(members(caches=2), second_copies=True)
+    first = only_action(d.ask(), Fetch)
+    d.now += 400.0
+    hedge = only_action(d.handle(Timer(f"h:{first.id}")), Fetch)
+    d.router.budgets.retries = 0.0
+    assert not d.handle(Outcome(first.id, 0, first.store, Status.SUPERSEDED))
+    d.now += 100.0
+    third = only_action(d.handle(Outcome(first.id, 1, hedge.store, Status.ERROR)), Fetch)
+    assert third.store == first.store
