Give clients a turn in a close during which the process was stalled

Cause: ClientListener.close waits CLOSE_TIMEOUT_S (0.15 s) by the clock alone, so a stall of the process uses it up, and connections are closed before they were looked at again.

Changed: at least MIN_CLOSE_POLLS (4) checks are made, 20 ms after a stall.

--- a/gladelane/net/client_listener.py
+++ b/gladelane/net/client_listener.py
@@ -27,6 +27,7 @@
 MIN_IDLE_MS = 100.0  # at the cap, a connection that was idle for less is not closed to admit another client
 CLOSE_TIMEOUT_S = 0.15  # how long the last connections may take to end when the process stops
 CLOSE_POLL_S = 0.005  # interval between checks whether they have ended
+MIN_CLOSE_POLLS = 4  # checks that are made even if the process was stalled for longer than that time
 SWEEP_MS = 250.0
 #: Left free when the last queued connections are accepted, since stopping opens files and imports modules.
 RESERVED_DESCRIPTORS = 8
@@ -247,7 +248,11 @@
         self.stop_listening()
         loop = asyncio.get_running_loop()
         deadline_s = loop.time() + CLOSE_TIMEOUT_S
-        while (self._being_set_up or self.connections) and loop.time() < deadline_s:
+        polls = 0
+        while (self._being_set_up or self.connections) and (
+            loop.time() < deadline_s or polls < MIN_CLOSE_POLLS
+        ):
+            polls += 1
             for conn in list(self.connections):
                 if conn.is_settled():
                     conn.close_gracefully()
--- a/tests/net/test_answers_before_close.py
+++ b/tests/net/test_answers_before_close.py
@@ -204,6 +204,37 @@
         assert ([stream for stream, _ in sorted_answers(frames)], end) == (list(streams), "end of file")
 
 
+@pytest.mark.parametrize("after_s", [0.0, 0.002, 0.005])
+def test_answers_are_delivered_in_a_close_during_which_the_process_is_stalled(after_s: float) -> None:
+    """The time for the close was used up by the stall, so connections were reset before their clients had a turn."""
+
+    @async_test
+    async def scenario() -> None:
+        async with running_director(config({"r0": REFUSED_ADDRESS})) as (node, _):
+            raw = RawClient(node)
+            conn = await wait_for_server_connection(node, raw)
+            real_handle_all, close_tasks = conn._handle_all, list[asyncio.Task[None]]()
+
+            def handle_and_close(frames: list[Any]) -> None:
+                if not close_tasks:
+                    close_tasks.append(asyncio.create_task(node.client_listener.close()))
+                    stall = 2.0 * front_module.CLOSE_TIMEOUT_S
+                    asyncio.get_running_loop().call_later(after_s, time.sleep, stall)
+                real_handle_all(frames)
+
+            conn._handle_all = handle_and_close  # type: ignore[method-assign]
+            raw.send(b"".join(encode_request(stream, o="0" * 15 + "z") for stream in range(1, 201)))
+            frames, end = await raw.receive_until_end()
+            raw.sock.close()
+            await close_tasks[0]
+            assert ([stream for stream, _ in sorted_answers(frames)], end) == (
+                list(range(1, 201)),
+                "end of file",
+            )
+
+    scenario()
+
+
 @async_test
 async def test_a_client_accepted_by_the_last_accept_before_the_shutdown_is_answered() -> None:
     cache = ScriptedCache(hit)
