--- a/tests/purges/test_superseded_answers.py
+++ b/tests/purges/test_superseded_answers.py
@@ -89,6 +89,15 @@
         await wait_until(lambda: len(purges.active))
         return accepted_s
 
+    async def answer_after_purge(self, cache: GatedCache, scope: str = "all", **fields: str) -> int:
+        """Sends request 1, lets its first answer come after the delay of a purge, and returns the code of the final
+        answer."""
+        self.client.ask(1, **fields)
+        await wait_until(lambda: cache.received)
+        await until_after_delay(await self.purge(scope))
+        cache.gate.set()
+        return (await self.client.next())[2]
+
     def superseded(self) -> int:
         found = re.search(r"answers_superseded=(\d+)", self.node.director.report())
         assert found is not None
@@ -127,11 +136,7 @@
     async def scenario() -> None:
         cache = GatedCache()
         async with running_site(tmp_path, cache, may_duplicate=False) as site:
-            site.client.ask(1)
-            await wait_until(lambda: cache.received)
-            await until_after_delay(await site.purge(scope))
-            cache.gate.set()
-            assert (await site.client.next())[2] == SERVED
+            assert await site.answer_after_purge(cache, scope) == SERVED
             assert len(cache.received) == 2 and float(cache.received[1][1]["accept"]) < 2000.0
             assert [status for _, _, status, _ in outcomes(site.events)] == [Status.SUPERSEDED, Status.OK]
             assert site.superseded() == 1
@@ -181,12 +186,8 @@
     async def scenario() -> None:
         cache = GatedCache("still_good")
         async with running_site(tmp_path, cache, may_duplicate=False) as site:
-            site.client.ask(1, known="aa")
-            await wait_until(lambda: cache.received)
-            await until_after_delay(await site.purge("all"))
-            cache.gate.set()
-            answer = await site.client.next()
-            assert answer[2] == SERVED and len(cache.received) == 2 and site.superseded() == 1
+            assert await site.answer_after_purge(cache, known="aa") == SERVED
+            assert len(cache.received) == 2 and site.superseded() == 1
 
     asyncio.run(scenario())
 
@@ -198,12 +199,8 @@
     async def scenario() -> None:
         cache = GatedCache(word, has_dates=False)
         async with running_site(tmp_path, cache, may_duplicate=False) as site:
-            site.client.ask(1, known="aa")
-            await wait_until(lambda: cache.received)
-            await until_after_delay(await site.purge("all"))
-            cache.gate.set()
             # the second attempt states the limit, so its answer needs no date
-            assert (await site.client.next())[2] == SERVED
+            assert await site.answer_after_purge(cache, known="aa") == SERVED
             assert len(cache.received) == 2 and site.superseded() == 1
 
     asyncio.run(scenario())
@@ -229,11 +226,8 @@
     async def scenario() -> None:
         origin = GatedCache(has_dates=False)
         async with running_site(tmp_path, GatedCache(), origin) as site:
-            site.client.ask(1, c="sheet", k="5c")
-            await wait_until(lambda: origin.received)
-            await until_after_delay(await site.purge("all"))
-            origin.gate.set()
-            assert (await site.client.next())[2] == SERVED and len(origin.received) == 1
+            assert await site.answer_after_purge(origin, c="sheet", k="5c") == SERVED
+            assert len(origin.received) == 1
 
     asyncio.run(scenario())
 
