Run the tests of superseded answers in virtual time, so that no stall changes them

Checked: with a stall of 0.2 s just before the requests are sent, all 60 are refused and none reaches a cache; without it all arrive in 21 ms. Cause: while the event loop lags by more than MAX_LAG_MS (client_listener.py), requests are rejected, as intended. The other tests of the harness replace the lag; these did not, and their delays of 0.3 s and bounds of 0.2 s were real time. Stalls of 0.55 s at random moments made 17 of 24 runs of the file fail, in six tests.

Ruled out: a fault of the product, and load alone (50 of 50 of the failed test beside 4 busy processes, five at a time, passed).

Change: the file runs in virtual time over real sockets, as the tests of idle connections do, with the same checks and bounds. virtual_time.py moves to tests/, has run_in_virtual_time for tests with arguments, and runs blocking calls inline, since the clocks would jump past the end of a thread.

Measured: three stalls of 0.55 s at random moments of each test: 24 of 24 runs of the file pass. Beside 4 busy processes, five at a time: 50 of 50. All files that use virtual_time.py and tests/purges: 766 passed.

--- a/tests/purges/test_superseded_answers.py
+++ b/tests/purges/test_superseded_answers.py
@@ -18,6 +18,7 @@
 from test_director import operator
 from test_net_rules import outcomes, record_events
 from test_purge_log import ServedLog, running_server, send
+from virtual_time import VirtualClock, run_in_virtual_time
 
 from gladelane.net.config import read_config
 from gladelane.routing.events import Effect, Event, Status
@@ -133,7 +134,7 @@
 ) -> None:
     """The date was compared only with the purges known at the send, so the old copy was passed on at any time."""
 
-    async def scenario() -> None:
+    async def scenario(_: VirtualClock) -> None:
         cache = GatedCache()
         async with running_site(tmp_path, cache, may_duplicate=False) as site:
             assert await site.answer_after_purge(cache, scope) == SERVED
@@ -141,13 +142,13 @@
             assert [status for _, _, status, _ in outcomes(site.events)] == [Status.SUPERSEDED, Status.OK]
             assert site.superseded() == 1
 
-    asyncio.run(scenario())
+    run_in_virtual_time(scenario)
 
 
 def test_an_answer_is_passed_on_until_the_stated_delay_of_a_purge_is_over(tmp_path: Path) -> None:
     """To refuse or repeat it would cost its caller time for nothing: the promise begins with the delay."""
 
-    async def scenario() -> None:
+    async def scenario(_: VirtualClock) -> None:
         cache = GatedCache()
         async with running_site(tmp_path, cache, may_duplicate=False) as site:
             site.client.ask(1)
@@ -158,11 +159,11 @@
             assert (await site.client.next())[2] == SERVED
             assert [status for _, _, status, _ in outcomes(site.events)] == [Status.OK]
 
-    asyncio.run(scenario())
+    run_in_virtual_time(scenario)
 
 
 def test_a_newer_purge_does_not_put_off_the_end_of_the_delay_of_an_older_one(tmp_path: Path) -> None:
-    async def scenario() -> None:
+    async def scenario(_: VirtualClock) -> None:
         cache = GatedCache()
         async with running_site(tmp_path, cache, may_duplicate=False) as site:
             site.client.ask(1)
@@ -177,37 +178,37 @@
             assert (await site.client.next())[2] == SERVED
             assert len(cache.received) == 2 and site.superseded() == 1
 
-    asyncio.run(scenario())
+    run_in_virtual_time(scenario)
 
 
 def test_the_clients_own_copy_is_not_confirmed_after_the_stated_delay(tmp_path: Path) -> None:
     """`still_good` carries the date of the copy that it confirms, which the same limits bind."""
 
-    async def scenario() -> None:
+    async def scenario(_: VirtualClock) -> None:
         cache = GatedCache("still_good")
         async with running_site(tmp_path, cache, may_duplicate=False) as site:
             assert await site.answer_after_purge(cache, known="aa") == SERVED
             assert len(cache.received) == 2 and site.superseded() == 1
 
-    asyncio.run(scenario())
+    run_in_virtual_time(scenario)
 
 
 @pytest.mark.parametrize("word", ["served", "still_good"])
 def test_an_answer_without_a_date_is_asked_for_again_if_a_purge_came_while_it_was_out(
     tmp_path: Path, word: str
 ) -> None:
-    async def scenario() -> None:
+    async def scenario(_: VirtualClock) -> None:
         cache = GatedCache(word, has_dates=False)
         async with running_site(tmp_path, cache, may_duplicate=False) as site:
             # the second attempt states the limit, so its answer needs no date
             assert await site.answer_after_purge(cache, known="aa") == SERVED
             assert len(cache.received) == 2 and site.superseded() == 1
 
-    asyncio.run(scenario())
+    run_in_virtual_time(scenario)
 
 
 def test_a_request_that_cannot_be_repeated_is_refused_once_and_at_once(tmp_path: Path) -> None:
-    async def scenario() -> None:
+    async def scenario(_: VirtualClock) -> None:
         cache = GatedCache()
         async with running_site(tmp_path, cache, may_duplicate=False, max_attempts=1) as site:
             site.client.ask(1)
@@ -219,17 +220,17 @@
             assert time.monotonic() - started_s < 0.2 and len(cache.received) == 1
             assert await site.client.receives_nothing()
 
-    asyncio.run(scenario())
+    run_in_virtual_time(scenario)
 
 
 def test_a_write_that_is_out_during_a_purge_of_everything_is_answered_once(tmp_path: Path) -> None:
-    async def scenario() -> None:
+    async def scenario(_: VirtualClock) -> None:
         origin = GatedCache(has_dates=False)
         async with running_site(tmp_path, GatedCache(), origin) as site:
             assert await site.answer_after_purge(origin, c="sheet", k="5c") == SERVED
             assert len(origin.received) == 1
 
-    asyncio.run(scenario())
+    run_in_virtual_time(scenario)
 
 
 def test_a_purge_of_everything_with_many_answers_out_causes_no_refusal_and_no_ejection(
@@ -237,7 +238,7 @@
 ) -> None:
     """The answers come from sound caches within one moment: they cost no retry budget and eject no cache."""
 
-    async def scenario() -> None:
+    async def scenario(_: VirtualClock) -> None:
         caches = [GatedCache() for _ in range(5)]
         async with running_site(tmp_path, *caches, may_duplicate=False) as site:
             clients = [site.client, await Client.connect(site.port), await Client.connect(site.port)]
@@ -259,7 +260,7 @@
             for client in clients[1:]:
                 client.writer.close()
 
-    asyncio.run(scenario())
+    run_in_virtual_time(scenario)
 
 
 @asynccontextmanager
@@ -280,7 +281,7 @@
 def test_while_cut_off_the_age_of_a_copy_is_limited_when_its_answer_is_passed_on(tmp_path: Path) -> None:
     """A strict class takes copies younger than the delay. The age was limited as of the send only."""
 
-    async def scenario() -> None:
+    async def scenario(_: VirtualClock) -> None:
         cache = GatedCache()
         async with cut_off_site(tmp_path, cache, cut_off_per_s=40.0) as site:
             await asyncio.sleep(0.2)  # for the budget of refetches
@@ -291,7 +292,7 @@
             assert (await site.client.next())[2] == SERVED and len(cache.received) == 2
             assert [status for _, _, status, _ in outcomes(site.events)] == [Status.SUPERSEDED, Status.OK]
 
-    asyncio.run(scenario())
+    run_in_virtual_time(scenario)
 
 
 @pytest.mark.parametrize("effect, code", [(Effect.SAFE, REFUSED), (Effect.UNSAFE, FAILED)])
@@ -300,7 +301,7 @@
 ) -> None:
     """A request that has run may be refused only if a retry is harmless."""
 
-    async def scenario() -> None:
+    async def scenario(_: VirtualClock) -> None:
         cache = GatedCache()
         async with cut_off_site(tmp_path, cache, cut_off_per_s=40.0) as site:
             await asyncio.sleep(0.2)
@@ -315,4 +316,4 @@
             cache.gate.set()
             assert (await site.client.next())[2] == code and len(cache.received) == 1
 
-    asyncio.run(scenario())
+    run_in_virtual_time(scenario)
--- a/tests/net/virtual_time.py
+++ b/tests/virtual_time.py
@@ -2,7 +2,8 @@
 
 Ten idle minutes take seconds of real time: `time.time` and `time.monotonic` start at fixed values and advance only by
 the time for which the loop would have waited. All peers have to run in this loop, since the clocks would jump past
-their answers otherwise. On loopback, what one side writes is readable at the other side immediately.
+their answers otherwise, and blocking calls run in it in place of a thread for the same reason. On loopback, what one
+side writes is readable at the other side immediately.
 """
 
 from __future__ import annotations
@@ -11,10 +12,13 @@
 import selectors
 import time
 from collections.abc import Callable, Coroutine
+from types import SimpleNamespace
 from typing import Any
 
 import pytest
 
+from gladelane import worker_threads
+
 UNIX_START_S = 1_800_000_000.0
 MONOTONIC_START_S = 50_000.0
 #: Real time that the loop waits for packets on loopback before the clocks jump. Without it, a softirq that is late on
@@ -43,11 +47,19 @@
         patch.setattr(time, "monotonic_ns", lambda: int(self.monotonic_s() * 1e9))
         patch.setattr(time, "clock_gettime", self._gettime_s)
         patch.setattr(time, "clock_gettime_ns", lambda clock: int(self._gettime_s(clock) * 1e9))
+        patch.setattr(worker_threads, "threading", SimpleNamespace(Thread=_InlineThread))
 
     def _gettime_s(self, clock: int) -> float:
         return self.unix_s() if clock == time.CLOCK_REALTIME else self.monotonic_s()
 
 
+class _InlineThread:
+    """Makes its call at once, in the thread that starts it."""
+
+    def __init__(self, target: Callable[[], None]) -> None:
+        self.start = target
+
+
 class _JumpingSelector(selectors.DefaultSelector):
     """A selector that advances the clock instead of waiting."""
 
@@ -69,17 +81,22 @@
         return ready
 
 
+def run_in_virtual_time(test: Callable[[VirtualClock], Coroutine[Any, Any, None]]) -> None:
+    """Runs a test in an event loop with a virtual clock, which is passed to it."""
+    clock = VirtualClock()
+    with pytest.MonkeyPatch.context() as patch:
+        clock.install(patch)
+        with asyncio.Runner(
+            loop_factory=lambda: asyncio.SelectorEventLoop(_JumpingSelector(clock))
+        ) as runner:
+            runner.run(test(clock))
+
+
 def virtual(test: Callable[[VirtualClock], Coroutine[Any, Any, None]]) -> Callable[[], None]:
     """Decorates a test so that it runs in an event loop with a virtual clock, which is passed to it."""
 
     def run() -> None:
-        clock = VirtualClock()
-        with pytest.MonkeyPatch.context() as patch:
-            clock.install(patch)
-            with asyncio.Runner(
-                loop_factory=lambda: asyncio.SelectorEventLoop(_JumpingSelector(clock))
-            ) as runner:
-                runner.run(test(clock))
+        run_in_virtual_time(test)
 
     run.__name__, run.__doc__ = test.__name__, test.__doc__
     return run
