Record attempts of an unsafe request under its idempotency key too

Checked, with a line at each admission and first byte on a scratch copy: the first try was UNSAFE (the stricter of both files holds for 1.5 s) and recorded under its id only, though it carried a key; the second was KEYED and its key unknown, so it began a window of its own. Ruled out: a record that is dropped early (it was never made under the key).

Lines at fault: attempt_key (routing/idempotency.py), one key for each request; Admission.rejection and AttemptChecks.has_run_elsewhere, which compared an unsafe request with its id only, so that it was also sent after a keyed try.

Change: attempt_keys names each key that a later try may carry. Attempts are recorded, replicated and removed under all of them; an unsafe request fails if its id or its key is known, and is refused while its key may be unknown. KeyWindows.is_full takes all keys of a request. The tests of is_full pass a list of one key in place of a key; their checks are the same.

Cost: while both files hold, a keyed try that follows another one fails, also within its window, since fragile is the stricter rule.

--- a/gladelane/net/admission.py
+++ b/gladelane/net/admission.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from ..routing.events import ClassSpec, Effect, Request
-from ..routing.idempotency import NO_ATTEMPT
 from .exchange import AnswerCode, ClientRequest, Exchange, FinalAnswer
 from .interfaces import DirectorContext
 
@@ -46,11 +45,11 @@
         context, client_request, spec = self._context, exchange.ask, exchange.spec
         if context.audit is not None and (retry_after_ms := context.audit.retry_after_ms(client_request.cls)):
             return self._rejected(retry_after_ms)
-        if spec.effect is Effect.UNSAFE and context.keys.first_attempt(exchange.key, now) != NO_ATTEMPT:
-            return FinalAnswer(AnswerCode.FAILED)  # its id came before, and it may have run then
-        if spec.effect is not Effect.SAFE and context.keys.is_full(exchange.key, now):
+        if spec.effect is Effect.UNSAFE and context.keys.has_attempt(exchange.keys, now):
+            return FinalAnswer(AnswerCode.FAILED)  # its id or key came before, and it may have run then
+        if context.keys.is_full(exchange.keys, now):
             return FinalAnswer(AnswerCode.REFUSED)
-        if spec.effect is Effect.KEYED and self._is_key_unknown(client_request.key, now):
+        if spec.effect is not Effect.SAFE and self._is_key_unknown(client_request.key, now):
             return FinalAnswer(AnswerCode.REFUSED)
         return self.refetch_rejection(exchange)
 
--- a/gladelane/net/attempt_checks.py
+++ b/gladelane/net/attempt_checks.py
@@ -4,7 +4,7 @@
 from __future__ import annotations
 
 from ..routing.events import Effect
-from ..routing.idempotency import NO_ATTEMPT, is_past_window
+from ..routing.idempotency import is_past_window
 from ..timer_wheel import TICK_MS
 from .attempt_outcomes import AttemptOutcome
 from .endpoint_list import EndpointList
@@ -35,22 +35,22 @@
         return None
 
     def record_start(self, attempt: Attempt, now: float) -> None:
-        """Records an attempt that is about to be written, with the audit and under its key."""
+        """Records an attempt that is about to be written, with the audit and under its keys."""
         context, exchange = self._context, attempt.exchange
         if context.audit is not None:
             attempt.activity_interval = context.audit.record_attempt(exchange.request.cls)
-        if key := exchange.key:
+        for key in exchange.keys:
             attempt.ran_ms = now
             context.keys.may_have_run(key, now, attempt.store)
             if context.key_observer is not None:
                 context.key_observer.may_have_run(key, now, attempt.store)
 
     def has_run_elsewhere(self, exchange: Exchange, now: float) -> bool:
-        """Whether another request with the id of this unsafe one may have run, so that this one may not. An
-        unsafe request has no earlier attempt of its own that may have run."""
+        """Whether another request with the id or the idempotency key of this unsafe one may have run, so that
+        this one may not. An unsafe request has no earlier attempt of its own that may have run."""
         if exchange.spec.effect is not Effect.UNSAFE or exchange.may_have_run():
             return False
-        return self._context.keys.first_attempt(exchange.key, now) != NO_ATTEMPT
+        return self._context.keys.has_attempt(exchange.keys, now)
 
     def is_past_window(self, attempt: Attempt, now: float) -> bool:
         """Whether the window of a request with an idempotency key is over. The router checked this when it
--- a/gladelane/net/attempt_lifecycle.py
+++ b/gladelane/net/attempt_lifecycle.py
@@ -172,16 +172,22 @@
         return listed is not None and listed.kind == self._context.settings.origin_kind
 
     def _record_run(self, attempt: Attempt, status: Status) -> None:
-        """Records whether an attempt may have run, under its key and in its exchange."""
-        exchange, context = attempt.exchange, self._context
+        """Records whether an attempt may have run, under its keys and in its exchange."""
+        exchange = attempt.exchange
         if status in NEVER_RAN:
             if attempt.ran_ms:
-                context.keys.never_ran(exchange.key, attempt.ran_ms, attempt.store)
-                if context.key_observer is not None:
-                    context.key_observer.never_ran(exchange.key, attempt.ran_ms, attempt.store)
+                self._remove_record(attempt)
         elif attempt.written_ms:
             exchange.ran_ms = min(exchange.ran_ms or attempt.written_ms, attempt.written_ms)
 
+    def _remove_record(self, attempt: Attempt) -> None:
+        """Removes an attempt that is proven never to have run from the records of its keys."""
+        context = self._context
+        for key in attempt.exchange.keys:
+            context.keys.never_ran(key, attempt.ran_ms, attempt.store)
+            if context.key_observer is not None:
+                context.key_observer.never_ran(key, attempt.ran_ms, attempt.store)
+
     def _answer(self, attempt: Attempt, outcome: AttemptOutcome, reply: Reply) -> None:
         exchange, audit = attempt.exchange, self._context.audit
         if audit is not None and not exchange.done:
--- a/gladelane/net/exchange.py
+++ b/gladelane/net/exchange.py
@@ -14,7 +14,7 @@
 from ..admin.metrics import Metrics
 from ..clock import UnixMs
 from ..routing.events import ClassSpec, Request
-from ..routing.idempotency import attempt_key
+from ..routing.idempotency import attempt_keys
 from ..timer_wheel import TimerHandle
 
 
@@ -72,9 +72,9 @@
     is_client_gone: Callable[[], bool] = never_gone  # judges by the bytes received so far
 
     @property
-    def key(self) -> str:
-        """The key under which its attempts are recorded; empty if they need no record."""
-        return attempt_key(self.spec.effect, self.ask.id, self.ask.key)
+    def keys(self) -> tuple[str, ...]:
+        """The keys under which its attempts are recorded; empty if they need no record."""
+        return attempt_keys(self.spec.effect, self.ask.id, self.ask.key)
 
     def may_have_run(self) -> bool:
         """Whether a byte of any attempt, including ended ones, may have reached a server."""
--- a/gladelane/routing/idempotency.py
+++ b/gladelane/routing/idempotency.py
@@ -1,6 +1,6 @@
-"""Records when requests that must not run twice may have run, under a key.
+"""Records when requests that must not run twice may have run, under keys.
 
-The key is the client's idempotency key, or for an unsafe request one that is made of its id.
+A key is the client's idempotency key, or for an unsafe request one that is made of its id.
 
 The records must outlive attempts and processes, because the client may retry for as long as its class allows.
 The module does no I/O.
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 from typing import NamedTuple, Protocol
 
 from .events import ClassSpec, Effect
@@ -38,12 +38,17 @@
         """Receives the key, the start of the attempt and the server to which it is sent."""
 
 
-def attempt_key(effect: Effect, request_id: str, idempotency_key: str) -> str:
-    """The key under which the attempts of a request are recorded; empty if they need no record. An
-    idempotency key contains no equals sign."""
-    if effect is Effect.UNSAFE:
-        return f"id={request_id}"
-    return idempotency_key if effect is Effect.KEYED else ""
+def attempt_keys(effect: Effect, request_id: str, idempotency_key: str) -> tuple[str, ...]:
+    """The keys under which the attempts of a request are recorded; empty if they need no record. An
+    idempotency key contains no equals sign.
+
+    An unsafe request may carry an idempotency key: while new settings take effect, its class is keyed in
+    other settings, under which the client may retry.
+    """
+    if effect is Effect.SAFE:
+        return ()
+    keys = (idempotency_key,) if idempotency_key else ()
+    return (f"id={request_id}", *keys) if effect is Effect.UNSAFE else keys
 
 
 def retention_for(classes: Iterable[ClassSpec]) -> float:
@@ -84,12 +89,16 @@
         """The number of keys."""
         return len(self._attempts)
 
-    def is_full(self, key: str, now: float) -> bool:
-        """Whether an attempt of this key could not be recorded."""
-        if len(self._attempts) < self.max_keys or key in self._attempts:
+    def is_full(self, keys: Sequence[str], now: float) -> bool:
+        """Whether an attempt of these keys could not be recorded."""
+        if not self._would_exceed_limit(keys):
             return False
         self._drop_expired(now)
-        return len(self._attempts) >= self.max_keys
+        return self._would_exceed_limit(keys)
+
+    def _would_exceed_limit(self, keys: Sequence[str]) -> bool:
+        added = sum(key not in self._attempts for key in keys)
+        return added > 0 and len(self._attempts) + added > self.max_keys
 
     def may_have_run(self, key: str, at_ms: float, store: str) -> None:
         """Records an attempt that starts at `at_ms`."""
@@ -112,6 +121,10 @@
         """The earliest attempt of a key that may have run; NO_ATTEMPT if none is known."""
         return min(self._unexpired(key, now), default=NO_ATTEMPT)
 
+    def has_attempt(self, keys: Iterable[str], now: float) -> bool:
+        """Whether an attempt of any of these keys may have run."""
+        return any(self.first_attempt(key, now) != NO_ATTEMPT for key in keys)
+
     def snapshot(self, now: float) -> dict[str, list[KeyAttempt]]:
         """All attempts within their retention, for the process that replaces this one."""
         self._drop_expired(now)
--- a/tests/admin/test_idempotency_windows.py
+++ b/tests/admin/test_idempotency_windows.py
@@ -48,9 +48,13 @@
     twice."""
     old, new = KeyWindows(RETENTION_MS, MAX_KEYS), KeyWindows(RETENTION_MS, MAX_KEYS)
     for number in range(MAX_KEYS):
-        assert not old.is_full(str(number), 1.0)
+        assert not old.is_full([str(number)], 1.0)
         old.may_have_run(str(number), 1.0 + number / 1000.0, "s")
-    assert old.is_full("new", 2.0) and not old.is_full("0", 2.0) and old.first_attempt("0", 2.0) == (1.0, "s")
+    assert (
+        old.is_full(["new"], 2.0)
+        and not old.is_full(["0"], 2.0)
+        and old.first_attempt("0", 2.0) == (1.0, "s")
+    )
     new.may_have_run("own", 0.5, "t")
     new.may_have_run("9", 3.0, "t")
     new.take_over(old.snapshot(6.0))
@@ -59,7 +63,7 @@
         "t",
     )
     assert new.first_attempt("own", 0.6 + RETENTION_MS) == (0.0, "")
-    assert not old.is_full("new", 1.0 + RETENTION_MS + 0.5) and old.first_attempt(
+    assert not old.is_full(["new"], 1.0 + RETENTION_MS + 0.5) and old.first_attempt(
         "0", 1.5 + RETENTION_MS
     ) == (0.0, "")
 
--- a/tests/recovery/test_folder_faults.py
+++ b/tests/recovery/test_folder_faults.py
@@ -285,7 +285,7 @@
     first.restore(keys)
     disks["keys"].fault = fault(errno.ENOSPC, Operation.OPEN, Operation.APPEND)
     keys.may_have_run("unknown", machine.wall_ms, "root")
-    assert not keys.is_full("other", machine.wall_ms), "the marker is set, so a full disk rejects no key"
+    assert not keys.is_full(["other"], machine.wall_ms), "the marker is set, so a full disk rejects no key"
     disks = {"keys": disks["keys"].after_kill()}
     monkeypatch.setattr(state_store_module, "Folder", folder_on(disks))
     settings_retention_ms = 9_000.0  # by the windows of the classes in the settings
@@ -295,10 +295,10 @@
     )
     second.restore(new_keys)
     for _ in range(2):
-        assert new_keys.is_full("unknown", machine.wall_ms)
+        assert new_keys.is_full(["unknown"], machine.wall_ms)
         machine.wait(settings_retention_ms / 2)
         second.watch_keys()
-    assert not new_keys.is_full("unknown", machine.wall_ms)
+    assert not new_keys.is_full(["unknown"], machine.wall_ms)
     third = open_state_store(tmp_path, machine, make_router(machine.wall_ms))
     assert not third.keys.is_incomplete, "the marker must be cleared once no unknown key matters"
 
@@ -313,10 +313,10 @@
     store.restore(keys)
     disks["keys"].fault = fault(errno.EIO)
     keys.may_have_run("first", machine.wall_ms, "root")
-    assert keys.is_full("next", machine.wall_ms) and not keys.is_full("first", machine.wall_ms)
+    assert keys.is_full(["next"], machine.wall_ms) and not keys.is_full(["first"], machine.wall_ms)
     disks["keys"].fault = None
     store.watch_keys()
-    assert not keys.is_full("next", machine.wall_ms)
+    assert not keys.is_full(["next"], machine.wall_ms)
     assert "first" in machine.key_log(disks["keys"].after_kill()).recovered_attempts
 
 
@@ -344,10 +344,10 @@
         patched.setattr(Folder, "read", failing)
         recovery = Recovery(options, "n0", director, None, machine.wall_clock, lambda: True)
     recovery.restore()
-    assert recovery.state_store is None and director.keys.is_full("new", machine.wall_ms)
+    assert recovery.state_store is None and director.keys.is_full(["new"], machine.wall_ms)
     director.keys.may_have_run("handed over", machine.wall_ms, "root")
     recovery._open_late()
-    assert recovery.state_store is not None and not director.keys.is_full("new", machine.wall_ms)
+    assert recovery.state_store is not None and not director.keys.is_full(["new"], machine.wall_ms)
     assert director.keys.first_attempt("earlier", machine.wall_ms)[1] == "root"
     recovery.state_store.close()
     assert {"earlier", "handed over"} <= KeyLog(
